Lay out the workspace, the table's types and the checks

The state package holds the table (sheets, columns, checked cells, compare-and-set rows), the arena with stale-proof keys and block identities that chain over workspace, model and weights version. The protocol package holds the closed set of refusal reasons, the completion format and the operators' views.

--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/hibiscushoistd/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,6 @@
+//! Defines the messages between daemons and the formats of callers, upstreams and operators.
+
+pub mod completion;
+pub mod header;
+pub mod operator;
+pub mod refusal;
--- /dev/null
+++ b/crates/state/src/column.rs
@@ -0,0 +1,135 @@
+//! The columns of the table and the form of their cells.
+
+use serde::Deserialize;
+use serde::Serialize;
+use strum::Display;
+use strum::EnumIter;
+use strum::EnumString;
+
+/// Names a column of a sheet.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Display,
+    EnumIter,
+    EnumString,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Column {
+    /// Holds the adapter that a model serves with.
+    Adapter,
+    /// Holds the IP address and port of an upstream.
+    Address,
+    /// Holds how many requests one caller may have in flight across the fleet.
+    CallerLimit,
+    /// Holds whether an upstream refuses orders that carry an old fencing number.
+    ChecksFence,
+    /// Holds the default deadline of a kind of work, in milliseconds.
+    Deadline,
+    /// Holds the failure domain of an upstream.
+    Domain,
+    /// Holds the share of capacity that a kind of work keeps in a flood, in percent.
+    Floor,
+    /// Holds whether a kind of work may be run again.
+    Idempotent,
+    /// Holds the BLAKE3 hash of a workspace's bearer key, as 64 hexadecimal digits.
+    KeyHash,
+    /// Holds how many requests may be in flight across the fleet.
+    Limit,
+    /// Holds how many upstreams may load weights of a model at once.
+    LoadLimit,
+    /// Holds how many upstreams must go on serving a model during a roll-out.
+    MinimumServing,
+    /// Holds the model that an upstream serves.
+    Model,
+    /// Holds the rank of a kind of work.
+    Rank,
+    /// Holds the tokens a second that a workspace may use across the fleet.
+    Rate,
+    /// Holds the role that an engine should play.
+    Role,
+    /// Holds the name under which a plain service is called.
+    Service,
+    /// Holds whether an upstream takes new work.
+    Standing,
+    /// Holds how far hit rate goes before first-token time, from 0 to 100.
+    Trade,
+    /// Holds the type of an upstream.
+    Type,
+    /// Holds the weights version that a model should serve.
+    Version,
+    /// Holds a relative weight; the default is 100.
+    Weight,
+}
+
+/// Describes what a cell of a column may hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Form {
+    /// Accepts an IP address and a port.
+    Address,
+    /// Accepts one of the given words.
+    Choice(&'static [&'static str]),
+    /// Accepts `true` or `false`.
+    Flag,
+    /// Accepts 64 hexadecimal digits.
+    Hash,
+    /// Accepts a name of 1 to 64 letters, digits, dots, dashes and underscores.
+    Name,
+    /// Accepts a whole number within bounds, both included.
+    Number {
+        /// Gives the least number.
+        least: u64,
+        /// Gives the greatest number.
+        most: u64,
+    },
+}
+
+impl Column {
+    /// Returns what a cell of this column may hold.
+    pub fn form(self) -> Form {
+        const LIMIT: Form = Form::Number {
+            least: 0,
+            most: 1_000_000,
+        };
+        const PERCENT: Form = Form::Number {
+            least: 0,
+            most: 100,
+        };
+        match self {
+            Self::Address => Form::Address,
+            Self::ChecksFence | Self::Idempotent => Form::Flag,
+            Self::CallerLimit | Self::Limit | Self::MinimumServing => LIMIT,
+            Self::Deadline => Form::Number {
+                least: 1,
+                most: 86_400_000,
+            },
+            Self::Floor | Self::Trade => PERCENT,
+            Self::KeyHash => Form::Hash,
+            Self::LoadLimit => Form::Number { least: 1, most: 16 },
+            Self::Adapter | Self::Domain | Self::Model | Self::Service | Self::Version => {
+                Form::Name
+            }
+            Self::Rank => Form::Choice(&["background", "urgent"]),
+            Self::Rate => Form::Number {
+                least: 0,
+                most: 1_000_000_000,
+            },
+            Self::Role => Form::Choice(&["decode", "mixed", "prefill"]),
+            Self::Standing => Form::Choice(&["leaving", "off", "serving"]),
+            Self::Type => Form::Choice(&["engine", "kv_store", "service", "weight_store"]),
+            Self::Weight => Form::Number {
+                least: 0,
+                most: 10_000,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/ident.rs
@@ -0,0 +1,96 @@
+//! Identities that several layers share.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Identifies one run of an upstream's process; a restart brings another.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// Identifies a block of cached prompt by all that its content depends on.
+///
+/// The key chains over workspace, model, weights version, parent block and the block's own text,
+/// so equal keys mean equal prefixes and no workspace can name a block of another.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Block(pub u128);
+
+impl Block {
+    const CONTEXT: &'static str = "hibiscushoist 2026-12 cached block";
+
+    /// Returns the root that all blocks of one workspace, model and weights version descend from.
+    pub fn root(workspace: &str, model: &str, version: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(Self::CONTEXT);
+        for part in [workspace, model, version] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        Self::truncate(&hasher.finalize())
+    }
+
+    /// Returns the block that follows this one and holds `content`.
+    pub fn child(self, content: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(Self::CONTEXT);
+        hasher.update(&self.0.to_le_bytes());
+        hasher.update(content);
+        Self::truncate(&hasher.finalize())
+    }
+
+    /// Returns the blocks of `prompt`, each of `size` bytes; a shorter tail is not a block.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `size` is zero.
+    pub fn chain(self, prompt: &[u8], size: usize) -> Vec<Self> {
+        let mut parent = self;
+        prompt
+            .chunks_exact(size)
+            .map(|content| {
+                parent = parent.child(content);
+                parent
+            })
+            .collect()
+    }
+
+    fn truncate(hash: &blake3::Hash) -> Self {
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hash.as_bytes()[..16]);
+        Self(u128::from_le_bytes(bytes))
+    }
+}
+
+/// Identifies the content of a request.
+#[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// Returns the digest of `parts`, which are kept apart by their lengths.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(*hasher.finalize().as_bytes())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in &self.0[..8] {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,13 @@
+//! Holds the state that every decision reads: the table, the ledger, the directory and its keys.
+//!
+//! Nothing here does I/O or reads a clock. Times are passed in as milliseconds.
+
+pub mod arena;
+pub mod cell;
+pub mod column;
+pub mod edit;
+pub mod ident;
+pub mod row;
+pub mod sheet;
+pub mod table;
+pub mod time;
