Add the engine and service contracts with stand-ins and thin adapters

The daemon had nothing to route to. The stand-ins serve both contracts in process with a switch for each fault, and transport::engine and transport::service are the only modules that speak the formats.

--- /dev/null
+++ b/crates/fakes/src/cache.rs
@@ -0,0 +1,183 @@
+//! The prefix cache of a stand-in engine and the log of its changes.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use tokio::time::Duration;
+use tokio::time::Instant;
+
+use protocol::engine::Change;
+use protocol::engine::Entry;
+use protocol::engine::Event;
+use state::ident::Block;
+
+/// Holds a bounded set of blocks and evicts the least recently used.
+#[derive(Debug)]
+pub struct Cache {
+    blocks: HashMap<Block, Held>,
+    capacity: usize,
+    clock: u64,
+    lose_every: u64,
+    log: VecDeque<Logged>,
+    retained: usize,
+    seq: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    content: Block,
+    parent: Option<Block>,
+    used: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Logged {
+    at: Instant,
+    event: Event,
+}
+
+/// Pairs the name that the caller gave a block with the engine's own key of its content.
+#[derive(Clone, Copy, Debug)]
+pub struct Named {
+    /// Holds the engine's own key.
+    pub content: Block,
+    /// Holds the caller's name.
+    pub name: Block,
+}
+
+impl Cache {
+    /// Returns an empty cache for `capacity` blocks that keeps the last `retained` changes.
+    pub fn new(capacity: usize, retained: usize) -> Self {
+        Self {
+            blocks: HashMap::new(),
+            capacity,
+            clock: 0,
+            lose_every: 0,
+            log: VecDeque::new(),
+            retained,
+            seq: 0,
+        }
+    }
+
+    /// Drops every block.
+    pub fn clear(&mut self) {
+        self.blocks.clear();
+        self.append(Change::Cleared, None, None);
+    }
+
+    /// Returns the content key of a block.
+    pub fn content(&self, name: Block) -> Option<Block> {
+        self.blocks.get(&name).map(|held| held.content)
+    }
+
+    /// Returns the changes after `after` that are at least `delay` old.
+    pub fn events(&self, after: u64, delay: Duration, limit: usize) -> Vec<Event> {
+        let told = self.log.iter().take_while(|l| l.at.elapsed() >= delay);
+        let new = told.map(|l| l.event).filter(|e| e.seq > after);
+        new.take(limit).collect()
+    }
+
+    /// Returns how many blocks are held.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Returns whether no block is held.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Loses each `every`th change from now on; zero loses none.
+    pub fn lose_every(&mut self, every: u64) {
+        self.lose_every = every;
+    }
+
+    /// Returns how many leading blocks of `chain` are held, and marks them as used.
+    pub fn matched(&mut self, chain: &[Named]) -> usize {
+        let held = |n: &&Named| self.content(n.name) == Some(n.content);
+        let count = chain.iter().take_while(held).count();
+        self.touch(&chain[..count]);
+        count
+    }
+
+    /// Returns the number of the newest change that is at least `delay` old.
+    pub fn newest(&self, delay: Duration) -> u64 {
+        let told = self.log.iter().take_while(|l| l.at.elapsed() >= delay);
+        told.last().map_or(0, |l| l.event.seq)
+    }
+
+    /// Returns the number of the last change.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// Lists the blocks, parents before children.
+    pub fn snapshot(&self) -> Vec<Entry> {
+        let mut held: Vec<_> = self.blocks.iter().collect();
+        held.sort_by_key(|(name, _)| (self.depth(**name), **name));
+        let entry = |(name, held): (&Block, &Held)| Entry {
+            block: *name,
+            parent: held.parent,
+        };
+        held.into_iter().map(entry).collect()
+    }
+
+    /// Stores the last block of `chain`.
+    pub fn store(&mut self, chain: &[Named]) {
+        let Some(last) = chain.last() else { return };
+        let parent = chain.len().checked_sub(2).map(|i| chain[i].name);
+        let held = Held {
+            content: last.content,
+            parent,
+            used: 0,
+        };
+        if self.blocks.insert(last.name, held).is_none() {
+            self.append(Change::Stored, Some(last.name), parent);
+        }
+        self.touch(chain);
+        while self.blocks.len() > self.capacity {
+            self.evict();
+        }
+    }
+
+    fn append(&mut self, change: Change, block: Option<Block>, parent: Option<Block>) {
+        self.seq += 1;
+        if self.lose_every > 0 && self.seq.is_multiple_of(self.lose_every) {
+            return;
+        }
+        let event = Event {
+            block,
+            change,
+            parent,
+            seq: self.seq,
+        };
+        let at = Instant::now();
+        self.log.push_back(Logged { at, event });
+        while self.log.len() > self.retained {
+            self.log.pop_front();
+        }
+    }
+
+    fn depth(&self, name: Block) -> usize {
+        let parent = |name: &Block| self.blocks.get(name).and_then(|held| held.parent);
+        std::iter::successors(parent(&name), parent).count()
+    }
+
+    fn evict(&mut self) {
+        let oldest = self.blocks.iter().min_by_key(|(_, held)| held.used);
+        let Some(name) = oldest.map(|(name, _)| *name) else {
+            return;
+        };
+        let held = self.blocks.remove(&name);
+        self.append(Change::Evicted, Some(name), held.and_then(|h| h.parent));
+    }
+
+    fn touch(&mut self, chain: &[Named]) {
+        for named in chain.iter().rev() {
+            self.clock += 1;
+            if let Some(held) = self.blocks.get_mut(&named.name) {
+                held.used = self.clock;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,507 @@
+//! A stand-in for a model engine, with text that depends only on model, version and prompt.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::Weak;
+
+use futures::FutureExt;
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
+use tokio::sync::watch;
+use tokio::time::Duration;
+use tokio::time::Instant;
+
+use protocol::engine;
+use protocol::engine::Action;
+use protocol::engine::Code;
+use state::ident::Block;
+use state::ident::Digest;
+use state::ident::Incarnation;
+
+use crate::cache::Cache;
+use crate::engine_stream;
+use crate::server;
+use crate::server::Body;
+use crate::server::Cut;
+use crate::server::Server;
+use crate::slot::Slots;
+
+/// Bounds the changes told in one answer.
+const EVENTS_LIMIT: usize = 10_000;
+/// Bounds how long an engine waits for new changes before it answers with none.
+const EVENTS_WAIT: Duration = Duration::from_millis(5);
+
+/// Describes a stand-in engine.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Gives the address to serve; port 0 picks a free one.
+    pub address: SocketAddr,
+    /// Bounds the answers, in tokens, whatever the request asks.
+    pub answer_tokens: u64,
+    /// Gives the length of the prompt that each block covers, in bytes.
+    pub block_bytes: u64,
+    /// Bounds the cache, in blocks.
+    pub blocks: usize,
+    /// Tells whether orders with an old fencing number are refused.
+    pub checks_fence: bool,
+    /// Bounds the changes that are kept for readers.
+    pub events_retained: usize,
+    /// Gives the time between heartbeats in a stream without tokens.
+    pub heartbeat: Duration,
+    /// Gives the time to load weights.
+    pub load_time: Duration,
+    /// Names the model.
+    pub model: String,
+    /// Gives the time to compute one block.
+    pub prefill_time: Duration,
+    /// Bounds the requests that wait.
+    pub queue: usize,
+    /// Gives the time from a crash to serving again.
+    pub restart_time: Duration,
+    /// Bounds the requests that run at once.
+    pub slots: usize,
+    /// Gives the time to compute one token.
+    pub token_time: Duration,
+    /// Names the weights version.
+    pub version: String,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            answer_tokens: u64::MAX,
+            block_bytes: 64,
+            blocks: 1_000,
+            checks_fence: true,
+            events_retained: 10_000,
+            heartbeat: Duration::from_millis(20),
+            load_time: Duration::from_millis(50),
+            model: "m".to_owned(),
+            prefill_time: Duration::from_millis(1),
+            queue: 1_000,
+            restart_time: Duration::from_millis(50),
+            slots: 8,
+            token_time: Duration::from_millis(1),
+            version: "v1".to_owned(),
+        }
+    }
+}
+
+/// Switches the faults of a stand-in engine.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Cuts the next stream that reaches this offset, once.
+    pub cut_at: Option<u64>,
+    /// Delays changes of the cache.
+    pub events_delay: Duration,
+    /// Delays reports of load.
+    pub load_lag: Duration,
+    /// Loses each change of the cache whose number is a multiple of this; zero loses none.
+    pub lose_every: u64,
+    /// Leaves out the finishing piece and the end mark of each answer.
+    pub no_end: bool,
+    /// Crashes the engine when it starts to run a prompt that contains this text.
+    pub poison: Option<String>,
+    /// Repeats the token at this offset in the next stream that reaches it, once.
+    pub repeat_at: Option<u64>,
+    /// Lets the next stream that reaches this offset fall silent for good, once.
+    pub silent_at: Option<u64>,
+    /// Leaves out the token at this offset in the next stream that reaches it, once.
+    pub skip_at: Option<u64>,
+    /// Names another attempt in each piece.
+    pub wrong_id: bool,
+}
+
+/// Counts what an engine did.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Counts the crashes.
+    pub crashes: u64,
+    /// Counts the prompt blocks that were computed.
+    pub prefilled: u64,
+    /// Counts the prompts that began to run.
+    pub started: u64,
+    /// Counts the attempts that were stopped by a cancel or a closed connection.
+    pub stopped: u64,
+}
+
+pub(crate) struct Inner {
+    pub(crate) cache: Cache,
+    pub(crate) counts: Counts,
+    pub(crate) faults: Faults,
+    pub(crate) queued_blocks: u64,
+    pub(crate) running: HashMap<String, watch::Sender<bool>>,
+    pub(crate) standing: engine::Standing,
+    reports: VecDeque<Report>,
+}
+
+struct Report {
+    at: Instant,
+    load: engine::Load,
+}
+
+pub(crate) struct Shared {
+    frozen: watch::Sender<bool>,
+    inner: Mutex<Inner>,
+    pub(crate) options: Options,
+    server: Mutex<Option<Arc<Server>>>,
+    pub(crate) slots: Slots,
+}
+
+/// Runs a stand-in engine until it is dropped.
+pub struct Engine {
+    server: Arc<Server>,
+    shared: Arc<Shared>,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(options: Options) -> io::Result<Self> {
+        let shared = Arc::new(Shared::new(options));
+        let weak = Arc::downgrade(&shared);
+        let respond = Arc::new(move |request| respond(Weak::clone(&weak), request).boxed());
+        let server = Arc::new(Server::start(shared.options.address, respond).await?);
+        *server::lock(&shared.server) = Some(Arc::clone(&server));
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns what the engine did so far.
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts
+    }
+
+    /// Cuts every connection, forgets everything and comes back as another incarnation.
+    pub fn crash(&self) {
+        Arc::clone(&self.shared).crash();
+    }
+
+    /// Changes the switches.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        let mut inner = self.shared.lock();
+        change(&mut inner.faults);
+        let every = inner.faults.lose_every;
+        inner.cache.lose_every(every);
+    }
+
+    /// Holds still everything the engine does, or lets it go on.
+    pub fn freeze(&self, frozen: bool) {
+        self.shared.frozen.send_replace(frozen);
+    }
+
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.lock().standing.incarnation
+    }
+
+    /// Returns how many connections were accepted so far.
+    pub fn opened(&self) -> u64 {
+        self.server.opened()
+    }
+
+    /// Makes every open connection silent for good; new ones work.
+    pub fn silence(&self) {
+        self.server.silence();
+    }
+
+    /// Returns what the engine serves.
+    pub fn standing(&self) -> engine::Standing {
+        self.shared.lock().standing.clone()
+    }
+
+    /// Returns the text of an answer from `first` to before `end`.
+    pub fn text(&self, prompt: &str, first: u64, end: u64) -> String {
+        let standing = self.standing();
+        answer(&standing.model, &standing.version, prompt, first, end)
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        server::lock(&self.shared.server).take();
+        self.server.stop();
+    }
+}
+
+/// Returns the text that any stand-in gives for `prompt`, from token `first` to before `end`.
+pub fn answer(model: &str, version: &str, prompt: &str, first: u64, end: u64) -> String {
+    let digest = Digest::of(&[model.as_bytes(), version.as_bytes(), prompt.as_bytes()]);
+    (first..end).map(|i| format!("w{digest}-{i} ")).collect()
+}
+
+impl Shared {
+    fn new(options: Options) -> Self {
+        let standing = engine::Standing {
+            incarnation: Incarnation(1),
+            model: options.model.clone(),
+            role: "mixed".to_owned(),
+            version: options.version.clone(),
+            ..engine::Standing::default()
+        };
+        let inner = Inner {
+            cache: Cache::new(options.blocks, options.events_retained),
+            counts: Counts::default(),
+            faults: Faults::default(),
+            queued_blocks: 0,
+            reports: VecDeque::new(),
+            running: HashMap::new(),
+            standing,
+        };
+        let slots = Slots::new(options.slots);
+        Self {
+            frozen: watch::Sender::new(false),
+            inner: Mutex::new(inner),
+            options,
+            server: Mutex::default(),
+            slots,
+        }
+    }
+
+    /// Waits while the engine is frozen.
+    pub(crate) async fn thaw(&self) {
+        let mut frozen = self.frozen.subscribe();
+        let _ = frozen.wait_for(|frozen| !frozen).await;
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
+        server::lock(&self.inner)
+    }
+
+    pub(crate) fn crash(self: Arc<Self>) {
+        let Some(server) = server::lock(&self.server).clone() else {
+            return;
+        };
+        server.stop();
+        {
+            let mut inner = self.lock();
+            inner.counts.crashes += 1;
+            inner.cache = Cache::new(self.options.blocks, self.options.events_retained);
+            let every = inner.faults.lose_every;
+            inner.cache.lose_every(every);
+            inner.standing.incarnation.0 += 1;
+            inner.standing.fence = 0;
+            inner.standing.loading = None;
+            inner.standing.order = None;
+            inner.reports.clear();
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(self.options.restart_time).await;
+            let alive = server::lock(&self.server).is_some();
+            while alive && server.resume().await.is_err() {
+                tokio::time::sleep(self.options.restart_time).await;
+            }
+        });
+    }
+
+    /// Puts the identity of the engine on a response.
+    pub(crate) fn sign(&self, mut response: Response<Body>) -> Response<Body> {
+        let inner = self.lock();
+        let incarnation = inner.standing.incarnation.0.into();
+        let headers = response.headers_mut();
+        headers.insert(engine::INCARNATION, incarnation);
+        if let Ok(version) = inner.standing.version.parse() {
+            headers.insert(engine::WEIGHTS_VERSION, version);
+        }
+        response
+    }
+
+    /// Keeps a report of the load as it is now.
+    pub(crate) fn observe(&self) {
+        let (running, waiting) = (self.slots.running(), self.slots.waiting());
+        let mut inner = self.lock();
+        let load = engine::Load {
+            age_ms: 0,
+            block_bytes: self.options.block_bytes,
+            blocks_capacity: self.options.blocks as u64,
+            blocks_used: inner.cache.len() as u64,
+            incarnation: inner.standing.incarnation,
+            model: inner.standing.model.clone(),
+            queued_tokens: inner.queued_blocks * self.options.block_bytes / 4,
+            running: running as u64,
+            serving: inner.standing.loading.is_none(),
+            slots: self.options.slots as u64,
+            version: inner.standing.version.clone(),
+            waiting: waiting as u64,
+        };
+        let at = Instant::now();
+        inner.reports.push_back(Report { at, load });
+        let lag = inner.faults.load_lag;
+        let told = |r: &Report| r.at.elapsed() >= lag;
+        while inner.reports.len() > 1 && told(&inner.reports[1]) {
+            inner.reports.pop_front();
+        }
+    }
+
+    fn load(&self) -> engine::Load {
+        self.observe();
+        let inner = self.lock();
+        let lag = inner.faults.load_lag;
+        let age_ms = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
+        let load = inner.reports[0].load.clone();
+        engine::Load { age_ms, ..load }
+    }
+
+    fn cancel(&self, cancel: &engine::Cancel) -> engine::Cancelled {
+        let inner = self.lock();
+        let sender = inner.running.get(&cancel.id);
+        let found = sender.is_some_and(|sender| sender.send(true).is_ok());
+        engine::Cancelled { found }
+    }
+
+    async fn events(&self, query: &str) -> engine::Events {
+        let after = number(query, "after").unwrap_or(0);
+        let delay = self.lock().faults.events_delay;
+        if self.lock().cache.newest(delay) <= after {
+            tokio::time::sleep(EVENTS_WAIT).await;
+        }
+        let inner = self.lock();
+        engine::Events {
+            events: inner.cache.events(after, delay, EVENTS_LIMIT),
+            incarnation: inner.standing.incarnation,
+            newest: inner.cache.newest(delay),
+            version: inner.standing.version.clone(),
+        }
+    }
+
+    fn snapshot(&self) -> engine::Snapshot {
+        let inner = self.lock();
+        engine::Snapshot {
+            blocks: inner.cache.snapshot(),
+            incarnation: inner.standing.incarnation,
+            seq: inner.cache.seq(),
+            version: inner.standing.version.clone(),
+        }
+    }
+
+    async fn order(
+        self: Arc<Self>,
+        order: engine::Order,
+    ) -> Result<engine::Standing, engine::Refusal> {
+        let incarnation = self.accept(&order)?;
+        if let Action::Load {
+            adapter,
+            model,
+            version,
+        } = order.action
+        {
+            while self.slots.running() > 0 || self.slots.waiting() > 0 {
+                tokio::time::sleep(EVENTS_WAIT).await;
+            }
+            tokio::time::sleep(self.options.load_time).await;
+            self.thaw().await;
+            let mut inner = self.lock();
+            if inner.standing.incarnation != incarnation {
+                return Err(refusal(Code::Unavailable));
+            }
+            inner.cache.clear();
+            inner.standing.adapter = adapter;
+            inner.standing.loading = None;
+            inner.standing.model = model;
+            inner.standing.version = version;
+        }
+        Ok(self.lock().standing.clone())
+    }
+
+    fn accept(&self, order: &engine::Order) -> Result<Incarnation, engine::Refusal> {
+        let mut inner = self.lock();
+        let standing = &mut inner.standing;
+        if self.options.checks_fence && order.fence < standing.fence {
+            return Err(engine::Refusal {
+                code: Code::StaleFence,
+                fence: Some(standing.fence),
+            });
+        }
+        if standing.loading.is_some() {
+            return Err(refusal(Code::Loading));
+        }
+        standing.fence = standing.fence.max(order.fence);
+        standing.order = Some(order.id.clone());
+        match &order.action {
+            Action::Load { version, .. } => standing.loading = Some(version.clone()),
+            Action::Role(role) => standing.role.clone_from(role),
+        }
+        Ok(standing.incarnation)
+    }
+
+    /// Returns the engine's own keys of the content of `prompt`.
+    pub(crate) fn contents(&self, salt: &str, prompt: &str) -> Vec<Block> {
+        let inner = self.lock();
+        let root = Block::root(salt, &inner.standing.model, &inner.standing.version);
+        let size = usize::try_from(self.options.block_bytes).unwrap_or(usize::MAX);
+        root.chain(prompt.as_bytes(), size)
+    }
+}
+
+async fn respond(shared: Weak<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let shared = shared.upgrade().ok_or(Cut)?;
+    shared.thaw().await;
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or("").to_owned();
+    let response = match (request.method(), path.as_str()) {
+        (&Method::GET, engine::EVENTS) => server::json(200, &shared.events(&query).await),
+        (&Method::GET, engine::LOAD) => server::json(200, &shared.load()),
+        (&Method::GET, engine::ORDERS) => {
+            let standing = shared.lock().standing.clone();
+            server::json(200, &standing)
+        }
+        (&Method::GET, engine::SNAPSHOT) => server::json(200, &shared.snapshot()),
+        (&Method::POST, engine::CANCEL) => match read(request).await? {
+            Some(cancel) => server::json(200, &shared.cancel(&cancel)),
+            None => refuse(refusal(Code::BadRequest)),
+        },
+        (&Method::POST, engine::COMPLETIONS) => match read(request).await? {
+            Some(asked) => match engine_stream::open(&shared, asked) {
+                Ok(response) => response,
+                Err(code) => refuse(refusal(code)),
+            },
+            None => refuse(refusal(Code::BadRequest)),
+        },
+        (&Method::POST, engine::ORDERS) => match read(request).await? {
+            Some(order) => match tokio::spawn(Arc::clone(&shared).order(order)).await {
+                Ok(Ok(standing)) => server::json(200, &standing),
+                Ok(Err(refusal)) => refuse(refusal),
+                Err(_) => return Err(Cut),
+            },
+            None => refuse(refusal(Code::BadRequest)),
+        },
+        _ => refuse(refusal(Code::UnknownPath)),
+    };
+    shared.thaw().await;
+    Ok(shared.sign(response))
+}
+
+fn refusal(code: Code) -> engine::Refusal {
+    engine::Refusal { code, fence: None }
+}
+
+fn refuse(refusal: engine::Refusal) -> Response<Body> {
+    server::json(refusal.code.status(), &refusal)
+}
+
+async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<Option<T>, Cut> {
+    let body = request.into_body().collect().await.map_err(|_| Cut)?;
+    Ok(serde_json::from_slice(&body.to_bytes()).ok())
+}
+
+fn number(query: &str, key: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(k, _)| *k == key)?.1.parse().ok()
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Stands in for upstreams and the platform in tests and in the demo.
+//!
+//! Each stand-in serves its contract on a loopback address of the calling process and has
+//! switches for the faults of its kind.
+
+pub mod cache;
+pub mod engine;
+mod engine_stream;
+mod line;
+pub mod server;
+pub mod service;
+mod slot;
--- /dev/null
+++ b/crates/fakes/src/line.rs
@@ -0,0 +1,67 @@
+//! A TCP connection that can go silent while it stays open.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// Passes bytes until its number lies below the shared mark, then nothing for good.
+pub(crate) struct Line {
+    /// Holds the number below which connections are silent.
+    pub(crate) mark: Arc<AtomicU64>,
+    /// Numbers the connection.
+    pub(crate) number: u64,
+    /// Holds the connection.
+    pub(crate) stream: TcpStream,
+}
+
+impl Line {
+    fn silent(&self) -> bool {
+        self.number < self.mark.load(Ordering::Relaxed)
+    }
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/slot.rs
@@ -0,0 +1,106 @@
+//! A bounded count of running requests with a queue in order of priority.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use tokio::sync::oneshot;
+
+use crate::server::lock;
+
+/// Counts what runs and what waits.
+#[derive(Debug, Default)]
+struct Inner {
+    arrivals: u64,
+    running: usize,
+    waiting: Vec<Waiter>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    arrival: u64,
+    priority: u8,
+    wake: oneshot::Sender<Permit>,
+}
+
+/// Hands out permits, the least priority number first.
+#[derive(Clone, Debug)]
+pub(crate) struct Slots {
+    inner: Arc<Mutex<Inner>>,
+    limit: usize,
+}
+
+/// Frees its slot when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    slots: Slots,
+}
+
+impl Slots {
+    /// Returns slots for `limit` requests at once.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            inner: Arc::default(),
+            limit,
+        }
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn acquire(&self, priority: u8) -> Permit {
+        loop {
+            let woken = {
+                let mut inner = lock(&self.inner);
+                if inner.running < self.limit {
+                    inner.running += 1;
+                    return self.permit();
+                }
+                let (wake, woken) = oneshot::channel();
+                inner.arrivals += 1;
+                let arrival = inner.arrivals;
+                inner.waiting.push(Waiter {
+                    arrival,
+                    priority,
+                    wake,
+                });
+                woken
+            };
+            if let Ok(permit) = woken.await {
+                return permit;
+            }
+        }
+    }
+
+    /// Returns how many requests run.
+    pub(crate) fn running(&self) -> usize {
+        lock(&self.inner).running
+    }
+
+    /// Returns how many requests wait.
+    pub(crate) fn waiting(&self) -> usize {
+        let inner = lock(&self.inner);
+        inner.waiting.iter().filter(|w| !w.wake.is_closed()).count()
+    }
+
+    fn permit(&self) -> Permit {
+        let slots = self.clone();
+        Permit { slots }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let next = {
+            let mut inner = lock(&self.slots.inner);
+            inner.running -= 1;
+            inner.waiting.retain(|w| !w.wake.is_closed());
+            let first = inner.waiting.iter().enumerate();
+            let first = first.min_by_key(|(_, w)| (w.priority, w.arrival));
+            let first = first.map(|(index, _)| index);
+            let next = first.map(|index| inner.waiting.remove(index));
+            inner.running += usize::from(next.is_some());
+            next
+        };
+        if let Some(waiter) = next {
+            let _ = waiter.wake.send(self.slots.permit());
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/contract.rs
@@ -0,0 +1,512 @@
+//! Checks that the stand-ins meet their contracts, and that each fault shows as what it is.
+
+use assert_matches::assert_matches;
+use tokio::time::Duration;
+
+use fakes::engine::Engine;
+use fakes::engine::Faults;
+use fakes::engine::Options;
+use fakes::service::Fault;
+use fakes::service::Service;
+use protocol::engine;
+use protocol::engine::Change;
+use protocol::engine::Code;
+use protocol::engine::Finish;
+use protocol::refusal::NotRun;
+use state::ident::Block;
+use state::ident::Incarnation;
+use transport::engine::Client;
+use transport::engine::Item;
+use transport::service::Call;
+use transport::service::Ready;
+use transport::upstream::Error;
+use transport::upstream::Limits;
+use transport::upstream::Signature;
+
+const BLOCK_BYTES: u64 = 16;
+const PROMPT: &str = "0123456789abcdef0123456789ABCDEF and a tail";
+
+fn limits() -> Limits {
+    Limits {
+        idle: Duration::from_millis(300),
+        ..Limits::default()
+    }
+}
+
+async fn engine(change: impl FnOnce(&mut Options)) -> (Engine, Client) {
+    let mut options = Options {
+        block_bytes: BLOCK_BYTES,
+        ..Options::default()
+    };
+    change(&mut options);
+    let engine = Engine::start(options).await.unwrap();
+    let client = Client::new(engine.address(), limits());
+    (engine, client)
+}
+
+fn request(workspace: &str, prompt: &str) -> engine::Request {
+    let blocks = Block::root(workspace, "m", "v1").chain(prompt.as_bytes(), BLOCK_BYTES as usize);
+    engine::Request {
+        cache: engine::Cache {
+            block_bytes: BLOCK_BYTES,
+            blocks,
+            salt: workspace.to_owned(),
+        },
+        id: "a-1".to_owned(),
+        max_tokens: 8,
+        model: "m".to_owned(),
+        priority: 0,
+        prompt: prompt.to_owned(),
+        resume: None,
+        rest: serde_json::Map::new(),
+    }
+}
+
+#[derive(Debug, Default, PartialEq)]
+struct Read {
+    ended: bool,
+    finish: Option<Finish>,
+    ids: Vec<String>,
+    offsets: Vec<u64>,
+    text: String,
+    usage: Option<engine::Usage>,
+}
+
+async fn read(client: &Client, request: &engine::Request) -> (Read, Option<Error>) {
+    let mut read = Read::default();
+    let mut stream = match client.complete(request, None).await {
+        Ok(stream) => stream,
+        Err(error) => return (read, Some(error)),
+    };
+    loop {
+        match stream.next().await {
+            Err(error) => return (read, Some(error)),
+            Ok(None) => return (read, None),
+            Ok(Some(Item::End)) => read.ended = true,
+            Ok(Some(Item::Heartbeat)) => {}
+            Ok(Some(Item::Piece(piece))) => {
+                read.finish = read.finish.or(piece.finish);
+                read.ids.push(piece.id);
+                read.offsets.push(piece.offset);
+                read.text.push_str(&piece.text);
+                read.usage = read.usage.or(piece.usage);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_has_every_offset_a_finish_and_an_end_mark() {
+    let (engine, client) = engine(|_| {}).await;
+    let (read, error) = read(&client, &request("w", PROMPT)).await;
+    assert!(error.is_none(), "{error:?}");
+    assert_eq!(read.text, engine.text(PROMPT, 0, 8));
+    assert_eq!(read.offsets, (0..=8).collect::<Vec<_>>());
+    assert_eq!(read.finish, Some(Finish::Length));
+    assert!(read.ended);
+    let usage = engine::Usage {
+        cached_blocks: 0,
+        prompt_blocks: 2,
+    };
+    assert_eq!(read.usage, Some(usage));
+}
+
+#[tokio::test]
+async fn an_answer_resumes_at_an_offset_on_another_engine() {
+    let (first, _) = engine(|_| {}).await;
+    let (_second, client) = engine(|_| {}).await;
+    let mut request = request("w", PROMPT);
+    request.resume = Some(engine::Resume {
+        offset: 3,
+        text: first.text(PROMPT, 0, 3),
+    });
+    let (read, error) = read(&client, &request).await;
+    assert!(error.is_none(), "{error:?}");
+    assert_eq!(read.text, first.text(PROMPT, 3, 8));
+    assert_eq!(read.offsets, (3..=8).collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn a_resume_with_foreign_text_is_refused() {
+    let (_engine, client) = engine(|_| {}).await;
+    let mut request = request("w", PROMPT);
+    request.resume = Some(engine::Resume {
+        offset: 1,
+        text: "of another answer".to_owned(),
+    });
+    let error = read(&client, &request).await.1;
+    assert_matches!(error, Some(Error::Refused { refusal, .. }) if refusal.code == Code::BadRequest);
+}
+
+#[tokio::test]
+async fn each_stream_fault_shows_as_what_it_is() {
+    struct Case {
+        ended: bool,
+        error: Option<&'static str>,
+        fault: fn(&mut Faults),
+        offsets: &'static [u64],
+    }
+    let cases = [
+        Case {
+            ended: false,
+            error: Some("cut"),
+            fault: |f| f.cut_at = Some(2),
+            offsets: &[0, 1],
+        },
+        Case {
+            ended: false,
+            error: Some("idle"),
+            fault: |f| f.silent_at = Some(2),
+            offsets: &[0, 1],
+        },
+        Case {
+            ended: false,
+            error: None,
+            fault: |f| f.no_end = true,
+            offsets: &[0, 1, 2, 3, 4, 5, 6, 7],
+        },
+        Case {
+            ended: true,
+            error: None,
+            fault: |f| f.skip_at = Some(2),
+            offsets: &[0, 1, 3, 4, 5, 6, 7, 8],
+        },
+        Case {
+            ended: true,
+            error: None,
+            fault: |f| f.repeat_at = Some(2),
+            offsets: &[0, 1, 2, 2, 3, 4, 5, 6, 7, 8],
+        },
+    ];
+    for case in cases {
+        let (engine, client) = engine(|_| {}).await;
+        engine.fault(case.fault);
+        let (read, error) = read(&client, &request("w", PROMPT)).await;
+        let name = error.map(|error| match error {
+            Error::Cut { .. } => "cut",
+            Error::Idle { .. } => "idle",
+            _ => "other",
+        });
+        assert_eq!((read.ended, name), (case.ended, case.error));
+        assert_eq!(read.offsets, case.offsets);
+    }
+}
+
+#[tokio::test]
+async fn a_crossed_answer_names_another_attempt() {
+    let (engine, client) = engine(|_| {}).await;
+    engine.fault(|f| f.wrong_id = true);
+    let (read, _) = read(&client, &request("w", PROMPT)).await;
+    assert!(read.ids.iter().all(|id| id == "not-a-1"), "{:?}", read.ids);
+}
+
+#[tokio::test]
+async fn workspaces_share_no_block_even_under_equal_names() {
+    let (engine, client) = engine(|_| {}).await;
+    read(&client, &request("w", PROMPT)).await;
+    let mut foreign = request("w", PROMPT);
+    foreign.cache.salt = "x".to_owned();
+    read(&client, &foreign).await;
+    assert_eq!(engine.counts().prefilled, 4);
+}
+
+#[tokio::test]
+async fn nested_prompts_share_their_leading_blocks() {
+    let (_engine, client) = engine(|_| {}).await;
+    read(&client, &request("w", &PROMPT[..32])).await;
+    let longer = format!("{}another block...and a tail", &PROMPT[..32]);
+    let (read, _) = read(&client, &request("w", &longer)).await;
+    let usage = engine::Usage {
+        cached_blocks: 2,
+        prompt_blocks: 3,
+    };
+    assert_eq!(read.usage, Some(usage));
+}
+
+#[tokio::test]
+async fn events_name_the_blocks_of_the_prompt_in_order() {
+    let (_engine, client) = engine(|o| o.blocks = 2).await;
+    let prompt = "0123456789abcdef".repeat(3);
+    let request = request("w", &prompt);
+    read(&client, &request).await;
+    let events = client.events(0).await.unwrap();
+    let told: Vec<_> = events.events.iter().map(|e| (e.seq, e.change)).collect();
+    let expected = [
+        (1, Change::Stored),
+        (2, Change::Stored),
+        (3, Change::Stored),
+        (4, Change::Evicted),
+    ];
+    assert_eq!(told, expected);
+    let names = &request.cache.blocks;
+    assert_eq!(events.events[1].block, Some(names[1]));
+    assert_eq!(events.events[1].parent, Some(names[0]));
+    assert_eq!(events.events[3].block, Some(names[2]));
+    assert_eq!((events.newest, events.incarnation), (4, Incarnation(1)));
+    let snapshot = client.snapshot().await.unwrap();
+    let held: Vec<_> = snapshot.blocks.iter().map(|e| e.block).collect();
+    assert_eq!(held, names[..2]);
+    assert_eq!(snapshot.seq, 4);
+}
+
+#[tokio::test]
+async fn lost_events_leave_a_gap_in_the_numbers() {
+    let (engine, client) = engine(|_| {}).await;
+    engine.fault(|f| f.lose_every = 2);
+    let prompt = "0123456789abcdef".repeat(3);
+    read(&client, &request("w", &prompt)).await;
+    let events = client.events(0).await.unwrap();
+    let numbers: Vec<_> = events.events.iter().map(|e| e.seq).collect();
+    assert_eq!(numbers, [1, 3]);
+}
+
+#[tokio::test]
+async fn a_crash_brings_an_empty_engine_under_another_incarnation() {
+    let (engine, client) = engine(|_| {}).await;
+    read(&client, &request("w", PROMPT)).await;
+    engine.crash();
+    let snapshot = loop {
+        match client.snapshot().await {
+            Ok(snapshot) => break snapshot,
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
+    assert_eq!(snapshot.incarnation, Incarnation(2));
+    assert_eq!((snapshot.seq, snapshot.blocks.len()), (0, 0));
+}
+
+#[tokio::test]
+async fn a_poisonous_prompt_crashes_the_engine_each_time() {
+    let (engine, client) = engine(|_| {}).await;
+    engine.fault(|f| f.poison = Some("0123".to_owned()));
+    let error = read(&client, &request("w", PROMPT)).await.1;
+    assert_matches!(error, Some(Error::Cut { .. }));
+    assert_eq!(engine.counts().crashes, 1);
+}
+
+#[tokio::test]
+async fn another_incarnation_voids_an_attempt_before_any_piece() {
+    let (_engine, client) = engine(|_| {}).await;
+    let planned = Signature {
+        incarnation: Incarnation(7),
+        version: "v1".to_owned(),
+    };
+    let request = request("w", PROMPT);
+    let error = client.complete(&request, Some(&planned)).await.unwrap_err();
+    assert_matches!(error, Error::Mismatch { found, .. } if found.incarnation == Incarnation(1));
+}
+
+#[tokio::test]
+async fn a_load_order_changes_the_version_and_empties_the_cache() {
+    let (_engine, client) = engine(|_| {}).await;
+    read(&client, &request("w", PROMPT)).await;
+    let standing = client.order(&load(3, "v2")).await.unwrap();
+    assert_eq!((standing.version.as_str(), standing.fence), ("v2", 3));
+    let events = client.events(2).await.unwrap();
+    assert_eq!(events.events[0].change, Change::Cleared);
+    assert_eq!(client.snapshot().await.unwrap().blocks, []);
+}
+
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_or_ignored_as_the_engine_is_made() {
+    for (checks_fence, refused) in [(true, true), (false, false)] {
+        let (_engine, client) = engine(|o| o.checks_fence = checks_fence).await;
+        client.order(&load(3, "v2")).await.unwrap();
+        match client.order(&load(2, "v3")).await {
+            Err(Error::Refused { refusal, .. }) if refused => {
+                assert_eq!((refusal.code, refusal.fence), (Code::StaleFence, Some(3)));
+            }
+            other => assert!(!refused, "{other:?}"),
+        }
+    }
+}
+
+fn load(fence: u64, version: &str) -> engine::Order {
+    engine::Order {
+        action: engine::Action::Load {
+            adapter: None,
+            model: "m".to_owned(),
+            version: version.to_owned(),
+        },
+        fence,
+        id: format!("load-{version}"),
+    }
+}
+
+#[tokio::test]
+async fn a_load_report_lags() {
+    let (engine, client) = engine(|o| o.token_time = Duration::from_millis(200)).await;
+    client.load().await.unwrap();
+    engine.fault(|f| f.load_lag = Duration::from_secs(60));
+    let request = request("w", PROMPT);
+    let mut stream = client.complete(&request, None).await.unwrap();
+    stream.next().await.unwrap();
+    let load = client.load().await.unwrap();
+    assert_eq!((load.running, load.age_ms), (0, 60_000));
+    engine.fault(|f| f.load_lag = Duration::ZERO);
+    let load = client.load().await.unwrap();
+    assert_eq!((load.running, load.age_ms), (1, 0));
+}
+
+#[tokio::test]
+async fn urgent_work_leaves_the_queue_first() {
+    let (engine, client) = engine(|o| {
+        o.slots = 1;
+        o.token_time = Duration::from_millis(5);
+    })
+    .await;
+    let holder = request("w", PROMPT);
+    let mut held = client.complete(&holder, None).await.unwrap();
+    held.next().await.unwrap();
+    let mut order = Vec::new();
+    let mut tasks = tokio::task::JoinSet::new();
+    for (waiting, priority) in [(1, 1), (2, 0)] {
+        let mut request = request("w", &format!("priority {priority}"));
+        request.priority = priority;
+        tasks.spawn(async move {
+            read(&client, &request).await;
+            priority
+        });
+        while client.load().await.unwrap().waiting < waiting {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+    drop(held);
+    while let Some(done) = tasks.join_next().await {
+        order.push(done.unwrap());
+    }
+    assert_eq!(order, [0, 1]);
+    assert_eq!(engine.counts().started, 3);
+}
+
+#[tokio::test]
+async fn a_cancel_ends_an_answer_and_frees_its_slot() {
+    let (engine, client) = engine(|o| o.token_time = Duration::from_secs(60)).await;
+    let request = request("w", PROMPT);
+    let mut stream = client.complete(&request, None).await.unwrap();
+    assert_eq!(stream.next().await.unwrap(), Some(Item::Heartbeat));
+    assert!(client.cancel("a-1").await.unwrap().found);
+    loop {
+        match stream.next().await.unwrap() {
+            Some(Item::Heartbeat) => {}
+            Some(Item::Piece(piece)) => break assert_eq!(piece.finish, Some(Finish::Cancelled)),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(client.load().await.unwrap().running, 0);
+    assert!(!client.cancel("b").await.unwrap().found);
+    drop(engine);
+}
+
+#[tokio::test]
+async fn a_frozen_engine_sends_nothing_and_goes_on_later() {
+    let (engine, client) = engine(|_| {}).await;
+    engine.freeze(true);
+    let hasty = Limits {
+        head: Duration::from_millis(50),
+        ..limits()
+    };
+    let frozen = Client::new(engine.address(), hasty).load().await;
+    assert_matches!(frozen, Err(Error::Idle { .. }));
+    engine.freeze(false);
+    assert!(client.load().await.is_ok());
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_told_from_a_dead_engine() {
+    let (engine, client) = engine(|o| o.token_time = Duration::from_millis(20)).await;
+    let request = request("w", PROMPT);
+    let mut stream = client.complete(&request, None).await.unwrap();
+    stream.next().await.unwrap();
+    engine.silence();
+    let error = loop {
+        match stream.next().await {
+            Ok(_) => {}
+            Err(error) => break error,
+        }
+    };
+    assert_matches!(error, Error::Idle { .. });
+    assert!(client.load().await.is_ok());
+}
+
+fn call(order: &str) -> Call {
+    Call {
+        attempt: 1,
+        body: "two rolls of hooks".into(),
+        content_type: "text/plain".to_owned(),
+        method: "POST".to_owned(),
+        order: order.to_owned(),
+        path: "/orders?dry=0".to_owned(),
+    }
+}
+
+#[tokio::test]
+async fn each_service_fault_shows_whether_the_order_ran() {
+    struct Case {
+        fault: Fault,
+        outcome: Result<(u16, bool), NotRun>,
+        runs: u64,
+    }
+    let cases = [
+        Case {
+            fault: Fault::None,
+            outcome: Ok((200, false)),
+            runs: 1,
+        },
+        Case {
+            fault: Fault::Declines,
+            outcome: Ok((503, true)),
+            runs: 0,
+        },
+        Case {
+            fault: Fault::Fails,
+            outcome: Ok((500, false)),
+            runs: 0,
+        },
+        Case {
+            fault: Fault::HangsBefore,
+            outcome: Err(NotRun::Unknown),
+            runs: 0,
+        },
+        Case {
+            fault: Fault::HangsAfter,
+            outcome: Err(NotRun::Unknown),
+            runs: 1,
+        },
+        Case {
+            fault: Fault::LosesAnswer,
+            outcome: Err(NotRun::Unknown),
+            runs: 1,
+        },
+    ];
+    for case in cases {
+        let service = Service::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+        service.fault(case.fault);
+        let hasty = Limits {
+            head: Duration::from_millis(100),
+            ..limits()
+        };
+        let ready = Ready::open(service.address(), call("o-1"), hasty).await;
+        let outcome = match ready.unwrap().send().await {
+            Ok(answer) => Ok((answer.status, answer.not_run)),
+            Err(error) => Err(error.not_run()),
+        };
+        assert_eq!(outcome, case.outcome, "{:?}", case.fault);
+        let runs = service.runs().get("o-1").copied().unwrap_or(0);
+        assert_eq!(runs, case.runs, "{:?}", case.fault);
+    }
+}
+
+#[tokio::test]
+async fn a_refused_connection_proves_that_nothing_ran() {
+    let service = Service::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    service.stop();
+    let error = loop {
+        match Ready::open(service.address(), call("o-1"), limits()).await {
+            Ok(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            Err(error) => break error,
+        }
+    };
+    assert_eq!(error.not_run(), NotRun::True);
+    assert_eq!(service.calls(), 0);
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,6 +1,9 @@
 //! Defines the messages between daemons and the formats of callers, upstreams and operators.
 
+pub mod block;
 pub mod completion;
+pub mod engine;
 pub mod header;
 pub mod operator;
 pub mod refusal;
+pub mod service;
