--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Runs the hibiscushoist daemon.
+
+pub mod ini;
+pub mod settings;
--- /dev/null
+++ b/crates/transport/src/http.rs
@@ -0,0 +1,142 @@
+//! Serves HTTP: an accept loop with limits around a gotham router, and a graceful end.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::router::Router;
+use gotham::service::call_handler;
+use gotham::state::State;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use crate::event;
+use crate::event::Event;
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Carries the bytes of a response.
+pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, io::Error>;
+
+/// Bounds what one listener accepts.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bounds the open connections.
+    pub connections: usize,
+    /// Bounds the bytes of a request's header.
+    pub header_bytes: usize,
+    /// Bounds the time in which a request's header must arrive.
+    pub header_timeout: Duration,
+}
+
+/// Puts what handlers share into the state of each request.
+pub type Prepare = Arc<dyn Fn(&mut State) + Send + Sync>;
+
+/// Accepts connections and hands each request to a router.
+pub struct Server {
+    /// Bounds what is accepted.
+    pub limits: Limits,
+    /// Receives events.
+    pub log: Logger,
+    /// Puts shared values into each request's state.
+    pub prepare: Prepare,
+    /// Chooses the handler of each request.
+    pub router: Router,
+}
+
+impl Server {
+    /// Serves `listener` until `stop` turns true, then until the last open request has ended.
+    pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+        let server = Arc::new(self);
+        let graceful = GracefulShutdown::new();
+        let permits = Arc::new(Semaphore::new(server.limits.connections));
+        while !*stop.borrow() {
+            let accepted = tokio::select! {
+                accepted = server.accept(&listener, &permits) => accepted,
+                _ = stop.changed() => break,
+            };
+            let Some((stream, peer, permit)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            server.clone().spawn(stream, peer, permit, &graceful);
+        }
+        drop(listener);
+        graceful.shutdown().await;
+    }
+
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+        permits: &Arc<Semaphore>,
+    ) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+        if permits.available_permits() == 0 {
+            event::emit(&self.log, Event::ConnectionLimit, slog::o!());
+        }
+        let permit = permits.clone().acquire_owned().await.ok()?;
+        let (stream, peer) = listener.accept().await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some((stream, peer, permit))
+    }
+
+    fn spawn(
+        self: Arc<Self>,
+        stream: TcpStream,
+        peer: SocketAddr,
+        permit: OwnedSemaphorePermit,
+        graceful: &GracefulShutdown,
+    ) {
+        let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.header_timeout)
+            .max_buf_size(self.limits.header_bytes)
+            .half_close(false);
+        let server = self.clone();
+        let service = service_fn(move |request| server.clone().handle(request, peer));
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection.into_owned());
+        tokio::spawn(async move {
+            if let Err(error) = watched.await {
+                let details = slog::o!("peer" => peer.to_string(), "error" => error.to_string());
+                event::emit(&self.log, Event::ConnectionFailed, details);
+            }
+            drop(permit);
+        });
+    }
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Result<Response<Body>, Infallible> {
+        let mut state = State::from_request(request, peer);
+        (self.prepare)(&mut state);
+        let router = Arc::new(self.router.clone());
+        let answer = call_handler(router, AssertUnwindSafe(state)).await;
+        Ok(answer.unwrap_or_else(|_| internal_error()))
+    }
+}
+
+fn internal_error() -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    *response.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+    response
+}
