--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,5 +1,6 @@
 //! Defines the messages between daemons and the formats of callers, upstreams and operators.
 
+pub mod address;
 pub mod completion;
 pub mod header;
 pub mod operator;
