Serve operators and callers from a thin daemon

Cause: nothing ran yet; every later part needs a process to live in.

Change: hibiscushoistd reads checked INI settings into one struct, starts a voter duty with a synced log behind a bounded ring, and serves gotham routes from an accept loop of its own with header, body and connection limits and a graceful end. Operators read the table and send edits; callers get addresses, health, readiness and counters; every refusal has one typed body and counter. An empty 404 or 405 of the router becomes the typed body `unknown_path`.

--- /dev/null
+++ b/crates/hibiscushoistd/src/caller.rs
@@ -0,0 +1,103 @@
+//! Answers callers.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hyper::Response;
+use serde::Serialize;
+
+use crate::context::Context;
+use crate::request::Request;
+use crate::respond;
+use protocol::refusal::NotRun;
+use protocol::refusal::Reason;
+use protocol::refusal::Refusal;
+use transport::http::Body;
+
+const TEXT: &str = "text/plain; version=0.0.4";
+
+#[derive(Serialize)]
+struct Addresses {
+    addresses: Vec<String>,
+    lifetime_ms: u64,
+}
+
+/// Answers which addresses a caller should use.
+pub fn addresses(context: Arc<Context>, request: Request) -> BoxFuture<'static, Response<Body>> {
+    async move {
+        let entry = context.settings.entry.as_ref();
+        let lifetime = entry
+            .map(|entry| entry.address_lifetime)
+            .unwrap_or_default();
+        let addresses = Addresses {
+            addresses: vec![context.address.to_string()],
+            lifetime_ms: lifetime.as_millis() as u64,
+        };
+        let mut response = respond::json(200, &addresses);
+        respond::name(&mut response, &request.id);
+        response
+    }
+    .boxed()
+}
+
+/// Answers that the process runs.
+pub fn health(_context: Arc<Context>, _request: Request) -> BoxFuture<'static, Response<Body>> {
+    async { respond::whole(200, TEXT, "ok\n") }.boxed()
+}
+
+/// Answers the counters as Prometheus text.
+pub fn metrics(context: Arc<Context>, _request: Request) -> BoxFuture<'static, Response<Body>> {
+    async move { respond::whole(200, TEXT, context.metrics.render()) }.boxed()
+}
+
+/// Answers whether the daemon takes new callers.
+pub fn ready(context: Arc<Context>, request: Request) -> BoxFuture<'static, Response<Body>> {
+    async move {
+        if *context.draining.borrow() {
+            return refuse(&request.id, Reason::Draining);
+        }
+        respond::whole(200, TEXT, "ready\n")
+    }
+    .boxed()
+}
+
+/// Refuses a request that did not run.
+pub fn refuse(id: &str, reason: Reason) -> Response<Body> {
+    respond::refusal(Refusal {
+        message: message(reason).to_owned(),
+        not_run: NotRun::True,
+        reason,
+        request_id: id.to_owned(),
+        retry_after_ms: None,
+    })
+}
+
+/// Says in words what a reason means for the caller.
+pub fn message(reason: Reason) -> &'static str {
+    match reason {
+        Reason::AnswerCut => "the answer broke off and could not be resumed; ask again",
+        Reason::BadRequest => "the request is malformed",
+        Reason::BodyTooLarge => "the body is longer than this daemon reads",
+        Reason::CallerLimit => "this caller has too many requests in flight; wait for one to end",
+        Reason::Deadline => "the deadline has passed or cannot be met",
+        Reason::Draining => "this host is shutting down; use another address",
+        Reason::KeyExpired => "the idempotency key is older than the ledger keeps; it cannot run",
+        Reason::KeyMissing => "an order needs an idempotency-key header",
+        Reason::KeyReused => "the idempotency key came before with another body",
+        Reason::KeyRunning => "the same order is running at this moment; ask again for its answer",
+        Reason::NoUpstream => "no upstream can take the request at the moment",
+        Reason::OutcomeUnknown => "the order may or may not have run; it will not be run again",
+        Reason::Overloaded => "too much work is waiting; come back later",
+        Reason::Quarantined => "this request crashed upstreams and is held back",
+        Reason::QuorumAway => "the voters cannot agree at the moment; come back later",
+        Reason::RateLimit => "the workspace has used its tokens for now",
+        Reason::RetryBudget => "the retry budget is spent; come back later",
+        Reason::Unauthorized => "the workspace key is missing or wrong",
+        Reason::UnknownModel => "no model of that name is in the table",
+        Reason::UnknownPath => "nothing is served under that path and method",
+        Reason::UnknownService => "no plain service of that name is in the table",
+        Reason::UpstreamFailed => "the upstream answered with an error",
+        Reason::WorkspaceLimit => "the workspace has too many requests in flight",
+    }
+}
--- /dev/null
+++ b/crates/hibiscushoistd/src/context.rs
@@ -0,0 +1,66 @@
+//! What the handlers of a daemon share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use gotham::state::StateData;
+use metrics_exporter_prometheus::PrometheusHandle;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::journal::Journal;
+use crate::settings::Settings;
+use crate::voter;
+use state::table::Table;
+use transport::clock::Clock;
+
+/// Holds what the handlers of a daemon share.
+pub struct Context {
+    /// Holds the address that callers are told.
+    pub address: SocketAddr,
+    /// Reads the clock.
+    pub clock: Clock,
+    /// Turns true when the daemon begins to drain.
+    pub draining: watch::Receiver<bool>,
+    /// Counts the requests in flight.
+    pub in_flight: Arc<AtomicU64>,
+    /// Keeps explanations.
+    pub journal: Journal,
+    /// Receives events.
+    pub log: Logger,
+    /// Renders the counters.
+    pub metrics: PrometheusHandle,
+    /// Holds the settings.
+    pub settings: Arc<Settings>,
+    /// Reaches the voters.
+    pub voter: voter::Handle,
+}
+
+impl Context {
+    /// Returns the table in force.
+    pub fn table(&self) -> Arc<Table> {
+        self.voter.table().borrow().clone()
+    }
+
+    /// Counts a request in flight until the returned guard is dropped.
+    pub fn enter(&self) -> Guard {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        Guard(self.in_flight.clone())
+    }
+}
+
+/// Counts one request in flight while it lives.
+#[derive(Debug)]
+pub struct Guard(Arc<AtomicU64>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Carries the context through gotham's state.
+#[derive(Clone, StateData)]
+pub struct Shared(pub Arc<Context>);
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -1,4 +1,16 @@
-//! Runs the hibiscushoist daemon.
+//! The hibiscushoist daemon: settings, duties and the edges towards callers and operators.
 
+pub mod admin;
+pub mod auth;
+pub mod caller;
+pub mod context;
+pub mod daemon;
 pub mod ini;
+pub mod journal;
+pub mod options;
+pub mod request;
+pub mod respond;
+pub mod routes;
 pub mod settings;
+pub mod status;
+pub mod voter;
--- a/crates/hibiscushoistd/src/settings.rs
+++ b/crates/hibiscushoistd/src/settings.rs
@@ -8,15 +8,15 @@
 use std::time::Duration;
 
 use slog::Level;
-use state::cell::is_name;
 use strum::Display;
 use strum::EnumIter;
 use strum::EnumString;
-use transport::log::Form;
 
 use crate::ini::Error;
 use crate::ini::File;
 use crate::ini::Section;
+use state::cell::is_name;
+use transport::log::Form;
 
 const ADDRESS: &str = "an IP address and port such as 192.0.2.1:8000";
 const HASH: &str = "64 hexadecimal digits";
