Keep the ledger, the history of edits, the leases and the state machine

A repeated order, a resent edit and a lease that outlives its holder all need state that decides alike on every voter. The ledger records an attempt before its first byte and its outcome after; answers fall away by age, count and bytes, while a 16-byte identity stays for the promised window, so that memory pressure can turn a replay into a refusal but never into a second run. Time enters only as the log's time. The table now refuses a cell that would leave a listed model without a serving upstream, and names that cell.

--- /dev/null
+++ b/crates/coordination/tests/machine.rs
@@ -0,0 +1,109 @@
+//! Tests leases and the snapshot of the replicated state.
+
+use state::edit::Action;
+use state::edit::Edit;
+use state::ident::Digest;
+use state::ledger::Attempt;
+use state::ledger::Decision;
+use state::ledger::Intent;
+use state::ledger::Key;
+use state::row::Name;
+use state::sheet::Sheet;
+use state::time::Instant;
+
+use coordination::lease::Answer;
+use coordination::lease::Ask;
+use coordination::lease::CLOCK_RATE_BOUND;
+use coordination::lease::Grant;
+use coordination::lease::Leases;
+use coordination::machine;
+use coordination::machine::Command;
+use coordination::machine::Machine;
+
+fn ask(holder: &str, duration: u64) -> Ask {
+    Ask {
+        duration,
+        holder: holder.to_owned(),
+        name: "orders".to_owned(),
+    }
+}
+
+#[test]
+fn lease_has_one_holder_and_a_greater_fence_after_each() {
+    let mut leases = Leases::default();
+    let grant = |fence| {
+        Answer::Granted(Grant {
+            duration: 1_000,
+            fence,
+        })
+    };
+    let held = Answer::Held {
+        fence: 1,
+        holder: "a".to_owned(),
+    };
+    assert_eq!(leases.ask(0, &ask("a", 1_000)), grant(1));
+    assert_eq!(leases.ask(500, &ask("a", 1_000)), grant(1));
+    assert_eq!(leases.ask(1_499, &ask("b", 1_000)), held);
+    assert_eq!(leases.ask(1_500, &ask("b", 1_000)), grant(2));
+    assert_eq!(
+        leases.ask(1_500, &ask("a", 0)),
+        Answer::Held {
+            fence: 2,
+            holder: "b".to_owned(),
+        }
+    );
+    assert_eq!(leases.ask(1_501, &ask("b", 0)), Answer::Released);
+    assert_eq!(leases.ask(1_502, &ask("a", 1_000)), grant(3));
+}
+
+#[test]
+fn holder_stops_before_the_log_frees_the_lease_at_both_ends_of_the_clock_bound() {
+    let grant = Grant {
+        duration: 10_000,
+        fence: 1,
+    };
+    let own = grant.until(Instant(0)).0 as f64;
+    let bound = CLOCK_RATE_BOUND as f64 / 1_000.0;
+    let stops = own / (1.0 - bound);
+    let freed = 10_000.0 / (1.0 + bound);
+    assert!(
+        stops <= freed,
+        "holder stops at {stops}, log frees at {freed}"
+    );
+}
+
+#[test]
+fn snapshot_keeps_the_answers_that_suppress_duplicates() {
+    let edit = Command::Edit(Edit {
+        action: Action::Add([].into()),
+        author: "ana".to_owned(),
+        if_revision: 0,
+        key: "k".to_owned(),
+        name: Name {
+            row: "r".to_owned(),
+            sheet: Sheet::Models,
+        },
+    });
+    let begin = |owner| {
+        Command::Begin(Intent {
+            digest: Digest::of(&[b"body"]),
+            hold: 1_000,
+            key: Key {
+                idempotency: "k".to_owned(),
+                workspace: "w".to_owned(),
+            },
+            owner,
+        })
+    };
+    let mut machine = Machine::default();
+    let first = machine.apply(1, &edit);
+    machine.apply(2, &begin(1));
+    let bytes = machine.snapshot().expect("state encodes");
+    let mut restored = Machine::restore(&bytes).expect("snapshot decodes");
+    assert_eq!(restored, machine);
+    assert_eq!(restored.apply(3, &edit), first);
+    let waits = machine::Answer::Begin(Decision::Running(Attempt(1)));
+    assert_eq!(restored.apply(4, &begin(2)), waits);
+    assert_eq!(restored.apply(1, &begin(2)), waits);
+    assert_eq!(restored.clock(), 4);
+}
--- /dev/null
+++ b/crates/state/src/history.rs
@@ -0,0 +1,94 @@
+//! Who changed what in the table, and the answers that resent edits get again.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::edit::Edit;
+use crate::edit::Receipt;
+use crate::table;
+use crate::table::Table;
+
+const LONGEST: usize = 10_000;
+
+/// Records one accepted edit.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Change {
+    /// Gives the log's time of the edit, in milliseconds.
+    pub at: u64,
+    /// Holds the edit, with its author.
+    pub edit: Edit,
+    /// Gives the table revision that it produced.
+    pub revision: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Answered {
+    edit: Edit,
+    result: Result<Receipt, table::Error>,
+}
+
+/// Remembers the newest edits with their answers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct History {
+    answers: BTreeMap<String, Answered>,
+    changes: VecDeque<Change>,
+    keys: VecDeque<String>,
+}
+
+impl History {
+    /// Applies `edit` to `table` at the log's time `at`, or repeats the answer that its key got.
+    ///
+    /// # Errors
+    ///
+    /// Returns what was wrong with the edit, or with its key when that named another edit before.
+    pub fn apply(
+        &mut self,
+        at: u64,
+        table: &mut Table,
+        edit: &Edit,
+    ) -> Result<Receipt, table::Error> {
+        if let Some(answered) = self.answers.get(&edit.key) {
+            if answered.edit != *edit {
+                return Err(table::Error::Reused {
+                    key: edit.key.clone(),
+                });
+            }
+            return answered.result.clone();
+        }
+        let result = table.apply(edit);
+        if let Ok(receipt) = &result {
+            self.changes.push_back(Change {
+                at,
+                edit: edit.clone(),
+                revision: receipt.revision,
+            });
+        }
+        self.remember(edit, &result);
+        result
+    }
+
+    /// Iterates over the remembered changes, oldest first.
+    pub fn changes(&self) -> impl DoubleEndedIterator<Item = &Change> {
+        self.changes.iter()
+    }
+
+    fn remember(&mut self, edit: &Edit, result: &Result<Receipt, table::Error>) {
+        let answered = Answered {
+            edit: edit.clone(),
+            result: result.clone(),
+        };
+        self.answers.insert(edit.key.clone(), answered);
+        self.keys.push_back(edit.key.clone());
+        if self.keys.len() > LONGEST
+            && let Some(oldest) = self.keys.pop_front()
+        {
+            self.answers.remove(&oldest);
+        }
+        if self.changes.len() > LONGEST {
+            self.changes.pop_front();
+        }
+    }
+}
--- a/crates/state/src/table.rs
+++ b/crates/state/src/table.rs
@@ -36,6 +36,20 @@
         /// Names the row.
         name: row::Name,
     },
+    /// Reports a change that would leave a listed model without a serving upstream.
+    #[error(
+        "{} of row `{}` would leave model `{model}` without a serving upstream",
+        column.map_or_else(|| "removal".to_owned(), |c| format!("cell `{c}`")),
+        name.row
+    )]
+    Emptied {
+        /// Names the cell's column, unless the whole row goes.
+        column: Option<Column>,
+        /// Names the model.
+        model: String,
+        /// Names the row.
+        name: row::Name,
+    },
     /// Reports a column that the sheet does not have.
     #[error("sheet `{sheet}` has no column `{column}`")]
     Foreign {
@@ -58,6 +72,12 @@
         /// Repeats the text.
         text: String,
     },
+    /// Reports an edit key that named another edit before.
+    #[error("edit key `{key}` named another edit before; use a new key")]
+    Reused {
+        /// Repeats the key.
+        key: String,
+    },
     /// Reports a row that does not exist.
     #[error("sheet `{}` has no row `{}`", name.sheet, name.row)]
     Unknown {
@@ -82,6 +102,7 @@
     pub fn apply(&mut self, edit: &Edit) -> Result<Receipt, Error> {
         self.compare(edit)?;
         let row = self.changed(edit)?;
+        self.keep_serving(edit, row.as_ref())?;
         self.revision += 1;
         match row {
             Some(cells) => {
@@ -172,6 +193,58 @@
         }
         Ok(())
     }
+
+    fn keep_serving(
+        &self,
+        edit: &Edit,
+        cells: Option<&BTreeMap<Column, Cell>>,
+    ) -> Result<(), Error> {
+        let Some(before) = self.rows.get(&edit.name) else {
+            return Ok(());
+        };
+        let Some(model) = served(edit.name.sheet, &before.cells) else {
+            return Ok(());
+        };
+        let still = cells.and_then(|cells| served(edit.name.sheet, cells)) == Some(model);
+        if still || self.get(Sheet::Models, model).is_none() {
+            return Ok(());
+        }
+        let others = self.rows.iter().filter(|(name, _)| **name != edit.name);
+        let mut others = others.filter_map(|(name, row)| served(name.sheet, &row.cells));
+        if others.any(|other| other == model) {
+            return Ok(());
+        }
+        Err(Error::Emptied {
+            column: cells.and_then(|cells| culprit(&before.cells, cells)),
+            model: model.to_owned(),
+            name: edit.name.clone(),
+        })
+    }
+}
+
+const SERVING: [Column; 5] = [
+    Column::Limit,
+    Column::Model,
+    Column::Standing,
+    Column::Type,
+    Column::Weight,
+];
+
+fn culprit(before: &BTreeMap<Column, Cell>, after: &BTreeMap<Column, Cell>) -> Option<Column> {
+    let changed = |column: &&Column| before.get(column) != after.get(column);
+    SERVING.iter().find(changed).copied()
+}
+
+fn served(sheet: Sheet, cells: &BTreeMap<Column, Cell>) -> Option<&str> {
+    let word = |column| match cells.get(&column) {
+        Some(Cell::Text(text)) => Some(text.as_str()),
+        _ => None,
+    };
+    let zero = |column| cells.get(&column) == Some(&Cell::Number(0));
+    let engine = sheet == Sheet::Upstreams && word(Column::Type) == Some("engine");
+    let stands = word(Column::Standing).is_none_or(|standing| standing == "serving");
+    let serves = engine && stands && !zero(Column::Limit) && !zero(Column::Weight);
+    serves.then(|| word(Column::Model)).flatten()
 }
 
 fn parse(sheet: Sheet, column: Column, text: &str) -> Result<Cell, Error> {
--- /dev/null
+++ b/crates/state/tests/ledger.rs
@@ -0,0 +1,186 @@
+//! Tests the ledger of calls that may run at most once.
+
+use assert_matches::assert_matches;
+
+use state::ident::Digest;
+use state::ledger::Attempt;
+use state::ledger::Decision;
+use state::ledger::Intent;
+use state::ledger::Key;
+use state::ledger::Ledger;
+use state::ledger::Limits;
+use state::ledger::Outcome;
+use state::ledger::Report;
+use state::ledger::Response;
+use state::ledger::Settlement;
+
+const HOLD: u64 = 1_000;
+const LIMITS: Limits = Limits {
+    answers: 3,
+    answer_window: 10_000,
+    bytes: 1_000,
+    promise_window: 100_000,
+    records: 5,
+    response: 400,
+};
+
+fn intent(key: &str, owner: u128) -> Intent {
+    Intent {
+        digest: Digest::of(&[b"body"]),
+        hold: HOLD,
+        key: name(key),
+        owner,
+    }
+}
+
+fn name(key: &str) -> Key {
+    Key {
+        idempotency: key.to_owned(),
+        workspace: "w".to_owned(),
+    }
+}
+
+fn report(key: &str, attempt: u64, outcome: Outcome) -> Report {
+    Report {
+        attempt: Attempt(attempt),
+        key: name(key),
+        outcome,
+    }
+}
+
+fn response(bytes: usize) -> Response {
+    Response {
+        body: vec![7; bytes],
+        content_type: "application/json".to_owned(),
+        status: 201,
+    }
+}
+
+#[test]
+fn done_call_is_replayed() {
+    let mut ledger = Ledger::new(LIMITS);
+    let decision = ledger.begin(0, &intent("a", 1));
+    assert_eq!(decision, Decision::Run(Attempt(1)));
+    let done = report("a", 1, Outcome::Done(response(5)));
+    assert_eq!(ledger.finish(10, &done), Settlement::Recorded);
+    assert_eq!(ledger.finish(20, &done), Settlement::Recorded);
+    let decision = ledger.begin(30, &intent("a", 2));
+    assert_eq!(decision, Decision::Replay(response(5)));
+}
+
+#[test]
+fn resent_intent_gets_the_same_attempt_and_another_asker_waits() {
+    let mut ledger = Ledger::new(LIMITS);
+    assert_eq!(ledger.begin(0, &intent("a", 1)), Decision::Run(Attempt(1)));
+    assert_eq!(ledger.begin(1, &intent("a", 1)), Decision::Run(Attempt(1)));
+    assert_eq!(
+        ledger.begin(2, &intent("a", 2)),
+        Decision::Running(Attempt(1))
+    );
+}
+
+#[test]
+fn other_body_under_the_same_key_is_refused() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    let mut other = intent("a", 2);
+    other.digest = Digest::of(&[b"other"]);
+    assert_eq!(ledger.begin(1, &other), Decision::Mismatch);
+}
+
+#[test]
+fn equal_keys_of_two_workspaces_are_two_calls() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    let mut other = intent("a", 2);
+    other.key.workspace = "v".to_owned();
+    assert_eq!(ledger.begin(1, &other), Decision::Run(Attempt(2)));
+}
+
+#[test]
+fn call_that_did_not_run_gets_a_greater_attempt() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    ledger.finish(1, &report("a", 1, Outcome::NotRun));
+    assert_eq!(ledger.begin(2, &intent("a", 2)), Decision::Run(Attempt(2)));
+    let late = report("a", 1, Outcome::Done(response(1)));
+    assert_eq!(ledger.finish(3, &late), Settlement::Stale);
+}
+
+#[test]
+fn abandoned_attempt_becomes_unknown_and_never_runs_again() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    let decision = ledger.begin(HOLD - 1, &intent("a", 2));
+    assert_eq!(decision, Decision::Running(Attempt(1)));
+    assert_eq!(ledger.begin(HOLD, &intent("a", 2)), Decision::Unknown);
+    assert_eq!(ledger.begin(HOLD, &intent("a", 1)), Decision::Unknown);
+}
+
+#[test]
+fn late_answer_replaces_unknown() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    ledger.expire(HOLD);
+    let done = report("a", 1, Outcome::Done(response(3)));
+    assert_eq!(ledger.finish(HOLD + 5, &done), Settlement::Recorded);
+    let decision = ledger.begin(HOLD + 6, &intent("a", 2));
+    assert_eq!(decision, Decision::Replay(response(3)));
+    let unknown = report("a", 1, Outcome::Unknown);
+    assert_eq!(ledger.finish(HOLD + 7, &unknown), Settlement::Stale);
+}
+
+#[test]
+fn repeat_after_the_answer_window_is_refused_until_the_promise_ends() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    ledger.finish(0, &report("a", 1, Outcome::Done(response(3))));
+    let repeat = intent("a", 2);
+    assert_matches!(ledger.begin(9_999, &repeat), Decision::Replay(_));
+    assert_eq!(ledger.begin(10_000, &repeat), Decision::Expired);
+    assert_eq!(ledger.begin(102_000, &repeat), Decision::Expired);
+    assert_matches!(ledger.begin(104_000, &repeat), Decision::Run(_));
+}
+
+#[test]
+fn pressure_drops_answers_but_never_lets_a_call_run_again() {
+    let mut ledger = Ledger::new(LIMITS);
+    for (number, key) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        ledger.begin(0, &intent(key, 1));
+        let attempt = number as u64 + 1;
+        ledger.finish(0, &report(key, attempt, Outcome::Done(response(3))));
+    }
+    assert_eq!(ledger.begin(1, &intent("a", 2)), Decision::Expired);
+    assert_matches!(ledger.begin(1, &intent("b", 2)), Decision::Replay(_));
+}
+
+#[test]
+fn full_ledger_refuses_new_calls_only() {
+    let mut ledger = Ledger::new(LIMITS);
+    for key in ["a", "b", "c", "d", "e"] {
+        assert_matches!(ledger.begin(0, &intent(key, 1)), Decision::Run(_));
+    }
+    assert_eq!(ledger.begin(1, &intent("f", 1)), Decision::Full);
+    assert_eq!(
+        ledger.begin(1, &intent("a", 2)),
+        Decision::Running(Attempt(1))
+    );
+}
+
+#[test]
+fn oversized_answer_is_not_held_and_its_call_never_runs_again() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    let done = report("a", 1, Outcome::Done(response(500)));
+    assert_eq!(ledger.finish(1, &done), Settlement::Recorded);
+    assert_eq!(ledger.begin(2, &intent("a", 2)), Decision::Expired);
+}
+
+#[test]
+fn call_that_did_not_run_is_forgotten_without_a_refusal() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    ledger.finish(0, &report("a", 1, Outcome::NotRun));
+    ledger.expire(10_000);
+    assert!(ledger.is_empty());
+}
