Connect daemons over authenticated connections

Cause: daemons had no way to talk to each other. Change: one tarpc service between daemons (gossip, ping); a mutual handshake by BLAKE3 keyed hash with nonces, fleet name, host name and version, with a second key during a rotation; frames sealed with a counter and a key for each direction; a client that keeps one connection a host, bounds calls in flight and replaces a connection that falls silent.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod completion;
 pub mod header;
 pub mod operator;
+pub mod peer;
 pub mod refusal;
--- /dev/null
+++ b/crates/transport/tests/peer.rs
@@ -0,0 +1,264 @@
+//! Tests of the connections between daemons, over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use coordination::membership::Message;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use protocol::peer::Peer;
+use transport::peer::Client;
+use transport::peer::Error;
+use transport::peer::Options;
+use transport::peer_handshake;
+use transport::peer_handshake::Identity;
+use transport::peer_handshake::Refusal;
+use transport::peer_key::Key;
+use transport::peer_key::Ring;
+use transport::peer_server;
+
+const LIMIT: Duration = Duration::from_secs(60);
+
+#[derive(Clone)]
+struct Echo {
+    calls: Arc<AtomicUsize>,
+    stalls: bool,
+}
+
+impl Peer for Echo {
+    async fn gossip(self, _: Context, message: Message) -> Message {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.stalls {
+            std::future::pending::<()>().await;
+        }
+        message
+    }
+
+    async fn ping(self, _: Context) {}
+}
+
+struct Server {
+    address: SocketAddr,
+    calls: Arc<AtomicUsize>,
+    refused: mpsc::UnboundedReceiver<peer_handshake::Error>,
+}
+
+fn identity(fleet: &str, current: u8, previous: Option<u8>) -> Identity {
+    Identity {
+        fleet: fleet.to_owned(),
+        host: format!("host-{current}"),
+        keys: Ring {
+            current: Key::new([current; 32]),
+            previous: previous.map(|byte| Key::new([byte; 32])),
+        },
+    }
+}
+
+async fn start(identity: Identity, stalls: bool) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls = Arc::new(AtomicUsize::new(0));
+    let echo = Echo {
+        calls: Arc::clone(&calls),
+        stalls,
+    };
+    let (report, refused) = mpsc::unbounded_channel();
+    let serve = move |connection: peer_server::Inbound| {
+        let echo = echo.clone();
+        async move {
+            BaseChannel::with_defaults(connection.frames)
+                .execute(echo.serve())
+                .for_each_concurrent(None, |response| response)
+                .await;
+        }
+    };
+    tokio::spawn(peer_server::run(listener, identity, serve, move |error| {
+        let _ = report.send(error);
+    }));
+    Server {
+        address,
+        calls,
+        refused,
+    }
+}
+
+async fn ping(client: &Client) -> Result<(), Error> {
+    client
+        .call(
+            LIMIT,
+            |peer, context| async move { peer.ping(context).await },
+        )
+        .await
+}
+
+async fn gossip(client: &Client) -> Result<Message, Error> {
+    client
+        .call(LIMIT, |peer, context| async move {
+            peer.gossip(context, Message::Probe).await
+        })
+        .await
+}
+
+fn client(identity: Identity, address: SocketAddr) -> Client {
+    Client::new(identity, address, None, Options::default())
+}
+
+/// Forwards connections and, once told, swallows all bytes of those that are open.
+async fn tunnel(target: SocketAddr) -> (SocketAddr, watch::Sender<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (cut, cuts) = watch::channel(0);
+    tokio::spawn(async move {
+        loop {
+            let (near, _) = listener.accept().await.unwrap();
+            let far = TcpStream::connect(target).await.unwrap();
+            let mut cuts = cuts.clone();
+            cuts.mark_unchanged();
+            tokio::spawn(async move {
+                let (mut near, mut far) = (near, far);
+                tokio::select! {
+                    _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                    _ = cuts.changed() => {
+                        tokio::time::sleep(LIMIT * 2).await;
+                    }
+                }
+            });
+        }
+    });
+    (address, cut)
+}
+
+#[tokio::test]
+async fn a_call_reaches_a_daemon_of_the_same_fleet() {
+    let server = start(identity("salt", 1, None), false).await;
+    let client = client(identity("salt", 1, None), server.address);
+    assert_matches!(gossip(&client).await, Ok(Message::Probe));
+    assert_eq!(server.calls.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn a_wrong_key_gets_no_answer() {
+    let mut server = start(identity("salt", 1, None), false).await;
+    let client = client(identity("salt", 2, None), server.address);
+    let error = ping(&client).await.unwrap_err();
+    assert!(error.not_sent());
+    assert_matches!(
+        error,
+        Error::Connect {
+            source: peer_handshake::Error::Io(_),
+            ..
+        }
+    );
+    assert_matches!(
+        server.refused.recv().await,
+        Some(peer_handshake::Error::Key)
+    );
+}
+
+#[tokio::test]
+async fn both_keys_are_accepted_during_a_rotation() {
+    let rotated = start(identity("salt", 2, Some(1)), false).await;
+    let old = start(identity("salt", 1, None), false).await;
+    for (client_identity, address) in [
+        (identity("salt", 1, None), rotated.address),
+        (identity("salt", 2, None), rotated.address),
+        (identity("salt", 1, Some(2)), rotated.address),
+        (identity("salt", 2, Some(1)), old.address),
+    ] {
+        let client = client(client_identity, address);
+        assert_matches!(ping(&client).await, Ok(()));
+    }
+}
+
+#[tokio::test]
+async fn a_foreign_fleet_is_refused() {
+    let mut server = start(identity("salt", 1, None), false).await;
+    let client = client(identity("pepper", 1, None), server.address);
+    let expected = Refusal::Fleet {
+        expected: "salt".to_owned(),
+        found: "pepper".to_owned(),
+    };
+    assert_matches!(
+        ping(&client).await,
+        Err(Error::Connect { source: peer_handshake::Error::Refused(refusal), .. })
+            if refusal == expected
+    );
+    assert_matches!(
+        server.refused.recv().await,
+        Some(peer_handshake::Error::Refused(refusal)) if refusal == expected
+    );
+}
+
+#[tokio::test]
+async fn another_host_at_the_address_is_refused() {
+    let server = start(identity("salt", 1, None), false).await;
+    let client = Client::new(
+        identity("salt", 1, None),
+        server.address,
+        Some("host-9".to_owned()),
+        Options::default(),
+    );
+    assert_matches!(
+        ping(&client).await,
+        Err(Error::Other { expected, found, .. }) if expected == "host-9" && found == "host-1"
+    );
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_replaced() {
+    let server = start(identity("salt", 1, None), false).await;
+    let (address, cut) = tunnel(server.address).await;
+    let options = Options::default()
+        .heartbeat(Duration::from_millis(20))
+        .silence(Duration::from_millis(100));
+    let client = Client::new(identity("salt", 1, None), address, None, options);
+    ping(&client).await.unwrap();
+    cut.send(1).unwrap();
+    let broken = tokio::time::timeout(LIMIT / 2, gossip(&client))
+        .await
+        .unwrap();
+    assert_matches!(broken, Err(Error::Lost { .. }));
+    assert!(!broken.unwrap_err().not_sent());
+    assert_eq!(server.calls.load(Ordering::SeqCst), 0);
+    assert_matches!(gossip(&client).await, Ok(Message::Probe));
+}
+
+#[tokio::test]
+async fn a_slow_answer_is_not_taken_for_silence() {
+    let server = start(identity("salt", 1, None), true).await;
+    let options = Options::default()
+        .heartbeat(Duration::from_millis(10))
+        .silence(Duration::from_millis(500));
+    let client = Client::new(identity("salt", 1, None), server.address, None, options);
+    let limit = Duration::from_millis(1_500);
+    let answer = client
+        .call(limit, |peer, context| async move {
+            peer.gossip(context, Message::Probe).await
+        })
+        .await;
+    assert_matches!(answer, Err(Error::Deadline { .. }));
+}
+
+#[tokio::test]
+async fn calls_in_flight_are_bounded() {
+    let server = start(identity("salt", 1, None), true).await;
+    let options = Options::default().in_flight(1);
+    let client = Client::new(identity("salt", 1, None), server.address, None, options);
+    let first = client.clone();
+    tokio::spawn(async move { gossip(&first).await });
+    while server.calls.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_matches!(gossip(&client).await, Err(Error::Busy { limit: 1, .. }));
+}
