--- a/crates/transport/tests/peer_frame.rs
+++ b/crates/transport/tests/peer_frame.rs
@@ -11,9 +11,11 @@
 use transport::peer_key;
 use transport::peer_key::Key;
 
+type Bytewise = Codec<Vec<u8>, Vec<u8>>;
+
 const HEADER_BYTES: usize = 4;
 
-fn pair() -> (Codec<Vec<u8>, Vec<u8>>, Codec<Vec<u8>, Vec<u8>>) {
+fn pair() -> (Bytewise, Bytewise) {
     let (one, other) = (Key::new([1; 32]), Key::new([2; 32]));
     (
         Codec::new(one.clone(), other.clone()),
@@ -21,7 +23,7 @@
     )
 }
 
-fn sealed(codec: &mut Codec<Vec<u8>, Vec<u8>>, message: &[u8]) -> BytesMut {
+fn sealed(codec: &mut Bytewise, message: &[u8]) -> BytesMut {
     let mut bytes = BytesMut::new();
     codec.encode(message.to_vec(), &mut bytes).unwrap();
     bytes
