--- a/crates/transport/src/peer.rs
+++ b/crates/transport/src/peer.rs
@@ -18,11 +18,10 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use protocol::peer::PeerClient;
-
 use crate::peer_frame::Count;
 use crate::peer_handshake;
 use crate::peer_handshake::Identity;
+use protocol::peer::PeerClient;
 
 /// Tells why a call to a peer failed.
 #[derive(Debug, Error)]
--- a/crates/transport/src/peer_handshake.rs
+++ b/crates/transport/src/peer_handshake.rs
@@ -15,13 +15,12 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use protocol::peer::VERSION;
-
 use crate::peer_frame;
 use crate::peer_frame::Codec;
 use crate::peer_key::Key;
 use crate::peer_key::Ring;
 use crate::peer_key::Tag;
+use protocol::peer::VERSION;
 
 const FRAME_LIMIT_BYTES: usize = 1 << 10;
 const HELLO: &str = "hello";
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -12,12 +12,11 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
-use protocol::peer::PeerRequest;
-use protocol::peer::PeerResponse;
-
 use crate::peer_handshake;
 use crate::peer_handshake::Connection;
 use crate::peer_handshake::Identity;
+use protocol::peer::PeerRequest;
+use protocol::peer::PeerResponse;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use coordination::membership::Message;
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
@@ -17,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use coordination::membership::Message;
 use protocol::peer::Peer;
 use transport::peer::Client;
 use transport::peer::Error;
