--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,7 +1,13 @@
 //! Moves bytes: HTTP, peer connections, files, clocks, threads and rings.
 
+pub mod clock;
+pub mod event;
+pub mod http;
+pub mod log;
+pub mod metric;
 pub mod peer;
 pub mod peer_frame;
 pub mod peer_handshake;
 pub mod peer_key;
 pub mod peer_server;
+pub mod ring;
