--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::lease;
+use crate::lease::Leases;
 use state::edit::Edit;
 use state::edit::Receipt;
 use state::history::History;
@@ -17,9 +19,6 @@
 use state::table;
 use state::table::Table;
 
-use crate::lease;
-use crate::lease::Leases;
-
 /// Asks for one change of the replicated state.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Command {
--- a/crates/coordination/tests/machine.rs
+++ b/crates/coordination/tests/machine.rs
@@ -1,5 +1,13 @@
 //! Tests leases and the snapshot of the replicated state.
 
+use coordination::lease::Answer;
+use coordination::lease::Ask;
+use coordination::lease::CLOCK_RATE_BOUND;
+use coordination::lease::Grant;
+use coordination::lease::Leases;
+use coordination::machine;
+use coordination::machine::Command;
+use coordination::machine::Machine;
 use state::edit::Action;
 use state::edit::Edit;
 use state::ident::Digest;
@@ -11,15 +19,6 @@
 use state::sheet::Sheet;
 use state::time::Instant;
 
-use coordination::lease::Answer;
-use coordination::lease::Ask;
-use coordination::lease::CLOCK_RATE_BOUND;
-use coordination::lease::Grant;
-use coordination::lease::Leases;
-use coordination::machine;
-use coordination::machine::Command;
-use coordination::machine::Machine;
-
 fn ask(holder: &str, duration: u64) -> Ask {
     Ask {
         duration,
