--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod lease;
 pub mod machine;
+pub mod membership;
