Add step functions for streams, retries, breakers, quarantine and orders

The daemon needs these decisions free of clocks and sockets. The assembler accepts only the next offset of the current attempt and one weights version; retries are charged to workspace and upstream; the breaker bounds the share ejected; an order sends nothing before its intent is recorded nor after its own deadline.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -2,6 +2,11 @@
 //!
 //! Everything here is a step function: it takes the time and an event and returns typed effects.
 
+pub mod breaker;
 pub mod lease;
 pub mod machine;
 pub mod membership;
+pub mod order;
+pub mod quarantine;
+pub mod retry;
+pub mod stream;
--- /dev/null
+++ b/crates/coordination/tests/breaker.rs
@@ -0,0 +1,95 @@
+//! Checks ejection, probing and the bound on the share ejected.
+
+use coordination::breaker::Breaker;
+use coordination::breaker::Policy;
+use coordination::breaker::Standing;
+use state::time::Instant;
+
+const NOW: Instant = Instant(1_000);
+
+fn breaker(count: usize) -> Breaker {
+    let mut breaker = Breaker::new(Policy::default(), 7);
+    breaker.sync((0..count).map(|i| format!("u{i}")));
+    breaker
+}
+
+fn fail(breaker: &mut Breaker, upstream: &str, times: usize) -> bool {
+    (0..times).any(|_| breaker.failed(NOW, upstream))
+}
+
+fn until(breaker: &Breaker, now: Instant, upstream: &str) -> Instant {
+    match breaker.peek(now, upstream) {
+        Standing::Open(until) => until,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn an_upstream_is_ejected_at_its_last_failure_in_a_row() {
+    let mut breaker = breaker(4);
+    assert!(!fail(&mut breaker, "u0", 2));
+    breaker.succeeded("u0");
+    assert!(!fail(&mut breaker, "u0", 2));
+    assert!(fail(&mut breaker, "u0", 1));
+    let until = until(&breaker, NOW, "u0");
+    assert!((250..=500).contains(&until.since(NOW)), "{until:?}");
+}
+
+#[test]
+fn one_probe_at_a_time_decides_whether_it_comes_back() {
+    let mut breaker = breaker(4);
+    fail(&mut breaker, "u0", 3);
+    let later = until(&breaker, NOW, "u0");
+    assert_eq!(breaker.claim(later, "u0"), Standing::Probe);
+    assert_eq!(breaker.claim(later, "u0"), Standing::Open(later + 5_000));
+    breaker.succeeded("u0");
+    assert_eq!(breaker.claim(later, "u0"), Standing::Closed);
+}
+
+#[test]
+fn a_probe_without_an_outcome_gives_way_to_another() {
+    let mut breaker = breaker(4);
+    fail(&mut breaker, "u0", 3);
+    let later = until(&breaker, NOW, "u0");
+    breaker.claim(later, "u0");
+    assert_eq!(breaker.claim(later + 5_000, "u0"), Standing::Probe);
+}
+
+#[test]
+fn a_failed_probe_ejects_for_longer() {
+    let mut breaker = breaker(4);
+    fail(&mut breaker, "u0", 3);
+    let later = until(&breaker, NOW, "u0");
+    breaker.claim(later, "u0");
+    assert!(breaker.failed(later, "u0"));
+    let again = until(&breaker, later, "u0");
+    assert!((500..=1_000).contains(&again.since(later)), "{again:?}");
+}
+
+#[test]
+fn failures_of_requests_sent_before_do_not_prolong_an_ejection() {
+    let mut breaker = breaker(4);
+    fail(&mut breaker, "u0", 3);
+    let first = until(&breaker, NOW, "u0");
+    fail(&mut breaker, "u0", 10);
+    assert_eq!(until(&breaker, NOW, "u0"), first);
+}
+
+#[test]
+fn no_more_than_the_share_is_ejected() {
+    for (count, most) in [(1, 0), (2, 1), (3, 1), (9, 4)] {
+        let mut breaker = breaker(count);
+        for i in 0..count {
+            fail(&mut breaker, &format!("u{i}"), 5);
+        }
+        assert_eq!(breaker.ejected(), most, "of {count}");
+    }
+}
+
+#[test]
+fn an_upstream_that_left_the_table_is_forgotten() {
+    let mut breaker = breaker(4);
+    fail(&mut breaker, "u0", 3);
+    breaker.sync(["u1".to_owned(), "u2".to_owned()]);
+    assert_eq!(breaker.ejected(), 0);
+}
--- /dev/null
+++ b/crates/coordination/tests/stream.rs
@@ -0,0 +1,193 @@
+//! Checks that an answer is put together whole, in order and from its own attempts only.
+
+use coordination::stream::Assembler;
+use coordination::stream::Bound;
+use coordination::stream::Fault;
+use coordination::stream::Finish;
+use coordination::stream::Piece;
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+const BOUND: Bound = Bound {
+    bytes: 40,
+    tokens: 4,
+};
+
+fn piece(offset: u64) -> Piece {
+    Piece {
+        finish: None,
+        id: "a".to_owned(),
+        offset,
+        text: format!("{offset} "),
+        tokens: 1,
+    }
+}
+
+fn finishing(offset: u64) -> Piece {
+    Piece {
+        finish: Some(Finish::Stop),
+        text: String::new(),
+        tokens: 0,
+        ..piece(offset)
+    }
+}
+
+fn started() -> Assembler {
+    let mut answer = Assembler::new(BOUND);
+    answer.begin("a", "v1").unwrap();
+    answer.push(&piece(0)).unwrap();
+    answer.push(&piece(1)).unwrap();
+    answer
+}
+
+#[test]
+fn each_bad_piece_is_refused_and_leaves_the_answer_as_it_was() {
+    let crossed = Piece {
+        id: "b".to_owned(),
+        ..piece(2)
+    };
+    let cancelled = Piece {
+        finish: Some(Finish::Cancelled),
+        ..piece(2)
+    };
+    let many = Piece {
+        tokens: 3,
+        ..piece(2)
+    };
+    let heavy = Piece {
+        text: "x".repeat(37),
+        ..piece(2)
+    };
+    let cases = [
+        (cancelled, Fault::Cancelled { at: 2 }),
+        (
+            crossed,
+            Fault::Crossed {
+                expected: "a".to_owned(),
+                found: "b".to_owned(),
+            },
+        ),
+        (
+            piece(3),
+            Fault::Gap {
+                expected: 2,
+                found: 3,
+            },
+        ),
+        (many, Fault::Long { limit: 4 }),
+        (heavy, Fault::Long { limit: 40 }),
+        (
+            piece(1),
+            Fault::Repeat {
+                expected: 2,
+                found: 1,
+            },
+        ),
+    ];
+    for (bad, fault) in cases {
+        let mut answer = started();
+        assert_eq!(answer.push(&bad), Err(fault));
+        assert_eq!((answer.text(), answer.len()), ("0 1 ", 2));
+    }
+}
+
+#[test]
+fn a_piece_after_the_end_is_refused() {
+    let mut answer = started();
+    answer.push(&finishing(2)).unwrap();
+    assert_eq!(answer.push(&piece(2)), Err(Fault::Extra { found: 2 }));
+}
+
+#[test]
+fn only_the_finishing_piece_and_the_end_mark_make_an_answer_whole() {
+    let mut answer = started();
+    assert_eq!(answer.end(), Err(Fault::NoEnd { at: 2 }));
+    answer.push(&finishing(2)).unwrap();
+    assert_eq!(answer.close(), Err(Fault::NoEnd { at: 2 }));
+    assert!(!answer.is_whole());
+    assert_eq!(answer.end(), Ok(Finish::Stop));
+    assert_eq!(answer.close(), Ok(()));
+    assert!(answer.is_whole());
+}
+
+#[test]
+fn an_answer_that_missed_its_end_mark_ends_in_the_next_attempt() {
+    let mut answer = started();
+    answer.push(&finishing(2)).unwrap();
+    assert_eq!(answer.resume().offset, 2);
+    answer.begin("b", "v1").unwrap();
+    let again = Piece {
+        id: "b".to_owned(),
+        ..finishing(2)
+    };
+    answer.push(&again).unwrap();
+    assert_eq!(answer.end(), Ok(Finish::Stop));
+}
+
+#[test]
+fn a_late_piece_of_an_earlier_attempt_is_foreign() {
+    let mut answer = started();
+    let resume = answer.resume();
+    assert_eq!((resume.offset, resume.text.as_str()), (2, "0 1 "));
+    assert_eq!(resume.version.as_deref(), Some("v1"));
+    let crossed = Fault::Crossed {
+        expected: String::new(),
+        found: "a".to_owned(),
+    };
+    assert_eq!(answer.push(&piece(2)), Err(crossed));
+    answer.begin("b", "v1").unwrap();
+    let crossed = Fault::Crossed {
+        expected: "b".to_owned(),
+        found: "a".to_owned(),
+    };
+    assert_eq!(answer.push(&piece(2)), Err(crossed));
+}
+
+#[test]
+fn tokens_of_two_weights_versions_never_meet() {
+    let mut answer = started();
+    answer.resume();
+    let fault = Fault::Version {
+        expected: "v1".to_owned(),
+        found: "v2".to_owned(),
+    };
+    assert_eq!(answer.begin("b", "v2"), Err(fault));
+}
+
+#[test]
+fn an_answer_without_tokens_may_change_its_version() {
+    let mut answer = Assembler::new(BOUND);
+    answer.begin("a", "v1").unwrap();
+    assert_eq!(answer.resume().version, None);
+    assert_eq!(answer.begin("b", "v2"), Ok(()));
+}
+
+proptest! {
+    #[test]
+    fn whatever_comes_the_text_is_a_prefix_of_the_answer(
+        moves in vec((any::<bool>(), 0_u64..12, 0_u64..3), 0..60),
+    ) {
+        let bound = Bound { bytes: 1_000, tokens: 10 };
+        let mut answer = Assembler::new(bound);
+        let mut attempt = 0;
+        for (restart, offset, id) in moves {
+            if restart {
+                answer.resume();
+                attempt += 1;
+                answer.begin(format!("a{attempt}"), "v1").unwrap();
+            }
+            let finish = (offset == 10).then_some(Finish::Length);
+            let tokens = u64::from(finish.is_none());
+            let text = if tokens == 1 { format!("{offset} ") } else { String::new() };
+            let id = format!("a{}", attempt + id);
+            let accepted = answer.push(&Piece { finish, id: id.clone(), offset, text, tokens });
+            let current = format!("a{attempt}");
+            prop_assert!(accepted.is_err() || id == current);
+        }
+        let expected: String = (0..answer.len()).map(|i| format!("{i} ")).collect();
+        prop_assert_eq!(answer.text(), expected);
+    }
+}
