--- a/crates/hibiscushoistd/src/caller.rs
+++ b/crates/hibiscushoistd/src/caller.rs
@@ -7,13 +7,14 @@
 use hyper::Response;
 use serde::Serialize;
 
+use crate::answer::Failure;
 use crate::context::Context;
 use crate::request::Request;
 use crate::respond;
-use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
 use protocol::refusal::Refusal;
 use transport::http::Body;
+use transport::metric;
 
 const TEXT: &str = "text/plain; version=0.0.4";
 
@@ -62,15 +63,33 @@
     .boxed()
 }
 
+/// Counts a refusal by reason.
+pub fn count(refusal: &Refusal) {
+    let reason: &'static str = refusal.reason.into();
+    metrics::counter!(metric::REFUSALS, "reason" => reason).increment(1);
+}
+
+/// Refuses a request whose answer failed before its first part left.
+pub fn fail(id: &str, failure: Failure) -> Response<Body> {
+    let refusal = refusal(id, failure);
+    count(&refusal);
+    respond::refusal(refusal)
+}
+
 /// Refuses a request that did not run.
 pub fn refuse(id: &str, reason: Reason) -> Response<Body> {
-    respond::refusal(Refusal {
-        message: message(reason).to_owned(),
-        not_run: NotRun::True,
-        reason,
+    fail(id, Failure::before_run(reason))
+}
+
+/// Returns the refusal that tells a caller of `failure`.
+pub fn refusal(id: &str, failure: Failure) -> Refusal {
+    Refusal {
+        message: message(failure.reason).to_owned(),
+        not_run: failure.not_run,
+        reason: failure.reason,
         request_id: id.to_owned(),
-        retry_after_ms: None,
-    })
+        retry_after_ms: failure.retry_after_ms,
+    }
 }
 
 /// Says in words what a reason means for the caller.
@@ -82,6 +101,7 @@
         Reason::CallerLimit => "this caller has too many requests in flight; wait for one to end",
         Reason::Deadline => "the deadline has passed or cannot be met",
         Reason::Draining => "this host is shutting down; use another address",
+        Reason::KindLimit => "this kind of work already has too many requests in flight",
         Reason::KeyExpired => "the idempotency key is older than the ledger keeps; it cannot run",
         Reason::KeyMissing => "an order needs an idempotency-key header",
         Reason::KeyReused => "the idempotency key came before with another body",
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -10,6 +10,7 @@
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::broker;
 use crate::journal::Journal;
 use crate::settings::Settings;
 use crate::voter;
@@ -20,6 +21,8 @@
 pub struct Context {
     /// Holds the address that callers are told.
     pub address: SocketAddr,
+    /// Places requests on upstreams.
+    pub broker: broker::Handle,
     /// Reads the clock.
     pub clock: Clock,
     /// Turns true when the daemon begins to drain.
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::broker;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::journal::Journal;
@@ -73,9 +74,13 @@
         };
         let (drain, draining) = watch::channel(false);
         let (stop, stopped) = watch::channel(false);
+        let clock = Clock::default();
+        let broker = broker::start(clock, voter.table())
+            .change_context(Error::Duty { duty: "broker" })?;
         let context = Arc::new(Context {
             address: advertised(&settings, listener.as_ref()),
-            clock: Clock::default(),
+            broker,
+            clock,
             draining,
             in_flight: Arc::new(AtomicU64::new(0)),
             journal: Journal::default(),
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -1,11 +1,16 @@
 //! The hibiscushoist daemon: settings, duties and the edges towards callers and operators.
 
 pub mod admin;
+pub mod answer;
+pub mod attempt;
 pub mod auth;
+pub mod broker;
 pub mod caller;
+pub mod completions;
 pub mod context;
 pub mod daemon;
 pub mod ini;
+pub mod job;
 pub mod journal;
 pub mod options;
 pub mod request;
--- a/crates/hibiscushoistd/src/respond.rs
+++ b/crates/hibiscushoistd/src/respond.rs
@@ -15,7 +15,6 @@
 use protocol::refusal;
 use protocol::refusal::Refusal;
 use transport::http::Body;
-use transport::metric;
 
 const JSON: &str = "application/json";
 const MILLIS_PER_SECOND: u64 = 1000;
@@ -33,10 +32,8 @@
     json(error.kind.status(), &operator::Body { error })
 }
 
-/// Returns a response that refuses a request, and counts it by reason.
+/// Returns a response that refuses a request.
 pub fn refusal(refusal: Refusal) -> Response<Body> {
-    let reason: &'static str = refusal.reason.into();
-    metrics::counter!(metric::REFUSALS, "reason" => reason).increment(1);
     let retry_after = refusal.retry_after_ms;
     let status = refusal.reason.status();
     let id = refusal.request_id.clone();
--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -20,6 +20,7 @@
 
 use crate::admin;
 use crate::caller;
+use crate::completions;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::request::Request;
@@ -36,6 +37,10 @@
         route.get("/metrics").to(to(caller::metrics));
         route.get("/readyz").to(to(caller::ready));
         route.get("/v1/addresses").to(to(caller::addresses));
+        route
+            .post("/v1/chat/completions")
+            .to(to(completions::chat));
+        route.post("/v1/completions").to(to(completions::plain));
         route
             .request(vec![Method::GET, Method::POST], "/admin/*")
             .to(to(admin::answer));
--- a/crates/protocol/src/refusal.rs
+++ b/crates/protocol/src/refusal.rs
@@ -47,6 +47,8 @@
     KeyReused,
     /// Means that the same order is running at this moment.
     KeyRunning,
+    /// Means that the kind of work already has too many requests in flight.
+    KindLimit,
     /// Means that no upstream can take the request.
     NoUpstream,
     /// Means that an order may or may not have run.
@@ -82,7 +84,7 @@
             Self::AnswerCut | Self::OutcomeUnknown | Self::UpstreamFailed => 502,
             Self::BadRequest | Self::KeyMissing => 400,
             Self::BodyTooLarge => 413,
-            Self::CallerLimit | Self::RateLimit | Self::WorkspaceLimit => 429,
+            Self::CallerLimit | Self::KindLimit | Self::RateLimit | Self::WorkspaceLimit => 429,
             Self::Deadline => 504,
             Self::Draining
             | Self::NoUpstream
--- a/crates/state/src/column.rs
+++ b/crates/state/src/column.rs
@@ -29,6 +29,8 @@
     Adapter,
     /// Holds the IP address and port of an upstream.
     Address,
+    /// Holds the bytes of prompt in one cached block of a model.
+    BlockBytes,
     /// Holds how many requests one caller may have in flight across the fleet.
     CallerLimit,
     /// Holds whether an upstream refuses orders that carry an old fencing number.
@@ -107,6 +109,10 @@
         match self {
             Self::Address => Form::Address,
             Self::ChecksFence | Self::Idempotent => Form::Flag,
+            Self::BlockBytes => Form::Number {
+                least: 16,
+                most: 16 << 20,
+            },
             Self::CallerLimit | Self::Limit | Self::MinimumServing => LIMIT,
             Self::Deadline => Form::Number {
                 least: 1,
--- a/crates/state/src/sheet.rs
+++ b/crates/state/src/sheet.rs
@@ -51,6 +51,7 @@
             ],
             Self::Models => &[
                 Column::Adapter,
+                Column::BlockBytes,
                 Column::LoadLimit,
                 Column::MinimumServing,
                 Column::Version,
