Add the broker: cache directory, placement and admission

The fleet had no way to choose an upstream. This adds the pure step functions that do: a compact directory of cached blocks that follows late and gapped event streams, placement by least expected time to the first token with own grants added to lagging load reports and imports weighed against recomputation, and admission with ranks, a floor for background work, fairness by workspace and caller, limits, deadlines and cancels.

Fault tables cover gaps, late and repeated batches, changed incarnations and versions, dead upstreams, floods of either rank, small callers, lost owners and repeated asks. Breaking the code on purpose was caught each time: residency kept after a death, events of a dead upstream taken in, an old incarnation or another version accepted, unusable upstreams offered, and no floor. The first of these passed at first, so a test for it was added.

--- /dev/null
+++ b/crates/coordination/src/broker.rs
@@ -0,0 +1,458 @@
+//! The broker: one owner of the cache directory, load and admission of its upstreams.
+//!
+//! All its state is soft. A new owner rebuilds it from cache snapshots, load reports and what the
+//! entries report again.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use state::directory;
+use state::directory::Batch;
+use state::directory::Directory;
+use state::directory::Slot;
+use state::directory::Snapshot;
+use state::queue::Verdict;
+use state::rank::Rank;
+use state::table::Table;
+use state::time::Instant;
+
+use crate::admission;
+use crate::admission::Admission;
+use crate::admission::Reason;
+use crate::admission::Refusal;
+use crate::admission::Rules;
+pub use crate::ask::Ask;
+pub use crate::ask::Ticket;
+use crate::capacity::Standing;
+use crate::capacity::Work;
+pub use crate::grant::Grant;
+use crate::pool::Pool;
+use crate::pool::Proposal;
+use crate::report::Progress;
+pub use crate::report::Report;
+use crate::report::Sample;
+
+const EXPIRY_MS: u64 = 50;
+const HELD_LIFETIME_MS: u64 = 600_000;
+const RESYNC_MS: u64 = 500;
+
+/// Tells a broker what happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Asks for a place.
+    Ask(Ask),
+    /// Brings changes of an upstream's cache.
+    Cache {
+        /// Holds the changes.
+        batch: Batch,
+        /// Names the upstream.
+        upstream: String,
+    },
+    /// Means that the caller of a request left before it was placed.
+    Cancel(Ticket),
+    /// Reports a request again that an earlier owner placed.
+    Held {
+        /// Holds the ask.
+        ask: Ask,
+        /// Tells whether its first token arrived.
+        started: bool,
+        /// Names the upstream.
+        upstream: String,
+    },
+    /// Brings a load report.
+    Load {
+        /// Holds the report.
+        sample: Sample,
+        /// Names the upstream.
+        upstream: String,
+    },
+    /// Reports on a granted request.
+    Report(Report),
+    /// Sets the part of each fleet-wide limit that this broker may use, in thousandths.
+    Share(u64),
+    /// Brings the whole content of an upstream's cache.
+    Snapshot {
+        /// Holds the content.
+        snapshot: Snapshot,
+        /// Names the upstream.
+        upstream: String,
+    },
+    /// Tells whether an upstream may get new work.
+    Standing {
+        /// Holds the verdict.
+        standing: Standing,
+        /// Names the upstream.
+        upstream: String,
+    },
+    /// Brings a newer table.
+    Table {
+        /// Names the upstreams that this broker owns; all of them where it is `None`.
+        owned: Option<BTreeSet<String>>,
+        /// Holds the table.
+        table: Arc<Table>,
+    },
+    /// Means that time has passed.
+    Tick,
+}
+
+/// Tells the owner of a broker what to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Asks an upstream to copy blocks to the kept-KV store.
+    Export {
+        /// Names the upstream that holds the blocks.
+        source: String,
+        /// Names the store.
+        store: String,
+        /// Identifies the placement whose prompt holds them.
+        ticket: Ticket,
+    },
+    /// Gives a request its place.
+    Grant(Box<Grant>),
+    /// Refuses a request.
+    Refuse(Refusal),
+    /// Asks an upstream for the whole content of its cache.
+    Resync {
+        /// Names the upstream.
+        upstream: String,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    ask: Ask,
+    grant: Option<Box<Grant>>,
+    slot: Slot,
+    work: Work,
+}
+
+/// Places requests on the upstreams that it owns.
+#[derive(Clone, Debug, Default)]
+pub struct Broker {
+    admission: Admission,
+    directory: Directory,
+    expired: Instant,
+    held: HashMap<Ticket, Held>,
+    pool: Pool,
+    resyncs: BTreeMap<Slot, Instant>,
+    waiting: HashSet<Ticket>,
+}
+
+impl Broker {
+    /// Returns the directory, for measures and the operators' view.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Returns how many placed requests have not ended.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Returns the upstreams, for measures and the operators' view.
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Returns how many requests of `rank` wait.
+    pub fn queued(&self, rank: Rank) -> usize {
+        self.admission.len(rank)
+    }
+
+    /// Takes in one event and returns what follows from it.
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Ask(ask) => self.ask(ask, now, &mut effects),
+            Event::Cache { batch, upstream } => {
+                self.cache(batch, &upstream, now, &mut effects);
+                return effects;
+            }
+            Event::Cancel(ticket) => self.cancel(ticket, now),
+            Event::Held {
+                ask,
+                started,
+                upstream,
+            } => self.hold_again(ask, started, &upstream, now),
+            Event::Load { sample, upstream } => self.load(sample, &upstream, now, &mut effects),
+            Event::Report(report) => self.report(report, now, &mut effects),
+            Event::Share(thousandths) => self.admission.share(thousandths),
+            Event::Snapshot { snapshot, upstream } => {
+                self.snapshot(&snapshot, &upstream, now, &mut effects);
+            }
+            Event::Standing { standing, upstream } => self.stand(standing, &upstream, now),
+            Event::Table { owned, table } => self.table(&table, owned.as_ref()),
+            Event::Tick => self.tick(now, &mut effects),
+        }
+        self.dispatch(now, &mut effects);
+        effects
+    }
+
+    fn ask(&mut self, ask: Ask, now: Instant, effects: &mut Vec<Effect>) {
+        if let Some(held) = self.held.get(&ask.ticket) {
+            effects.extend(held.grant.clone().map(Effect::Grant));
+            return;
+        }
+        let ticket = ask.ticket;
+        if self.waiting.contains(&ticket) {
+            return;
+        }
+        if !self.pool.serves(&ask) {
+            effects.push(Effect::Refuse(Refusal {
+                reason: Reason::NoUpstream,
+                retry_after_ms: RESYNC_MS,
+                ticket,
+            }));
+            return;
+        }
+        match self.admission.admit(ask, now) {
+            Ok(()) => {
+                self.waiting.insert(ticket);
+            }
+            Err(refusal) => effects.push(Effect::Refuse(refusal)),
+        }
+    }
+
+    fn cache(&mut self, batch: Batch, upstream: &str, now: Instant, effects: &mut Vec<Effect>) {
+        let Some(slot) = self.pool.slot(upstream) else {
+            return;
+        };
+        if self.pool.is_dead(slot) {
+            return;
+        }
+        let before = self.directory.incarnation(slot);
+        let incarnation = batch.incarnation;
+        let outcome = self.directory.apply(slot, batch, now);
+        if before.is_some_and(|before| before < incarnation) {
+            self.pool.restart(slot, incarnation, now);
+        }
+        if outcome == directory::Outcome::Gap {
+            self.resync(slot, now, effects);
+        }
+    }
+
+    fn cancel(&mut self, ticket: Ticket, now: Instant) {
+        if self.waiting.remove(&ticket) {
+            self.admission.cancel(ticket);
+            return;
+        }
+        self.finish(ticket, now);
+    }
+
+    fn dispatch(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        while !self.admission.is_empty() {
+            let (first, owed) = self.admission.next(now);
+            let other = match first {
+                Rank::Background => Rank::Urgent,
+                Rank::Urgent => Rank::Background,
+            };
+            let placed =
+                self.place(first, owed, now, effects) || self.place(other, false, now, effects);
+            if !placed {
+                return;
+            }
+        }
+    }
+
+    fn finish(&mut self, ticket: Ticket, now: Instant) {
+        if let Some(mut held) = self.held.remove(&ticket) {
+            self.pool.end(held.slot, &mut held.work, now);
+            self.admission.release(&held.ask);
+        }
+    }
+
+    fn hold_again(&mut self, ask: Ask, started: bool, upstream: &str, now: Instant) {
+        let Some(slot) = self.pool.slot(upstream) else {
+            return;
+        };
+        if self.held.contains_key(&ask.ticket) {
+            return;
+        }
+        let mut work = self.pool.begin(slot, 0, ask.rank, now);
+        if started {
+            self.pool.start(slot, &mut work, now);
+        }
+        self.admission.count(&ask);
+        let held = Held {
+            ask,
+            grant: None,
+            slot,
+            work,
+        };
+        self.held.insert(held.ask.ticket, held);
+    }
+
+    fn load(&mut self, sample: Sample, upstream: &str, now: Instant, effects: &mut Vec<Effect>) {
+        let Some(slot) = self.pool.slot(upstream) else {
+            return;
+        };
+        let known = self.directory.incarnation(slot);
+        if self.pool.measure(slot, sample, now) {
+            self.directory.void(slot);
+        }
+        if known.is_none() {
+            self.resync(slot, now, effects);
+        }
+    }
+
+    fn place(&mut self, rank: Rank, owed: bool, now: Instant, effects: &mut Vec<Effect>) -> bool {
+        let priority = if owed { Rank::Urgent } else { rank };
+        let yields = rank == Rank::Background && self.admission.len(Rank::Urgent) > 0;
+        let needed = if yields { Rank::Urgent } else { priority };
+        if !self.pool.any_open(needed, now) {
+            return false;
+        }
+        let mut chosen = None;
+        let pool = &self.pool;
+        let directory = &self.directory;
+        let rules = self.admission.rules();
+        let waiting = self.admission.take(rank, |waiting| {
+            let trade = rules.trade(&waiting.ask.workspace);
+            let proposal = pool.propose(&waiting.ask, priority, trade, directory, now);
+            match pool.open(proposal.slot, needed, now) {
+                true => proposal.judge(&mut chosen),
+                false => Verdict::Pass,
+            }
+        });
+        let (Some(waiting), Some(proposal)) = (waiting, chosen) else {
+            return false;
+        };
+        self.waiting.remove(&waiting.ask.ticket);
+        self.hold(waiting, proposal, now, effects);
+        true
+    }
+
+    fn hold(
+        &mut self,
+        waiting: admission::Waiting,
+        proposal: Proposal,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let ask = waiting.ask;
+        let slot = proposal.slot;
+        let tokens = proposal.tokens;
+        let work = self.pool.begin(slot, tokens, proposal.priority, now);
+        let served = admission::work(tokens, ask.output_tokens);
+        self.admission.serve(ask.rank, served, now);
+        self.directory.expect(slot, &ask.blocks, now);
+        let grant = Box::new(Grant {
+            expected_us: proposal.expected_us,
+            import: proposal.import,
+            incarnation: self.directory.incarnation(slot),
+            priority: proposal.priority,
+            resident_blocks: proposal.resident,
+            scores: proposal.scores,
+            ticket: ask.ticket,
+            upstream: self.pool.name(slot).to_owned(),
+            version: self.pool.version(slot).map(str::to_owned),
+            waited_ms: now.since(waiting.since),
+        });
+        effects.push(Effect::Grant(grant.clone()));
+        let held = Held {
+            ask,
+            grant: Some(grant),
+            slot,
+            work,
+        };
+        self.held.insert(held.ask.ticket, held);
+    }
+
+    fn report(&mut self, report: Report, now: Instant, effects: &mut Vec<Effect>) {
+        match report.progress {
+            Progress::Failed => {
+                if let Some(held) = self.held.get(&report.ticket) {
+                    self.directory.unexpect(held.slot, &held.ask.blocks);
+                }
+                self.finish(report.ticket, now);
+            }
+            Progress::Finished => self.finish(report.ticket, now),
+            Progress::FirstToken => {
+                if let Some(held) = self.held.get_mut(&report.ticket) {
+                    self.pool.start(held.slot, &mut held.work, now);
+                    let store = self.pool.store(&held.ask, &self.directory, now);
+                    effects.extend(store.map(|store| Effect::Export {
+                        source: self.pool.name(held.slot).to_owned(),
+                        store,
+                        ticket: report.ticket,
+                    }));
+                }
+            }
+        }
+    }
+
+    /// Asks for a snapshot, unless one was asked for a moment ago.
+    fn resync(&mut self, slot: Slot, now: Instant, effects: &mut Vec<Effect>) {
+        let asked = self.resyncs.get(&slot);
+        if asked.is_some_and(|asked| now.since(*asked) < RESYNC_MS) {
+            return;
+        }
+        self.resyncs.insert(slot, now);
+        effects.push(Effect::Resync {
+            upstream: self.pool.name(slot).to_owned(),
+        });
+    }
+
+    fn snapshot(
+        &mut self,
+        snapshot: &Snapshot,
+        upstream: &str,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(slot) = self.pool.slot(upstream) else {
+            return;
+        };
+        if self.pool.is_dead(slot) {
+            return;
+        }
+        if self.directory.replace(slot, snapshot, now) == directory::Outcome::Gap {
+            self.resync(slot, now, effects);
+        }
+    }
+
+    fn stand(&mut self, standing: Standing, upstream: &str, now: Instant) {
+        let Some(slot) = self.pool.slot(upstream) else {
+            return;
+        };
+        self.pool.stand(slot, standing, now);
+        if standing == Standing::Dead {
+            self.directory.void(slot);
+        }
+    }
+
+    fn table(&mut self, table: &Table, owned: Option<&BTreeSet<String>>) {
+        self.pool.update(table, owned);
+        self.admission.rule(Arc::new(Rules::read(table)));
+        for slot in self.pool.gone() {
+            self.directory.void(slot);
+        }
+    }
+
+    fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        for slot in self.directory.tick(now) {
+            self.resync(slot, now, effects);
+        }
+        if now.since(self.expired) < EXPIRY_MS {
+            return;
+        }
+        self.expired = now;
+        for refusal in self.admission.expire(now) {
+            self.waiting.remove(&refusal.ticket);
+            effects.push(Effect::Refuse(refusal));
+        }
+        let lost = |held: &Held| now.since(held.work.granted) >= HELD_LIFETIME_MS;
+        let tickets: Vec<Ticket> = self
+            .held
+            .iter()
+            .filter(|(_, held)| lost(held))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in tickets {
+            self.finish(ticket, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/capacity.rs
@@ -0,0 +1,233 @@
+//! What a broker knows of the load of one upstream.
+//!
+//! Reported load lags, so the work that the broker itself sent since the report is added to it.
+
+use state::ident::Incarnation;
+use state::rank::Rank;
+use state::time::Instant;
+
+use crate::report::Sample;
+
+/// Gives the rate that is assumed until an upstream reports its own, in tokens a second.
+pub const DEFAULT_PREFILL_RATE: u32 = 10_000;
+/// Gives the requests at once that are assumed until an upstream reports its own bound.
+pub const DEFAULT_SLOTS: u32 = 16;
+
+const BACKGROUND_WINDOW_MS: u64 = 250;
+const DEFAULT_SERVICE_MS: u64 = 2_000;
+const MICROS_PER_MILLI: u64 = 1_000;
+const MILLIS_PER_SECOND: u64 = 1_000;
+const RESERVE_PERCENT: u32 = 25;
+const SERVICE_SAMPLES: u64 = 8;
+const URGENT_WINDOW_MS: u64 = 120;
+
+/// Tells whether an upstream may get new work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Standing {
+    /// Means that the upstream is gone and its cache with it.
+    Dead,
+    /// Means that the upstream fails too often and is left alone for a while.
+    Ejected,
+    /// Means that the upstream finishes what it has and gets no more.
+    Leaving,
+    /// Means that the upstream takes work.
+    #[default]
+    Usable,
+}
+
+/// Describes work that was sent to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Work {
+    /// Numbers the run of the upstream, as the broker counts them.
+    pub epoch: u64,
+    /// Gives the time of the grant.
+    pub granted: Instant,
+    /// Ranks the work within the upstream.
+    pub priority: Rank,
+    /// Tells whether the first token arrived.
+    pub started: bool,
+    /// Gives the prompt tokens that the upstream has to compute.
+    pub tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Class {
+    inflight: u32,
+    pending: u32,
+    recent: u64,
+    tokens: u64,
+}
+
+/// Tracks the load of one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Capacity {
+    classes: [Class; 2],
+    epoch: u64,
+    limit: Option<u32>,
+    measured: Instant,
+    progress: Instant,
+    sample: Option<Sample>,
+    service_ms: Option<u64>,
+}
+
+impl Capacity {
+    /// Records that the upstream got `tokens` of prompt to compute.
+    pub fn begin(&mut self, tokens: u64, priority: Rank, now: Instant) -> Work {
+        if self.pending() == 0 {
+            self.progress = now;
+        }
+        let class = &mut self.classes[priority.index()];
+        class.inflight += 1;
+        class.pending += 1;
+        class.recent += tokens;
+        class.tokens += tokens;
+        Work {
+            epoch: self.epoch,
+            granted: now,
+            priority,
+            started: false,
+            tokens,
+        }
+    }
+
+    /// Records that `work` ended.
+    pub fn end(&mut self, work: &mut Work, now: Instant) {
+        self.start(work, now);
+        if work.epoch != self.epoch {
+            return;
+        }
+        let class = &mut self.classes[work.priority.index()];
+        class.inflight = class.inflight.saturating_sub(1);
+        let taken = now.since(work.granted);
+        let mean = self.service_ms.unwrap_or(taken);
+        self.service_ms = Some((mean * (SERVICE_SAMPLES - 1) + taken) / SERVICE_SAMPLES);
+    }
+
+    /// Returns the requests in flight, of both ranks.
+    pub fn inflight(&self) -> u32 {
+        self.classes.iter().map(|class| class.inflight).sum()
+    }
+
+    /// Sets the bound on requests in flight that the table gives.
+    pub fn limit(&mut self, limit: Option<u32>) {
+        self.limit = limit;
+    }
+
+    /// Takes in a load report.
+    pub fn measure(&mut self, sample: Sample, now: Instant) {
+        let measured = Instant(now.0.saturating_sub(sample.age_ms));
+        if measured < self.measured {
+            return;
+        }
+        self.measured = measured;
+        for class in &mut self.classes {
+            class.recent = 0;
+        }
+        self.sample = Some(sample);
+    }
+
+    /// Returns whether the upstream takes a further request of `rank` without queueing it long.
+    pub fn open(&self, rank: Rank, now: Instant) -> bool {
+        let slots = self.slots();
+        let reserve = (slots * RESERVE_PERCENT / 100).max(1);
+        let background = self.classes[Rank::Background.index()].inflight;
+        let window = match rank {
+            Rank::Background if slots > 1 && background + reserve >= slots => return false,
+            Rank::Background => BACKGROUND_WINDOW_MS,
+            Rank::Urgent => URGENT_WINDOW_MS,
+        };
+        self.inflight() < slots && self.backlog_us(rank, now) < window * MICROS_PER_MILLI
+    }
+
+    /// Returns the time that computing `tokens` takes, in microseconds.
+    pub fn prefill_us(&self, tokens: u64) -> u64 {
+        tokens * MILLIS_PER_SECOND * MICROS_PER_MILLI / self.rate()
+    }
+
+    /// Returns the run that the last load report names.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.sample.as_ref().map(|sample| sample.incarnation)
+    }
+
+    /// Forgets all load, because the upstream came back empty.
+    pub fn reset(&mut self, now: Instant) {
+        self.classes = [Class::default(); 2];
+        self.epoch += 1;
+        self.measured = now;
+        self.progress = now;
+        self.sample = None;
+    }
+
+    /// Returns the requests that the upstream runs at once.
+    pub fn slots(&self) -> u32 {
+        let reported = self.sample.as_ref().map_or(DEFAULT_SLOTS, |s| s.slots);
+        self.limit.map_or(reported, |limit| limit.min(reported))
+    }
+
+    /// Records that the first token of `work` arrived.
+    pub fn start(&mut self, work: &mut Work, now: Instant) {
+        if work.started || work.epoch != self.epoch {
+            work.started = true;
+            return;
+        }
+        work.started = true;
+        self.progress = now;
+        let class = &mut self.classes[work.priority.index()];
+        class.pending = class.pending.saturating_sub(1);
+        class.tokens = class.tokens.saturating_sub(work.tokens);
+    }
+
+    /// Returns the weights version that the last load report names.
+    pub fn version(&self) -> Option<&str> {
+        self.sample.as_ref().map(|sample| sample.version.as_str())
+    }
+
+    /// Returns how long a further request of `rank` would wait to be computed, in microseconds.
+    pub fn wait_us(&self, rank: Rank, now: Instant) -> u64 {
+        let backlog = self.backlog_us(rank, now);
+        if self.inflight() < self.slots() {
+            return backlog;
+        }
+        let service = self.service_ms.unwrap_or(DEFAULT_SERVICE_MS) * MICROS_PER_MILLI;
+        backlog + service / u64::from(self.slots().max(1))
+    }
+
+    fn backlog_us(&self, rank: Rank, now: Instant) -> u64 {
+        let urgent = self.backlog(Rank::Urgent, now);
+        let tokens = match rank {
+            Rank::Background => urgent + self.backlog(Rank::Background, now),
+            Rank::Urgent => urgent,
+        };
+        self.prefill_us(tokens)
+    }
+
+    fn backlog(&self, rank: Rank, now: Instant) -> u64 {
+        let class = self.classes[rank.index()];
+        let mean = class.tokens / u64::from(class.pending.max(1));
+        let done = self.computed(now.since(self.progress)).min(mean);
+        let own = class.tokens - done;
+        let reported = self.sample.as_ref().map_or(0, |sample| match rank {
+            Rank::Background => sample.background_tokens,
+            Rank::Urgent => sample.urgent_tokens,
+        });
+        let left =
+            (reported + class.recent).saturating_sub(self.computed(now.since(self.measured)));
+        own.max(left.min(reported + class.tokens))
+    }
+
+    fn computed(&self, millis: u64) -> u64 {
+        millis.saturating_mul(self.rate()) / MILLIS_PER_SECOND
+    }
+
+    fn pending(&self) -> u32 {
+        self.classes.iter().map(|class| class.pending).sum()
+    }
+
+    fn rate(&self) -> u64 {
+        let rate = self
+            .sample
+            .as_ref()
+            .map_or(DEFAULT_PREFILL_RATE, |sample| sample.prefill_rate);
+        u64::from(rate.max(1))
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Decides what the fleet does: placement, admission, agreement and repair.
+//!
+//! Every decision is a step function: it takes the time and an event and returns typed effects.
+
+pub mod admission;
+pub mod ask;
+pub mod broker;
+pub mod capacity;
+pub mod grant;
+pub mod placement;
+pub mod pool;
+pub mod report;
--- /dev/null
+++ b/crates/coordination/src/pool.rs
@@ -0,0 +1,397 @@
+//! The upstreams of a broker: their rows of the table, their standing and their load.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use state::column::Column;
+use state::directory::Directory;
+use state::directory::Residency;
+use state::directory::Slot;
+use state::ident::Block;
+use state::ident::Incarnation;
+use state::queue::Verdict;
+use state::rank::Rank;
+use state::row::Row;
+use state::sheet::Sheet;
+use state::table::Table;
+use state::time::Instant;
+
+use crate::admission;
+use crate::ask::Ask;
+use crate::capacity::Capacity;
+use crate::capacity::Standing;
+use crate::capacity::Work;
+use crate::grant::Import;
+use crate::grant::SCORES;
+use crate::grant::Score;
+use crate::placement;
+use crate::placement::Candidate;
+use crate::placement::Demand;
+use crate::placement::Rating;
+use crate::report::Sample;
+
+/// Gives the tokens of one cached block.
+pub const BLOCK_TOKENS: u32 = 4_096;
+
+const KEEP_BLOCKS: usize = 1;
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Role {
+    #[default]
+    Engine,
+    Store,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Upstream {
+    capacity: Capacity,
+    domain: String,
+    incarnation: Option<Incarnation>,
+    listed: bool,
+    model: String,
+    name: String,
+    role: Role,
+    seed: u64,
+    serving: bool,
+    standing: Standing,
+    weight: u64,
+}
+
+/// Proposes a place for a request.
+#[derive(Clone, Debug, Default)]
+pub struct Proposal {
+    /// Gives the expected time to the first token, in microseconds.
+    pub expected_us: u64,
+    /// Names where to import from.
+    pub import: Option<Import>,
+    /// Tells whether the best upstream takes the request at once.
+    pub open: bool,
+    /// Ranks the request within the upstream.
+    pub priority: Rank,
+    /// Gives the leading blocks that the upstream is thought to hold.
+    pub resident: u32,
+    /// Lists the best upstreams, cheapest first.
+    pub scores: Vec<Score>,
+    /// Names the upstream.
+    pub slot: Slot,
+    /// Gives the prompt tokens that the upstream has to compute.
+    pub tokens: u64,
+    /// Gives the expected work, in tokens of prompt.
+    pub work: u64,
+}
+
+/// Holds the upstreams of a broker.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    slots: BTreeMap<String, Slot>,
+    upstreams: Vec<Upstream>,
+}
+
+impl Proposal {
+    /// Takes the request if its best upstream is open, and moves the proposal to `chosen`.
+    pub fn judge(self, chosen: &mut Option<Self>) -> Verdict {
+        if !self.open {
+            return Verdict::Pass;
+        }
+        let work = self.work;
+        *chosen = Some(self);
+        Verdict::Take(work)
+    }
+}
+
+impl Upstream {
+    fn fits(&self, ask: &Ask) -> bool {
+        let version = ask.version.as_deref();
+        self.role == Role::Engine
+            && self.usable()
+            && self.model == ask.model
+            && !ask.excluded.contains(&self.name)
+            && (version.is_none() || version == self.capacity.version())
+    }
+
+    fn usable(&self) -> bool {
+        self.listed && self.serving && self.standing == Standing::Usable
+    }
+
+    fn update(&mut self, row: &Row) {
+        self.domain = row.text(Column::Domain).unwrap_or_default().to_owned();
+        self.listed = true;
+        self.model = row.text(Column::Model).unwrap_or_default().to_owned();
+        self.role = match row.text(Column::Type) {
+            Some("kv_store") => Role::Store,
+            _ => Role::Engine,
+        };
+        self.serving = row.text(Column::Standing).is_none_or(|s| s == "serving");
+        self.weight = row
+            .number(Column::Weight)
+            .unwrap_or(placement::DEFAULT_WEIGHT);
+        self.serving &= self.weight > 0;
+        let limit = row.number(Column::Limit);
+        let limit = limit.map(|limit| u32::try_from(limit).unwrap_or(u32::MAX));
+        self.capacity.limit(limit);
+    }
+}
+
+impl Pool {
+    /// Returns whether any upstream takes work of `rank` at once.
+    pub fn any_open(&self, rank: Rank, now: Instant) -> bool {
+        let open =
+            |u: &Upstream| u.role == Role::Engine && u.usable() && u.capacity.open(rank, now);
+        self.upstreams.iter().any(open)
+    }
+
+    /// Records work that was sent to an upstream.
+    pub fn begin(&mut self, slot: Slot, tokens: u64, priority: Rank, now: Instant) -> Work {
+        self.at_mut(slot).capacity.begin(tokens, priority, now)
+    }
+
+    /// Records the end of work.
+    pub fn end(&mut self, slot: Slot, work: &mut Work, now: Instant) {
+        self.at_mut(slot).capacity.end(work, now);
+    }
+
+    /// Returns the upstreams that the table no longer lists.
+    pub fn gone(&self) -> Vec<Slot> {
+        let unlisted = |slot: &&Slot| !self.at(**slot).listed;
+        self.slots.values().filter(unlisted).copied().collect()
+    }
+
+    /// Returns whether the upstream is known to be dead.
+    pub fn is_dead(&self, slot: Slot) -> bool {
+        self.at(slot).standing == Standing::Dead
+    }
+
+    /// Takes in a load report and returns whether it opens a new run of the upstream.
+    pub fn measure(&mut self, slot: Slot, sample: Sample, now: Instant) -> bool {
+        let upstream = self.at_mut(slot);
+        if upstream.incarnation.is_some_and(|i| sample.incarnation < i) {
+            return false;
+        }
+        let renewed = upstream.incarnation.is_some_and(|i| i < sample.incarnation);
+        if renewed {
+            upstream.capacity.reset(now);
+        }
+        upstream.incarnation = Some(sample.incarnation);
+        upstream.capacity.measure(sample, now);
+        renewed
+    }
+
+    /// Returns the name of an upstream.
+    pub fn name(&self, slot: Slot) -> &str {
+        &self.at(slot).name
+    }
+
+    /// Returns whether an upstream takes work of `rank` at once.
+    pub fn open(&self, slot: Slot, rank: Rank, now: Instant) -> bool {
+        let upstream = self.upstreams.get(usize::from(slot.0));
+        upstream.is_some_and(|upstream| upstream.capacity.open(rank, now))
+    }
+
+    /// Proposes the best place for a request.
+    pub fn propose(
+        &self,
+        ask: &Ask,
+        priority: Rank,
+        trade: u64,
+        directory: &Directory,
+        now: Instant,
+    ) -> Proposal {
+        let residency = directory.resident(&ask.blocks, now);
+        let depth = |slot: Slot| residency.soon(slot);
+        let (held, source) = self.deepest(&ask.model, directory, &residency);
+        let demand = Demand {
+            blocks: ask.blocks.len() as u32,
+            held,
+            trade,
+        };
+        let mut ratings: Vec<Rating> = self
+            .iter()
+            .filter(|(_, upstream)| upstream.fits(ask))
+            .map(|(slot, upstream)| {
+                let doubtful = directory.doubtful(slot);
+                let candidate = candidate(upstream, ask, priority, depth(slot), doubtful, now);
+                placement::rate(demand, slot, &candidate)
+            })
+            .collect();
+        let root = ask.blocks.first().copied().unwrap_or_default();
+        placement::sort(&mut ratings, |slot| tie(root, self.at(slot).seed));
+        let Some(best) = ratings.first() else {
+            return Proposal::default();
+        };
+        let tail = ask
+            .prompt_tokens
+            .saturating_sub(demand.blocks * BLOCK_TOKENS);
+        let tokens = u64::from(best.uncached * BLOCK_TOKENS + tail);
+        let import = (best.import > 0).then_some(source).flatten();
+        Proposal {
+            expected_us: best.expected_us,
+            import: import.map(|source| Import {
+                blocks: best.import,
+                source: self.name(source).to_owned(),
+            }),
+            open: self.at(best.slot).capacity.open(priority, now),
+            priority,
+            resident: depth(best.slot),
+            scores: ratings
+                .iter()
+                .take(SCORES)
+                .map(|r| self.score(r, depth(r.slot)))
+                .collect(),
+            slot: best.slot,
+            tokens,
+            work: admission::work(tokens, ask.output_tokens),
+        }
+    }
+
+    /// Forgets the load of an upstream that started anew.
+    pub fn restart(&mut self, slot: Slot, incarnation: Incarnation, now: Instant) {
+        let upstream = self.at_mut(slot);
+        if upstream.incarnation.is_none_or(|known| known < incarnation) {
+            upstream.incarnation = Some(incarnation);
+            upstream.capacity.reset(now);
+        }
+    }
+
+    /// Returns whether any upstream could serve the request.
+    pub fn serves(&self, ask: &Ask) -> bool {
+        self.upstreams.iter().any(|upstream| upstream.fits(ask))
+    }
+
+    /// Returns the slot of an upstream.
+    pub fn slot(&self, name: &str) -> Option<Slot> {
+        self.slots.get(name).copied()
+    }
+
+    /// Takes in whether an upstream may get new work.
+    pub fn stand(&mut self, slot: Slot, standing: Standing, now: Instant) {
+        let upstream = self.at_mut(slot);
+        upstream.standing = standing;
+        if standing == Standing::Dead {
+            upstream.capacity.reset(now);
+        }
+    }
+
+    /// Records the first token of work.
+    pub fn start(&mut self, slot: Slot, work: &mut Work, now: Instant) {
+        self.at_mut(slot).capacity.start(work, now);
+    }
+
+    /// Returns the kept-KV store that should get a copy of the prompt's blocks, if one lacks them.
+    pub fn store(&self, ask: &Ask, directory: &Directory, now: Instant) -> Option<String> {
+        if ask.blocks.len() < KEEP_BLOCKS {
+            return None;
+        }
+        let (slot, store) = self
+            .iter()
+            .find(|(_, u)| u.role == Role::Store && u.usable() && serves_model(u, &ask.model))?;
+        let held = directory.resident(&ask.blocks, now).held(slot);
+        ((held as usize) < ask.blocks.len()).then(|| store.name.clone())
+    }
+
+    /// Takes over the upstreams of a table.
+    pub fn update(&mut self, table: &Table, owned: Option<&BTreeSet<String>>) {
+        for upstream in &mut self.upstreams {
+            upstream.listed = false;
+        }
+        for (name, row) in table.sheet(Sheet::Upstreams) {
+            let routed = matches!(row.text(Column::Type), Some("engine" | "kv_store"));
+            if routed && owned.is_none_or(|owned| owned.contains(name)) {
+                let slot = self.admit(name);
+                self.at_mut(slot).update(row);
+            }
+        }
+    }
+
+    /// Returns the weights version of an upstream, where it is known.
+    pub fn version(&self, slot: Slot) -> Option<&str> {
+        self.at(slot).capacity.version()
+    }
+
+    fn admit(&mut self, name: &str) -> Slot {
+        if let Some(slot) = self.slots.get(name) {
+            return *slot;
+        }
+        let slot = Slot(u16::try_from(self.upstreams.len()).unwrap_or(u16::MAX));
+        let seed = Block::root(name, "", "").0 as u64;
+        self.upstreams.push(Upstream {
+            name: name.to_owned(),
+            seed,
+            ..Upstream::default()
+        });
+        self.slots.insert(name.to_owned(), slot);
+        slot
+    }
+
+    fn at(&self, slot: Slot) -> &Upstream {
+        &self.upstreams[usize::from(slot.0)]
+    }
+
+    fn at_mut(&mut self, slot: Slot) -> &mut Upstream {
+        &mut self.upstreams[usize::from(slot.0)]
+    }
+
+    /// Returns the most leading blocks that a live cache surely holds, and which one.
+    fn deepest(
+        &self,
+        model: &str,
+        directory: &Directory,
+        residency: &Residency,
+    ) -> (u32, Option<Slot>) {
+        self.iter()
+            .filter(|(slot, u)| {
+                serves_model(u, model)
+                    && u.listed
+                    && u.standing != Standing::Dead
+                    && !directory.doubtful(*slot)
+            })
+            .map(|(slot, _)| (residency.held(slot), Some(slot)))
+            .max_by_key(|(held, slot)| (*held, *slot))
+            .unwrap_or((0, None))
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (Slot, &Upstream)> {
+        let numbered = self.upstreams.iter().enumerate();
+        numbered.map(|(at, upstream)| (Slot(at as u16), upstream))
+    }
+
+    fn score(&self, rating: &Rating, resident_blocks: u32) -> Score {
+        Score {
+            cost_us: rating.cost_us,
+            expected_us: rating.expected_us,
+            resident_blocks,
+            upstream: self.name(rating.slot).to_owned(),
+        }
+    }
+}
+
+fn candidate(
+    upstream: &Upstream,
+    ask: &Ask,
+    priority: Rank,
+    resident: u32,
+    doubtful: bool,
+    now: Instant,
+) -> Candidate {
+    let whole = ask.blocks.len() as u32 * BLOCK_TOKENS;
+    let tail = ask.prompt_tokens.saturating_sub(whole);
+    Candidate {
+        block_us: upstream.capacity.prefill_us(u64::from(BLOCK_TOKENS)),
+        doubtful,
+        remote: upstream.domain != ask.domain,
+        resident,
+        tail_us: upstream.capacity.prefill_us(u64::from(tail)),
+        wait_us: upstream.capacity.wait_us(priority, now),
+        weight: upstream.weight,
+    }
+}
+
+fn serves_model(upstream: &Upstream, model: &str) -> bool {
+    upstream.model == model || (upstream.role == Role::Store && upstream.model.is_empty())
+}
+
+/// Orders even upstreams by rendezvous hashing of the prompt's first block.
+fn tie(root: Block, seed: u64) -> u64 {
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mixed = (root.0 as u64 ^ seed).wrapping_mul(MULTIPLIER);
+    (mixed ^ (mixed >> 32)).wrapping_mul(MULTIPLIER)
+}
--- /dev/null
+++ b/crates/coordination/tests/support/mod.rs
@@ -0,0 +1,195 @@
+//! A small broker with its table, for tests.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use coordination::admission::Reason;
+use coordination::ask::Ask;
+use coordination::ask::Ticket;
+use coordination::broker::Broker;
+use coordination::broker::Effect;
+use coordination::broker::Event;
+use coordination::broker::Grant;
+use coordination::capacity::Standing;
+use coordination::report::Progress;
+use coordination::report::Report;
+use coordination::report::Sample;
+use state::column::Column;
+use state::directory::Batch;
+use state::directory::Change;
+use state::edit::Action;
+use state::edit::Edit;
+use state::ident::Block;
+use state::ident::Incarnation;
+use state::rank::Rank;
+use state::row;
+use state::sheet::Sheet;
+use state::table::Table;
+use state::time::Instant;
+
+pub const RATE: u32 = 20_000;
+pub const SLOTS: u32 = 8;
+
+/// Drives a broker in virtual time.
+pub struct Desk {
+    pub broker: Broker,
+    pub now: u64,
+    table: Table,
+}
+
+impl Desk {
+    pub fn new(upstreams: &[&str]) -> Self {
+        let mut desk = Self {
+            broker: Broker::default(),
+            now: 1_000,
+            table: Table::default(),
+        };
+        for name in upstreams {
+            desk.engine(name);
+        }
+        desk
+    }
+
+    pub fn engine(&mut self, name: &str) {
+        self.row(
+            Sheet::Upstreams,
+            name,
+            &[
+                (Column::Address, "127.0.0.1:1"),
+                (Column::Domain, "d1"),
+                (Column::Model, "m"),
+                (Column::Type, "engine"),
+            ],
+        );
+        self.load(name, 1);
+    }
+
+    pub fn row(&mut self, sheet: Sheet, name: &str, cells: &[(Column, &str)]) {
+        let cells: BTreeMap<Column, String> = cells
+            .iter()
+            .map(|(c, text)| (*c, (*text).to_owned()))
+            .collect();
+        let row = self.table.get(sheet, name);
+        let edit = Edit {
+            action: match row {
+                Some(_) => Action::Set(cells.into_iter().map(|(c, t)| (c, Some(t))).collect()),
+                None => Action::Add(cells),
+            },
+            author: "tests".to_owned(),
+            if_revision: row.map_or(0, |row| row.revision),
+            key: String::new(),
+            name: row::Name {
+                row: name.to_owned(),
+                sheet,
+            },
+        };
+        self.table.apply(&edit).unwrap();
+        let table = Arc::new(self.table.clone());
+        self.step(Event::Table { owned: None, table });
+    }
+
+    pub fn workspace(&mut self, name: &str, cells: &[(Column, &str)]) {
+        let hash = "0".repeat(64);
+        let mut all = vec![(Column::KeyHash, hash.as_str())];
+        all.extend(cells);
+        self.row(Sheet::Workspaces, name, &all);
+    }
+
+    pub fn step(&mut self, event: Event) -> Vec<Effect> {
+        self.broker.step(Instant(self.now), event)
+    }
+
+    pub fn load(&mut self, upstream: &str, incarnation: u64) -> Vec<Effect> {
+        self.step(Event::Load {
+            sample: Sample {
+                age_ms: 0,
+                background_tokens: 0,
+                incarnation: Incarnation(incarnation),
+                prefill_rate: RATE,
+                running: 0,
+                slots: SLOTS,
+                urgent_tokens: 0,
+                version: "v1".to_owned(),
+            },
+            upstream: upstream.to_owned(),
+        })
+    }
+
+    pub fn cached(&mut self, upstream: &str, incarnation: u64, sequence: u64, blocks: &[Block]) {
+        self.step(Event::Cache {
+            batch: Batch {
+                changes: blocks.iter().map(|block| Change::Stored(*block)).collect(),
+                incarnation: Incarnation(incarnation),
+                sequence,
+                version: "v1".to_owned(),
+            },
+            upstream: upstream.to_owned(),
+        });
+    }
+
+    pub fn stand(&mut self, upstream: &str, standing: Standing) {
+        self.step(Event::Standing {
+            standing,
+            upstream: upstream.to_owned(),
+        });
+    }
+
+    pub fn ask(&mut self, ask: Ask) -> Vec<Effect> {
+        self.step(Event::Ask(ask))
+    }
+
+    pub fn report(&mut self, ticket: Ticket, progress: Progress) -> Vec<Effect> {
+        self.step(Event::Report(Report { progress, ticket }))
+    }
+
+    pub fn tick(&mut self, millis: u64) -> Vec<Effect> {
+        self.now += millis;
+        self.step(Event::Tick)
+    }
+}
+
+pub fn prompt(workspace: &str, blocks: usize) -> Vec<Block> {
+    Block::root(workspace, "m", "v1").chain(&vec![7; blocks], 1)
+}
+
+pub fn ask(serial: u128, rank: Rank, workspace: &str, caller: &str, blocks: usize) -> Ask {
+    Ask {
+        blocks: prompt(workspace, blocks),
+        caller: caller.to_owned(),
+        deadline_ms: 10_000,
+        domain: "d1".to_owned(),
+        kind: rank.to_string(),
+        model: "m".to_owned(),
+        output_tokens: 50,
+        prompt_tokens: blocks as u32 * 4_096 + 100,
+        rank,
+        ticket: Ticket(serial),
+        workspace: workspace.to_owned(),
+        ..Ask::default()
+    }
+}
+
+pub fn grants(effects: &[Effect]) -> Vec<Grant> {
+    let grant = |effect: &Effect| match effect {
+        Effect::Grant(grant) => Some((**grant).clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(grant).collect()
+}
+
+pub fn upstreams(effects: &[Effect]) -> Vec<String> {
+    grants(effects)
+        .into_iter()
+        .map(|grant| grant.upstream)
+        .collect()
+}
+
+pub fn refusals(effects: &[Effect]) -> Vec<Reason> {
+    let reason = |effect: &Effect| match effect {
+        Effect::Refuse(refusal) => Some(refusal.reason),
+        _ => None,
+    };
+    effects.iter().filter_map(reason).collect()
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,8 +5,12 @@
 pub mod arena;
 pub mod cell;
 pub mod column;
+pub mod directory;
 pub mod edit;
 pub mod ident;
+pub mod index;
+pub mod queue;
+pub mod rank;
 pub mod row;
 pub mod sheet;
 pub mod table;
