--- /dev/null
+++ b/crates/hibiscushoist/src/addresses.rs
@@ -0,0 +1,41 @@
+//! The command `addresses`.
+
+use std::io::Write;
+
+use error_stack::Report;
+
+use protocol::address::Listing;
+
+use crate::arguments::Arguments;
+use crate::error::Error;
+use crate::route;
+use crate::table::json;
+use crate::write;
+
+/// Prints the entry addresses that a caller should use.
+///
+/// # Errors
+///
+/// Returns an error when no server answers or the key is refused.
+pub async fn run(words: &[String], out: &mut impl Write) -> Result<(), Report<Error>> {
+    let arguments = Arguments::parse(words, |_| ())?;
+    arguments.words(
+        0..=0,
+        "addresses [--server ADDRESS] [--key-file FILE] [--json]",
+    )?;
+    let client = arguments.workspace()?;
+    let listing = client.get::<Listing>(route::ADDRESSES).await?;
+    if arguments.json() {
+        return write(out, &json(&listing));
+    }
+    write(out, &text(&listing))
+}
+
+fn text(listing: &Listing) -> String {
+    let mut text = String::new();
+    for address in &listing.addresses {
+        text.push_str(&format!("{address}\n"));
+    }
+    text.push_str(&format!("keep for {} ms\n", listing.lifetime_ms));
+    text
+}
--- /dev/null
+++ b/crates/hibiscushoist/src/command.rs
@@ -0,0 +1,54 @@
+//! The commands.
+
+use strum::Display;
+use strum::EnumIter;
+
+use crate::help;
+
+/// Names a command.
+#[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Command {
+    /// Prints the entry addresses that a caller should use.
+    Addresses,
+    /// Prints how one request was decided.
+    Explain,
+    /// Prints the hash of a key.
+    Hash,
+    /// Sends caller traffic and reports how it was served.
+    Load,
+    /// Prints how a daemon sees itself and its fleet.
+    Status,
+    /// Reads and edits the table.
+    Table,
+    /// Prints the voters.
+    Voters,
+}
+
+impl Command {
+    /// Returns one line that tells what the command does.
+    pub fn summary(self) -> &'static str {
+        match self {
+            Self::Addresses => "print the entry addresses that a caller should use",
+            Self::Explain => "print how one request was decided",
+            Self::Hash => "print the hash of a key, for key_hash cells and settings",
+            Self::Load => "send caller traffic and report how it was served",
+            Self::Status => "print how a daemon sees itself and its fleet",
+            Self::Table => "read and edit the table",
+            Self::Voters => "print the voters that keep the table",
+        }
+    }
+
+    /// Returns the page that explains the command.
+    pub fn help(self) -> &'static str {
+        match self {
+            Self::Addresses => help::ADDRESSES,
+            Self::Explain => help::EXPLAIN,
+            Self::Hash => help::HASH,
+            Self::Load => help::LOAD,
+            Self::Status => help::STATUS,
+            Self::Table => help::TABLE,
+            Self::Voters => help::VOTERS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushoist/tests/cli/main.rs
@@ -0,0 +1,5 @@
+//! The command line against scripted answers.
+
+mod daemon;
+mod load;
+mod operator;
