Name the key command and its variable as the front page does

The front page tells newcomers of `hibiscushoist key`, HIBISCUSHOIST_KEY and the first address of the example settings; the command line named them otherwise. The key command now makes a fresh key or prints the hash of one in a file.

--- a/crates/hibiscushoist/src/addresses.rs
+++ b/crates/hibiscushoist/src/addresses.rs
@@ -4,13 +4,12 @@
 
 use error_stack::Report;
 
-use protocol::address::Listing;
-
 use crate::arguments::Arguments;
 use crate::error::Error;
 use crate::route;
 use crate::table::json;
 use crate::write;
+use protocol::address::Listing;
 
 /// Prints the entry addresses that a caller should use.
 ///
@@ -23,7 +22,7 @@
         0..=0,
         "addresses [--server ADDRESS] [--key-file FILE] [--json]",
     )?;
-    let client = arguments.workspace()?;
+    let client = arguments.client()?;
     let listing = client.get::<Listing>(route::ADDRESSES).await?;
     if arguments.json() {
         return write(out, &json(&listing));
--- a/crates/hibiscushoist/src/arguments.rs
+++ b/crates/hibiscushoist/src/arguments.rs
@@ -11,10 +11,11 @@
 use getopts::Options;
 
 use crate::client::Client;
-use crate::credential;
 use crate::credential::Credential;
 use crate::error::Error;
 
+/// Is asked where no server is given.
+pub const DEFAULT_SERVER: &str = "127.0.0.1:8080";
 /// Names the environment variable that lists servers.
 pub const SERVER: &str = "HIBISCUSHOIST_SERVER";
 
@@ -45,55 +46,39 @@
         Ok(Self { matches })
     }
 
-    /// Returns a client that speaks as an operator.
+    /// Returns a client with the given servers and key.
     ///
     /// # Errors
     ///
-    /// Returns an error when no server or no key is given.
-    pub fn operator(&self) -> Result<Client, Report<Error>> {
-        let key = self.credential(credential::OPERATOR)?;
-        Ok(Client::new(self.servers()?, key))
+    /// Returns an error when there is no key or a server is no address.
+    pub fn client(&self) -> Result<Client, Report<Error>> {
+        Ok(Client::new(self.servers()?, self.credential()?))
     }
 
-    /// Returns a client that speaks as a caller of a workspace.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when no server or no key is given.
-    pub fn workspace(&self) -> Result<Client, Report<Error>> {
-        let key = self.credential(credential::WORKSPACE)?;
-        Ok(Client::new(self.servers()?, key))
-    }
-
-    /// Returns the key of `--key-file`, or else of the environment variable `variable`.
+    /// Returns the key of `--key-file`, or else of the environment.
     ///
     /// # Errors
     ///
     /// Returns an error when there is none or it cannot be read.
-    pub fn credential(&self, variable: &str) -> Result<Credential, Report<Error>> {
+    pub fn credential(&self) -> Result<Credential, Report<Error>> {
         match self.matches.opt_str("key-file") {
             Some(path) => Credential::from_file(path),
-            None => Credential::from_environment(variable),
+            None => Credential::from_environment(),
         }
     }
 
-    /// Returns the servers of `--server`, or else of the environment.
+    /// Returns the servers of `--server`, or else of the environment, or else the default one.
     ///
     /// # Errors
     ///
-    /// Returns an error when there is none or one is no address.
+    /// Returns an error when one is no address.
     pub fn servers(&self) -> Result<Vec<SocketAddr>, Report<Error>> {
         let mut texts = self.matches.opt_strs("server");
         if texts.is_empty() {
-            texts.extend(env::var(SERVER));
+            texts.push(env::var(SERVER).unwrap_or_else(|_| DEFAULT_SERVER.to_owned()));
         }
         let parts = texts.iter().flat_map(|text| text.split(','));
-        let servers = parts.map(server).collect::<Result<Vec<_>, _>>()?;
-        if servers.is_empty() {
-            let variable = SERVER.to_owned();
-            return Err(Error::ServerMissing { variable }.into());
-        }
-        Ok(servers)
+        parts.map(server).collect()
     }
 
     /// Returns the words that are no options, when their count is in `count`.
--- a/crates/hibiscushoist/src/caller.rs
+++ b/crates/hibiscushoist/src/caller.rs
@@ -19,14 +19,13 @@
 use serde_json::json;
 use tokio::time::timeout;
 
-use protocol::header as own;
-use protocol::refusal;
-use protocol::refusal::Reason;
-
 use crate::client::connector;
 use crate::credential::Credential;
 use crate::mix::Draw;
 use crate::route;
+use protocol::header as own;
+use protocol::refusal;
+use protocol::refusal::Reason;
 
 const GRACE: Duration = Duration::from_secs(10);
 const REFUSAL_LIMIT_BYTES: usize = 1 << 20;
--- a/crates/hibiscushoist/src/client.rs
+++ b/crates/hibiscushoist/src/client.rs
@@ -20,11 +20,10 @@
 use thiserror::Error as ThisError;
 use tokio::time::timeout;
 
-use protocol::operator;
-use protocol::refusal;
-
 use crate::credential::Credential;
 use crate::error::Error;
+use protocol::operator;
+use protocol::refusal;
 
 const ANSWER_LIMIT_BYTES: usize = 64 << 20;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/hibiscushoist/src/command.rs
+++ b/crates/hibiscushoist/src/command.rs
@@ -13,8 +13,8 @@
     Addresses,
     /// Prints how one request was decided.
     Explain,
-    /// Prints the hash of a key.
-    Hash,
+    /// Makes a key or prints the hash of one.
+    Key,
     /// Sends caller traffic and reports how it was served.
     Load,
     /// Prints how a daemon sees itself and its fleet.
@@ -31,7 +31,7 @@
         match self {
             Self::Addresses => "print the entry addresses that a caller should use",
             Self::Explain => "print how one request was decided",
-            Self::Hash => "print the hash of a key, for key_hash cells and settings",
+            Self::Key => "make a key, or print the hash of one",
             Self::Load => "send caller traffic and report how it was served",
             Self::Status => "print how a daemon sees itself and its fleet",
             Self::Table => "read and edit the table",
@@ -44,7 +44,7 @@
         match self {
             Self::Addresses => help::ADDRESSES,
             Self::Explain => help::EXPLAIN,
-            Self::Hash => help::HASH,
+            Self::Key => help::KEY,
             Self::Load => help::LOAD,
             Self::Status => help::STATUS,
             Self::Table => help::TABLE,
--- a/crates/hibiscushoist/src/credential.rs
+++ b/crates/hibiscushoist/src/credential.rs
@@ -11,10 +11,8 @@
 
 use crate::error::Error;
 
-/// Names the environment variable of the operator's key.
-pub const OPERATOR: &str = "HIBISCUSHOIST_OPERATOR_KEY";
-/// Names the environment variable of a workspace's key.
-pub const WORKSPACE: &str = "HIBISCUSHOIST_WORKSPACE_KEY";
+/// Names the environment variable that holds a key.
+pub const VARIABLE: &str = "HIBISCUSHOIST_KEY";
 
 /// Holds a key; it shows as dots wherever it is printed.
 #[derive(Clone)]
@@ -41,14 +39,14 @@
         Self::new(text)
     }
 
-    /// Reads the key from the environment variable `variable`.
+    /// Reads the key from the environment variable [`VARIABLE`].
     ///
     /// # Errors
     ///
     /// Returns an error that names the variable, or one for a key that no header can hold.
-    pub fn from_environment(variable: impl Into<String>) -> Result<Self, Report<Error>> {
-        let variable = variable.into();
-        let text = env::var(&variable).map_err(|_| Error::KeyMissing { variable })?;
+    pub fn from_environment() -> Result<Self, Report<Error>> {
+        let variable = VARIABLE.to_owned();
+        let text = env::var(VARIABLE).map_err(|_| Error::KeyMissing { variable })?;
         Self::new(text)
     }
 
--- a/crates/hibiscushoist/src/edit.rs
+++ b/crates/hibiscushoist/src/edit.rs
@@ -6,13 +6,12 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
+use crate::client::Client;
+use crate::error::Error;
 use protocol::operator::Kind;
 use state::edit::Edit;
 use state::edit::Receipt;
 
-use crate::client::Client;
-use crate::error::Error;
-
 const ATTEMPTS: u32 = 6;
 const FIRST_PAUSE_MS: u64 = 100;
 const PATH: &str = "/admin/edits";
--- a/crates/hibiscushoist/src/error.rs
+++ b/crates/hibiscushoist/src/error.rs
@@ -98,12 +98,6 @@
         /// Repeats the text.
         text: String,
     },
-    /// Reports that no server was given.
-    #[error("no server given; use --server ADDRESS or set {variable}")]
-    ServerMissing {
-        /// Names the environment variable.
-        variable: String,
-    },
     /// Reports a status without a body that tells why.
     #[error("{server} answered `{path}` with status {status}")]
     Status {
@@ -138,7 +132,6 @@
             | Self::Command { .. }
             | Self::Number { .. }
             | Self::Server { .. }
-            | Self::ServerMissing { .. }
             | Self::Usage { .. } => USAGE,
             Self::Failed(failure) => kind(failure.kind),
             Self::Key | Self::KeyFile { .. } | Self::KeyMissing { .. } => UNAUTHORIZED,
--- a/crates/hibiscushoist/src/explain.rs
+++ b/crates/hibiscushoist/src/explain.rs
@@ -4,15 +4,14 @@
 
 use error_stack::Report;
 
-use protocol::operator::Explanation;
-use state::cell;
-
 use crate::arguments::Arguments;
 use crate::error::Error;
 use crate::grid::Grid;
 use crate::grid::or_dash;
 use crate::table::json;
 use crate::write;
+use protocol::operator::Explanation;
+use state::cell;
 
 const USAGE: &str = "explain ID [--server ADDRESS] [--key-file FILE] [--json]";
 
@@ -28,7 +27,7 @@
         let usage = USAGE.to_owned();
         return Err(Error::Usage { usage }.into());
     }
-    let client = arguments.operator()?;
+    let client = arguments.client()?;
     let explanation = client
         .get::<Explanation>(&format!("/admin/explain/{id}"))
         .await?;
--- a/crates/hibiscushoist/src/help.rs
+++ b/crates/hibiscushoist/src/help.rs
@@ -24,10 +24,10 @@
 
 Prints the entry addresses that a caller of the workspace should use, the preferred one first,
 and how long the answer may be kept. The key is a workspace's, from --key-file or from the
-environment variable HIBISCUSHOIST_WORKSPACE_KEY.
+environment variable HIBISCUSHOIST_KEY.
 
 Examples:
-  hibiscushoist addresses --server 127.0.0.1:7700 --key-file workspace.key
+  hibiscushoist addresses --server 127.0.0.1:8080 --key-file workspace.key
   hibiscushoist addresses --json | jq -r '.addresses[0]'
 ";
 
@@ -40,20 +40,20 @@
 the entry that served it.
 
 Examples:
-  hibiscushoist explain 6f1c2a --server 127.0.0.1:7700 --key-file operator.key
+  hibiscushoist explain 6f1c2a --server 127.0.0.1:8080 --key-file operator.key
   hibiscushoist explain 6f1c2a --json
 ";
 
-/// Explains `hash`.
-pub const HASH: &str = "\
-Usage: hibiscushoist hash [--key-file FILE]
+/// Explains `key`.
+pub const KEY: &str = "\
+Usage: hibiscushoist key [--key-file FILE] [--json]
 
-Prints the BLAKE3 hash of a key, read from FILE or else from standard input, without the key
-itself. Cells named key_hash and the setting operator.key_hash take it.
+Makes a key and prints it with its BLAKE3 hash; with --key-file, prints only the hash of the key
+in FILE. Cells named key_hash and the setting key_hash of section [operator] take the hash.
 
 Examples:
-  hibiscushoist hash --key-file workspace.key
-  hibiscushoist hash < operator.key
+  hibiscushoist key
+  hibiscushoist key --key-file workspace.key
 ";
 
 /// Explains `load`.
@@ -77,11 +77,11 @@
   --target MS            is the first-token target that goodput counts by (330)
   --json                 prints the report as JSON
 
-One workspace may also be given by --key-file FILE or HIBISCUSHOIST_WORKSPACE_KEY.
+One workspace may also be given by --key-file FILE or HIBISCUSHOIST_KEY.
 
 Examples:
-  hibiscushoist load --server 127.0.0.1:7700 --model large --key-file workspace.key
-  hibiscushoist load --server 127.0.0.1:7700 --model large --mix laurentides \\
+  hibiscushoist load --server 127.0.0.1:8080 --model large --key-file workspace.key
+  hibiscushoist load --server 127.0.0.1:8080 --model large --mix laurentides \\
       --workspace head=head.key --workspace store=store.key --rate 40 --duration 20 --json
 ";
 
@@ -92,7 +92,7 @@
 Prints how a daemon sees itself, the hosts, the upstreams and its counters.
 
 Examples:
-  hibiscushoist status --server 127.0.0.1:7700 --key-file operator.key
+  hibiscushoist status --server 127.0.0.1:8080 --key-file operator.key
   hibiscushoist status --json | jq .revision
 ";
 
@@ -111,8 +111,9 @@
 again under the same edit key, so that an edit happens once. COLUMN= clears a cell.
 
 Options:
-  --server ADDRESS       IP and port of a daemon; repeat it for more (HIBISCUSHOIST_SERVER)
-  --key-file FILE        the operator's key (HIBISCUSHOIST_OPERATOR_KEY)
+  --server ADDRESS       IP and port of a daemon; repeat it for more (HIBISCUSHOIST_SERVER,
+                         else 127.0.0.1:8080)
+  --key-file FILE        the operator's key (HIBISCUSHOIST_KEY)
   --author NAME          is kept with the edit (USER)
   --edit-key KEY         sends an edit of unknown outcome again
   --after REVISION       starts after that revision (history: 0, watch: the newest)
@@ -120,9 +121,9 @@
   --json                 prints JSON, for watch one object a line
 
 Examples:
-  hibiscushoist table get upstreams --server 127.0.0.1:7700 --key-file operator.key
+  hibiscushoist table get upstreams --server 127.0.0.1:8080 --key-file operator.key
   hibiscushoist table set upstreams engine-1 standing=leaving
-  hibiscushoist table add workspaces maps key_hash=$(hibiscushoist hash --key-file maps.key)
+  hibiscushoist table add workspaces maps key_hash=$(hibiscushoist key --key-file maps.key)
   hibiscushoist table watch --json
 ";
 
@@ -133,7 +134,7 @@
 Prints the voters and learners, who leads, and how far each log is known to match.
 
 Examples:
-  hibiscushoist voters --server 127.0.0.1:7700 --key-file operator.key
+  hibiscushoist voters --server 127.0.0.1:8080 --key-file operator.key
 ";
 
 /// Returns the page that lists the commands.
--- a/crates/hibiscushoist/src/lib.rs
+++ b/crates/hibiscushoist/src/lib.rs
@@ -20,8 +20,8 @@
 pub mod error;
 pub mod explain;
 pub mod grid;
-pub mod hash;
 pub mod help;
+pub mod key;
 pub mod load;
 pub mod mix;
 pub mod progress;
@@ -63,7 +63,7 @@
     match command {
         Command::Addresses => addresses::run(rest, out).await,
         Command::Explain => explain::run(rest, out).await,
-        Command::Hash => hash::run(rest, out),
+        Command::Key => key::run(rest, out),
         Command::Load => load::run(rest, out).await,
         Command::Status => status::run(rest, out).await,
         Command::Table => table::run(rest, out).await,
--- a/crates/hibiscushoist/src/load.rs
+++ b/crates/hibiscushoist/src/load.rs
@@ -12,13 +12,10 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
-use protocol::address::Listing;
-
 use crate::arguments::Arguments;
 use crate::caller::Caller;
 use crate::caller::Outcome;
 use crate::client::Client;
-use crate::credential;
 use crate::credential::Credential;
 use crate::error::Error;
 use crate::mix;
@@ -31,6 +28,7 @@
 use crate::tally::Group;
 use crate::tally::Tally;
 use crate::write;
+use protocol::address::Listing;
 
 const DEFAULT_WORKSPACE: &str = "default";
 const MICROS_PER_MILLI: u64 = 1000;
@@ -242,7 +240,7 @@
     };
     let given = arguments.texts("workspace");
     if given.is_empty() {
-        let credential = arguments.credential(credential::WORKSPACE)?;
+        let credential = arguments.credential()?;
         return Ok(vec![new(DEFAULT_WORKSPACE, credential)]);
     }
     let read = |text: &String| {
--- a/crates/hibiscushoist/src/status.rs
+++ b/crates/hibiscushoist/src/status.rs
@@ -4,14 +4,13 @@
 
 use error_stack::Report;
 
-use protocol::operator::Status;
-
 use crate::arguments::Arguments;
 use crate::error::Error;
 use crate::grid::Grid;
 use crate::grid::or_dash;
 use crate::table::json;
 use crate::write;
+use protocol::operator::Status;
 
 /// Prints how a daemon sees itself and its fleet.
 ///
@@ -24,7 +23,7 @@
         0..=0,
         "status [--server ADDRESS] [--key-file FILE] [--json]",
     )?;
-    let client = arguments.operator()?;
+    let client = arguments.client()?;
     let status = client.get::<Status>("/admin/status").await?;
     if arguments.json() {
         return write(out, &json(&status));
--- a/crates/hibiscushoist/src/table.rs
+++ b/crates/hibiscushoist/src/table.rs
@@ -10,6 +10,14 @@
 use strum::Display;
 use strum::EnumString;
 
+use crate::arguments::Arguments;
+use crate::client::Client;
+use crate::edit;
+use crate::error::Error;
+use crate::grid::Grid;
+use crate::route;
+use crate::watch;
+use crate::write;
 use protocol::operator::Change;
 use protocol::operator::History;
 use protocol::operator::Listing;
@@ -20,15 +28,6 @@
 use state::row;
 use state::sheet::Sheet;
 
-use crate::arguments::Arguments;
-use crate::client::Client;
-use crate::edit;
-use crate::error::Error;
-use crate::grid::Grid;
-use crate::route;
-use crate::watch;
-use crate::write;
-
 const MOST_WORDS: usize = 32;
 const USAGE: &str = "table get|set|add|remove|history|watch ...; see `hibiscushoist help table`";
 
@@ -82,7 +81,7 @@
         sheet: parse_sheet(sheet)?,
     };
     let action = action(verb, cells)?;
-    let client = arguments.operator()?;
+    let client = arguments.client()?;
     let edit = Edit {
         action,
         author: author(arguments),
@@ -162,7 +161,7 @@
         [sheet, row] => (Some(parse_sheet(sheet)?), Some(row)),
         _ => return Err(usage("table get [SHEET [ROW]]")),
     };
-    let mut listing = arguments.operator()?.get::<Listing>(route::TABLE).await?;
+    let mut listing = arguments.client()?.get::<Listing>(route::TABLE).await?;
     listing.rows.retain(|view| {
         sheet.is_none_or(|sheet| view.sheet == sheet) && row.is_none_or(|row| view.row == *row)
     });
@@ -181,7 +180,7 @@
         return Err(usage("table history [--after REVISION]"));
     }
     let after = arguments.number("after", 0..=u64::MAX, 0)?;
-    let history = after_revision::<History>(&arguments.operator()?, route::HISTORY, after).await?;
+    let history = after_revision::<History>(&arguments.client()?, route::HISTORY, after).await?;
     if arguments.json() {
         return write(out, &json(&history));
     }
--- a/crates/hibiscushoist/src/voters.rs
+++ b/crates/hibiscushoist/src/voters.rs
@@ -4,14 +4,13 @@
 
 use error_stack::Report;
 
-use protocol::operator::Voters;
-
 use crate::arguments::Arguments;
 use crate::error::Error;
 use crate::grid::Grid;
 use crate::grid::or_dash;
 use crate::table::json;
 use crate::write;
+use protocol::operator::Voters;
 
 /// Prints the voters and learners.
 ///
@@ -24,7 +23,7 @@
         0..=0,
         "voters [--server ADDRESS] [--key-file FILE] [--json]",
     )?;
-    let client = arguments.operator()?;
+    let client = arguments.client()?;
     let voters = client.get::<Voters>("/admin/voters").await?;
     if arguments.json() {
         return write(out, &json(&voters));
--- a/crates/hibiscushoist/src/watch.rs
+++ b/crates/hibiscushoist/src/watch.rs
@@ -4,9 +4,6 @@
 
 use error_stack::Report;
 
-use protocol::operator::History;
-use protocol::operator::Listing;
-
 use crate::arguments::Arguments;
 use crate::client::Client;
 use crate::error::Error;
@@ -14,6 +11,8 @@
 use crate::table::after_revision;
 use crate::table::change_text;
 use crate::write;
+use protocol::operator::History;
+use protocol::operator::Listing;
 
 /// Prints each change of the table as it comes into force.
 ///
@@ -30,7 +29,7 @@
         return Err(Error::Usage { usage }.into());
     }
     let mut left = arguments.number("count", 1..=u64::MAX, u64::MAX)?;
-    let client = arguments.operator()?;
+    let client = arguments.client()?;
     let mut after = start(arguments, &client).await?;
     while left > 0 {
         let history = after_revision::<History>(&client, route::WATCH, after).await?;
--- a/crates/hibiscushoist/tests/cli/daemon.rs
+++ b/crates/hibiscushoist/tests/cli/daemon.rs
@@ -132,9 +132,8 @@
 pub fn run(words: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_hibiscushoist"))
         .args(words)
-        .env_remove("HIBISCUSHOIST_OPERATOR_KEY")
+        .env_remove("HIBISCUSHOIST_KEY")
         .env_remove("HIBISCUSHOIST_SERVER")
-        .env_remove("HIBISCUSHOIST_WORKSPACE_KEY")
         .env("USER", "dana")
         .output()
         .unwrap()
--- a/crates/hibiscushoist/tests/cli/load.rs
+++ b/crates/hibiscushoist/tests/cli/load.rs
@@ -4,13 +4,12 @@
 
 use serde_json::Value;
 
-use hibiscushoist::mix::Mix;
-use hibiscushoist::mix::Name;
-use protocol::address::Listing;
-
 use crate::daemon::Daemon;
 use crate::daemon::stderr;
 use crate::daemon::stdout;
+use hibiscushoist::mix::Mix;
+use hibiscushoist::mix::Name;
+use protocol::address::Listing;
 
 const WHOLE: &str = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n\
     data: {\"choices\":[{\"text\":\"b\"}]}\n\n\
--- a/crates/hibiscushoist/tests/cli/operator.rs
+++ b/crates/hibiscushoist/tests/cli/operator.rs
@@ -2,6 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use serde_json::Value;
+
+use crate::daemon::Daemon;
+use crate::daemon::KEY;
+use crate::daemon::run;
+use crate::daemon::stderr;
+use crate::daemon::stdout;
 use protocol::operator::Body;
 use protocol::operator::Failure;
 use protocol::operator::Kind;
@@ -14,12 +21,6 @@
 use state::edit::Receipt;
 use state::sheet::Sheet;
 
-use crate::daemon::Daemon;
-use crate::daemon::KEY;
-use crate::daemon::run;
-use crate::daemon::stderr;
-use crate::daemon::stdout;
-
 const EDITS: &str = "/admin/edits";
 const TABLE: &str = "/admin/table";
 
@@ -212,7 +213,7 @@
 fn a_missing_key_exits_with_4() {
     let output = run(&["status", "--server", "127.0.0.1:1"]);
     assert_eq!(output.status.code(), Some(4));
-    assert!(stderr(&output).contains("HIBISCUSHOIST_OPERATOR_KEY"));
+    assert!(stderr(&output).contains("HIBISCUSHOIST_KEY"));
 }
 
 #[test]
@@ -242,15 +243,26 @@
 }
 
 #[test]
-fn hash_prints_the_hash_of_the_key() {
+fn key_prints_the_hash_of_the_key_in_a_file() {
     let daemon = Daemon::new("hash");
     let key_file = format!("{}/hash.key", env!("CARGO_TARGET_TMPDIR"));
-    let output = run(&["hash", "--key-file", &key_file]);
+    let output = run(&["key", "--key-file", &key_file]);
     let hash = blake3::hash(KEY.as_bytes()).to_hex();
     assert_eq!(stdout(&output), format!("{hash}\n"));
     drop(daemon);
 }
 
+#[test]
+fn key_makes_a_fresh_one() {
+    let made = || {
+        let pair: Value = serde_json::from_str(&stdout(&run(&["key", "--json"]))).unwrap();
+        let key = pair["key"].as_str().unwrap().to_owned();
+        assert_eq!(pair["hash"], blake3::hash(key.as_bytes()).to_hex().as_str());
+        key
+    };
+    assert_ne!(made(), made());
+}
+
 #[test]
 fn voters_prints_who_leads() {
     let voters = Voters {
@@ -279,7 +291,7 @@
     for command in [
         "addresses",
         "explain",
-        "hash",
+        "key",
         "load",
         "status",
         "table",
