--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -9,6 +9,13 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use strum::Display;
+use strum::EnumIter;
+use strum::IntoStaticStr;
+use thiserror::Error;
+
+use crate::ask::Ask;
+use crate::ask::Ticket;
 use state::column::Column;
 use state::queue::Place;
 use state::queue::Queue;
@@ -18,13 +25,6 @@
 use state::sheet::Sheet;
 use state::table::Table;
 use state::time::Instant;
-use strum::Display;
-use strum::EnumIter;
-use strum::IntoStaticStr;
-use thiserror::Error;
-
-use crate::ask::Ask;
-use crate::ask::Ticket;
 
 /// Gives the share of work that background keeps where the table names none, in percent.
 pub const DEFAULT_FLOOR_PERCENT: u64 = 20;
--- a/crates/coordination/src/ask.rs
+++ b/crates/coordination/src/ask.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use state::ident::Block;
 use state::rank::Rank;
 
--- a/crates/coordination/src/broker.rs
+++ b/crates/coordination/src/broker.rs
@@ -9,16 +9,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use state::directory;
-use state::directory::Batch;
-use state::directory::Directory;
-use state::directory::Slot;
-use state::directory::Snapshot;
-use state::queue::Verdict;
-use state::rank::Rank;
-use state::table::Table;
-use state::time::Instant;
-
 use crate::admission;
 use crate::admission::Admission;
 use crate::admission::Reason;
@@ -34,6 +24,15 @@
 use crate::report::Progress;
 pub use crate::report::Report;
 use crate::report::Sample;
+use state::directory;
+use state::directory::Batch;
+use state::directory::Directory;
+use state::directory::Slot;
+use state::directory::Snapshot;
+use state::queue::Verdict;
+use state::rank::Rank;
+use state::table::Table;
+use state::time::Instant;
 
 const EXPIRY_MS: u64 = 50;
 const HELD_LIFETIME_MS: u64 = 600_000;
--- a/crates/coordination/src/capacity.rs
+++ b/crates/coordination/src/capacity.rs
@@ -2,12 +2,11 @@
 //!
 //! Reported load lags, so the work that the broker itself sent since the report is added to it.
 
+use crate::report::Sample;
 use state::ident::Incarnation;
 use state::rank::Rank;
 use state::time::Instant;
 
-use crate::report::Sample;
-
 /// Gives the rate that is assumed until an upstream reports its own, in tokens a second.
 pub const DEFAULT_PREFILL_RATE: u32 = 10_000;
 /// Gives the requests at once that are assumed until an upstream reports its own bound.
--- a/crates/coordination/src/grant.rs
+++ b/crates/coordination/src/grant.rs
@@ -2,10 +2,10 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use state::ident::Incarnation;
-use state::rank::Rank;
 
 use crate::ask::Ticket;
+use state::ident::Incarnation;
+use state::rank::Rank;
 
 /// Bounds the scores that a grant carries for the record of the request.
 pub const SCORES: usize = 4;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -3,19 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use state::column::Column;
-use state::directory::Directory;
-use state::directory::Residency;
-use state::directory::Slot;
-use state::ident::Block;
-use state::ident::Incarnation;
-use state::queue::Verdict;
-use state::rank::Rank;
-use state::row::Row;
-use state::sheet::Sheet;
-use state::table::Table;
-use state::time::Instant;
-
 use crate::admission;
 use crate::ask::Ask;
 use crate::capacity::Capacity;
@@ -29,6 +16,18 @@
 use crate::placement::Demand;
 use crate::placement::Rating;
 use crate::report::Sample;
+use state::column::Column;
+use state::directory::Directory;
+use state::directory::Residency;
+use state::directory::Slot;
+use state::ident::Block;
+use state::ident::Incarnation;
+use state::queue::Verdict;
+use state::rank::Rank;
+use state::row::Row;
+use state::sheet::Sheet;
+use state::table::Table;
+use state::time::Instant;
 
 /// Gives the tokens of one cached block.
 pub const BLOCK_TOKENS: u32 = 4_096;
--- a/crates/coordination/src/report.rs
+++ b/crates/coordination/src/report.rs
@@ -2,9 +2,9 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use state::ident::Incarnation;
 
 use crate::ask::Ticket;
+use state::ident::Incarnation;
 
 /// Tells how far a granted request has come.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/coordination/tests/broker.rs
+++ b/crates/coordination/tests/broker.rs
@@ -2,6 +2,13 @@
 
 mod support;
 
+use support::Desk;
+use support::SLOTS;
+use support::ask;
+use support::grants;
+use support::prompt;
+use support::refusals;
+
 use coordination::admission::Reason;
 use coordination::ask::Ticket;
 use coordination::broker::Effect;
@@ -12,12 +19,6 @@
 use state::directory::Snapshot;
 use state::ident::Incarnation;
 use state::rank::Rank;
-use support::Desk;
-use support::SLOTS;
-use support::ask;
-use support::grants;
-use support::prompt;
-use support::refusals;
 
 #[test]
 fn repeated_ask_gets_the_same_place_and_counts_once() {
--- a/crates/state/src/index.rs
+++ b/crates/state/src/index.rs
@@ -1,8 +1,8 @@
 //! A compact index from blocks to the lanes that hold them.
 //!
-//! Each entry takes one 64-bit word: 52 bits of the block's key and 12 bits of lane. The words stand
-//! in many small open-addressed segments that grow one at a time, so no insertion ever pauses for
-//! the whole index.
+//! Each entry takes one 64-bit word: 52 bits of the block's key and 12 bits of lane. The words
+//! stand in many small open-addressed segments that grow one at a time, so no insertion ever
+//! pauses for the whole index.
 
 use crate::ident::Block;
 
