--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Moves bytes: HTTP, peer connections, files, clocks, threads and rings.
 
 pub mod clock;
+pub mod engine;
 pub mod event;
 pub mod http;
 pub mod log;
@@ -11,3 +12,6 @@
 pub mod peer_key;
 pub mod peer_server;
 pub mod ring;
+pub mod service;
+pub mod sse;
+pub mod upstream;
