--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -41,11 +41,7 @@
     receiver
 }
 
-async fn run(
-    context: &Context,
-    job: &Job,
-    parts: &mpsc::Sender<Part>,
-) -> Result<(), Failure> {
+async fn run(context: &Context, job: &Job, parts: &mpsc::Sender<Part>) -> Result<(), Failure> {
     let grant = context.broker.place(job.ask.clone()).await;
     let grant = grant.map_err(|error| refused(&error))?;
     let mut placed = Placed {
--- a/crates/hibiscushoistd/src/broker.rs
+++ b/crates/hibiscushoistd/src/broker.rs
@@ -43,7 +43,7 @@
 
 enum Call {
     Ask(Box<Ask>, oneshot::Sender<Answer>),
-    Event(Event),
+    Event(Box<Event>),
 }
 
 /// Reaches the duty.
@@ -85,7 +85,7 @@
     ///
     /// Returns an error when the ring is full.
     pub fn feed(&self, event: Event) -> Result<(), ring::Error> {
-        self.ring.send(Call::Event(event))
+        self.ring.send(Call::Event(Box::new(event)))
     }
 }
 
@@ -138,15 +138,16 @@
 impl Duty {
     fn run(&mut self, calls: &ring::Receiver<Call>) {
         loop {
+            let received = calls.receive(TICK);
             self.read_table();
-            match calls.receive(TICK) {
+            match received {
                 Err(ring::Empty::Closed) => return,
                 Err(ring::Empty::Timeout) => self.step(Event::Tick),
                 Ok(Call::Ask(ask, answer)) => {
                     self.waiting.insert(ask.ticket, answer);
                     self.step(Event::Ask(*ask));
                 }
-                Ok(Call::Event(event)) => self.step(event),
+                Ok(Call::Event(event)) => self.step(*event),
             }
         }
     }
--- a/crates/hibiscushoistd/src/completions.rs
+++ b/crates/hibiscushoistd/src/completions.rs
@@ -23,7 +23,6 @@
 use protocol::completion::Message;
 use protocol::refusal;
 use protocol::refusal::Reason;
-use protocol::refusal::Refusal;
 use transport::http::Body;
 
 use crate::answer::Failure;
@@ -152,12 +151,7 @@
         }
     }
 
-    fn stream(
-        &self,
-        first: Part,
-        parts: mpsc::Receiver<Part>,
-        guard: Guard,
-    ) -> Response<Body> {
+    fn stream(&self, first: Part, parts: mpsc::Receiver<Part>, guard: Guard) -> Response<Body> {
         let form = self.clone();
         let parts = stream::unfold((Some(first), parts, guard), move |state| {
             let form = form.clone();
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -75,8 +75,8 @@
         let (drain, draining) = watch::channel(false);
         let (stop, stopped) = watch::channel(false);
         let clock = Clock::default();
-        let broker = broker::start(clock, voter.table())
-            .change_context(Error::Duty { duty: "broker" })?;
+        let broker =
+            broker::start(clock, voter.table()).change_context(Error::Duty { duty: "broker" })?;
         let context = Arc::new(Context {
             address: advertised(&settings, listener.as_ref()),
             broker,
--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -37,9 +37,7 @@
         route.get("/metrics").to(to(caller::metrics));
         route.get("/readyz").to(to(caller::ready));
         route.get("/v1/addresses").to(to(caller::addresses));
-        route
-            .post("/v1/chat/completions")
-            .to(to(completions::chat));
+        route.post("/v1/chat/completions").to(to(completions::chat));
         route.post("/v1/completions").to(to(completions::plain));
         route
             .request(vec![Method::GET, Method::POST], "/admin/*")
--- /dev/null
+++ b/crates/hibiscushoistd/tests/completions.rs
@@ -0,0 +1,87 @@
+//! Checks the path of a completion from a caller to a stand-in engine and back.
+
+mod support;
+
+use serde_json::json;
+
+use fakes::engine::Options;
+use support::MAPS_KEY;
+use support::Test;
+
+const PATH: &str = "/v1/completions";
+
+#[tokio::test]
+async fn streamed_answer_is_whole() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    let ask = json!({"max_tokens": 20, "model": "m", "prompt": "cove", "stream": true});
+    let response = bench.post(PATH, MAPS_KEY, &[], &ask).await;
+    assert_eq!(response.status, 200, "{:?}", response.body);
+    let expected = bench.engines[0].text("cove", 0, 20);
+    assert_eq!(response.streamed(), (expected, true));
+}
+
+#[tokio::test]
+async fn whole_answer_is_whole() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    let ask = json!({"max_tokens": 5, "model": "m", "prompt": "cove"});
+    let response = bench.post(PATH, MAPS_KEY, &[], &ask).await;
+    let expected = bench.engines[0].text("cove", 0, 5);
+    assert_eq!(response.json()["choices"][0]["text"], json!(expected));
+}
+
+#[tokio::test]
+async fn chat_answer_is_whole() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    let messages = json!([{"content": "cove?", "role": "user"}]);
+    let ask = json!({"max_tokens": 5, "messages": messages, "model": "m"});
+    let response = bench
+        .post("/v1/chat/completions", MAPS_KEY, &[], &ask)
+        .await;
+    let expected = bench.engines[0].text("<|user|>\ncove?\n", 0, 5);
+    let answer = response.json();
+    assert_eq!(
+        answer["choices"][0]["message"],
+        json!({"content": expected, "role": "assistant"})
+    );
+}
+
+#[tokio::test]
+async fn wrong_key_is_refused() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    let ask = json!({"model": "m", "prompt": "cove"});
+    let response = bench.post(PATH, "guess", &[], &ask).await;
+    let error = &response.json()["error"];
+    assert_eq!(response.status, 401);
+    assert_eq!(error["reason"], "unauthorized");
+    assert_eq!(error["not_run"], "true");
+}
+
+#[tokio::test]
+async fn unknown_model_is_refused() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    let ask = json!({"model": "other", "prompt": "cove"});
+    let response = bench.post(PATH, MAPS_KEY, &[], &ask).await;
+    assert_eq!(response.status, 404);
+    assert_eq!(response.json()["error"]["reason"], "unknown_model");
+}
+
+#[tokio::test]
+async fn body_over_the_limit_is_refused() {
+    let test = Test::new().entry("body_limit_bytes = 1024");
+    let bench = test.engine(Options::default()).start().await;
+    let ask = json!({"model": "m", "prompt": "x".repeat(2000)});
+    let response = bench.post(PATH, MAPS_KEY, &[], &ask).await;
+    assert_eq!(response.status, 413);
+    assert_eq!(response.json()["error"]["reason"], "body_too_large");
+}
+
+#[tokio::test]
+async fn no_upstream_is_refused_as_not_run() {
+    let bench = Test::new().start().await;
+    let ask = json!({"model": "m", "prompt": "cove"});
+    let headers = [("x-deadline-ms", "200")];
+    let response = bench.post(PATH, MAPS_KEY, &headers, &ask).await;
+    assert_eq!(response.status, 503, "{:?}", response.body);
+    assert_eq!(response.json()["error"]["reason"], "no_upstream");
+    assert_eq!(response.json()["error"]["not_run"], "true");
+}
