--- a/crates/fakes/src/engine_stream.rs
+++ b/crates/fakes/src/engine_stream.rs
@@ -47,16 +47,16 @@
 /// Tells what an attempt does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
-    /// Waits for a slot.
-    Waiting,
-    /// Computes the block of this index.
-    Prefill(usize),
     /// Sends tokens.
     Decode,
-    /// Sends the end mark.
-    Mark,
     /// Sends nothing more.
     Done,
+    /// Sends the end mark.
+    Mark,
+    /// Computes the block of this index.
+    Prefill(usize),
+    /// Waits for a slot.
+    Waiting,
 }
 
 /// Opens the stream that answers `asked`.
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -30,10 +30,10 @@
     Declines,
     /// Answers with status 500 before the call has an effect, and does not say so.
     Fails,
-    /// Never answers, and the call has no effect.
-    HangsBefore,
     /// Never answers, and the call has its effect.
     HangsAfter,
+    /// Never answers, and the call has no effect.
+    HangsBefore,
     /// Cuts the connection after the call had its effect.
     LosesAnswer,
     /// Has no fault.
--- a/crates/hibiscushoistd/src/main.rs
+++ b/crates/hibiscushoistd/src/main.rs
@@ -19,10 +19,10 @@
 enum Error {
     #[error("the command line cannot be read")]
     Options,
-    #[error("the daemon could not start")]
-    Start,
     #[error("the settings cannot be used")]
     Settings,
+    #[error("the daemon could not start")]
+    Start,
 }
 
 fn main() -> ExitCode {
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -329,12 +329,12 @@
     Loading,
     /// Means that an order carried an old fencing number.
     StaleFence,
+    /// Means that the weight store or the kept-KV store did not answer.
+    Unavailable,
     /// Means that the engine serves another model.
     UnknownModel,
     /// Means that nothing is served under the path.
     UnknownPath,
-    /// Means that the weight store or the kept-KV store did not answer.
-    Unavailable,
     /// Means that blocks of another weights version were offered.
     VersionMismatch,
 }
