--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,7 +1,15 @@
-//! Decides: replicated log, leases, membership, placement, admission, retries and roll-outs.
+//! Decides what the fleet does: placement, admission, agreement and repair.
 //!
-//! Everything here is a step function: it takes the time and an event and returns typed effects.
+//! Every decision is a step function: it takes the time and an event and returns typed effects.
 
+pub mod admission;
+pub mod ask;
+pub mod broker;
+pub mod capacity;
+pub mod grant;
 pub mod lease;
 pub mod machine;
 pub mod membership;
+pub mod placement;
+pub mod pool;
+pub mod report;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,10 +5,14 @@
 pub mod arena;
 pub mod cell;
 pub mod column;
+pub mod directory;
 pub mod edit;
 pub mod history;
 pub mod ident;
+pub mod index;
 pub mod ledger;
+pub mod queue;
+pub mod rank;
 pub mod row;
 pub mod sheet;
 pub mod table;
