--- /dev/null
+++ b/crates/hibiscushoistd/tests/pages.rs
@@ -0,0 +1,190 @@
+//! The pages against the code, in both directions.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use strum::IntoEnumIterator;
+
+use hibiscushoistd::settings::Role;
+use hibiscushoistd::settings::SECTIONS;
+use protocol::operator::Kind;
+use protocol::refusal::Reason;
+use state::column::Column;
+use state::column::Form;
+use state::sheet::Sheet;
+use transport::event::Event;
+
+const METRIC_PREFIX: &str = "\"hibiscushoist_";
+
+type Rows = BTreeMap<String, Vec<String>>;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page(name: &str) -> String {
+    fs::read_to_string(root().join("docs").join(name)).unwrap()
+}
+
+/// Returns the part of a page under a heading of the second level.
+fn part(page: &str, heading: &str) -> String {
+    let start = format!("\n## {heading}\n");
+    let (_, rest) = page
+        .split_once(&start)
+        .unwrap_or_else(|| panic!("no heading `{heading}`"));
+    rest.split("\n## ").next().unwrap().to_owned()
+}
+
+/// Returns the rows of the tables in a text, by their first cell and without quotes.
+fn rows(text: &str) -> Rows {
+    let lines = text.lines().filter(|line| line.starts_with('|'));
+    let cells = |line: &str| {
+        let cells = line.trim_matches('|').split('|');
+        let cells = cells.map(|cell| cell.trim().trim_matches('`').to_owned());
+        cells.collect::<Vec<_>>()
+    };
+    let mut rows = Rows::new();
+    let body = lines.map(cells).filter(|row| !row[0].starts_with("---"));
+    for row in body.skip(1) {
+        let first = row[0].clone();
+        assert!(
+            rows.insert(first.clone(), row).is_none(),
+            "`{first}` stands twice"
+        );
+    }
+    rows
+}
+
+fn keys(rows: &Rows) -> BTreeSet<String> {
+    rows.keys().cloned().collect()
+}
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// Returns the names of metrics that stand in the sources.
+fn metrics() -> BTreeSet<String> {
+    let mut files = Vec::new();
+    for package in fs::read_dir(root().join("crates")).unwrap() {
+        sources(&package.unwrap().path().join("src"), &mut files);
+    }
+    let mut names = BTreeSet::new();
+    for file in files {
+        let text = fs::read_to_string(file).unwrap();
+        for rest in text.split(METRIC_PREFIX).skip(1) {
+            let name = rest.split('"').next().unwrap();
+            names.insert(format!("hibiscushoist_{name}"));
+        }
+    }
+    names
+}
+
+#[test]
+fn every_event_stands_on_its_page_with_number_and_level() {
+    let listed = rows(&page("EVENTS.md"));
+    let expected = Event::iter().map(|event| {
+        let level = event.level().as_str().to_ascii_lowercase();
+        (event.number().to_string(), event.to_string(), level)
+    });
+    let found = listed
+        .values()
+        .map(|row| (row[0].clone(), row[1].clone(), row[2].clone()));
+    let short = |level: String| level.chars().take(4).collect::<String>();
+    let expected = expected.map(|(number, name, level)| (number, name, short(level)));
+    let found = found.map(|(number, name, level)| (number, name, short(level)));
+    assert_eq!(found.collect::<BTreeSet<_>>(), expected.collect());
+}
+
+#[test]
+fn every_metric_stands_on_its_page() {
+    assert_eq!(
+        keys(&rows(&part(&page("METRICS.md"), "Metrics"))),
+        metrics()
+    );
+}
+
+#[test]
+fn every_refusal_reason_stands_on_its_page_with_its_status() {
+    let listed = rows(&part(&page("METRICS.md"), "Refusal reasons"));
+    let found = listed.values().map(|row| (row[0].clone(), row[1].clone()));
+    let expected = Reason::iter().map(|reason| (reason.to_string(), reason.status().to_string()));
+    assert_eq!(found.collect::<BTreeSet<_>>(), expected.collect());
+}
+
+#[test]
+fn every_kind_of_failure_stands_on_its_page_with_its_status() {
+    let listed = rows(&part(&page("METRICS.md"), "Operators' failures"));
+    let found = listed.values().map(|row| (row[0].clone(), row[1].clone()));
+    let expected = Kind::iter().map(|kind| (kind.to_string(), kind.status().to_string()));
+    assert_eq!(found.collect::<BTreeSet<_>>(), expected.collect());
+}
+
+#[test]
+fn every_section_and_key_of_the_settings_stands_on_its_page() {
+    let page = page("SETTINGS.md");
+    let headings = page.lines().filter_map(|line| line.strip_prefix("## ["));
+    let found: BTreeSet<_> = headings.map(|line| line.trim_end_matches(']')).collect();
+    assert_eq!(found, SECTIONS.iter().map(|section| section.name).collect());
+    for section in SECTIONS {
+        let listed = keys(&rows(&part(&page, &format!("[{}]", section.name))));
+        let expected = section.keys.iter().map(|key| (*key).to_owned()).collect();
+        assert_eq!(listed, expected, "{}", section.name);
+    }
+}
+
+#[test]
+fn every_role_stands_on_the_page_of_the_settings() {
+    let page = page("SETTINGS.md");
+    for role in Role::iter() {
+        assert!(page.contains(&format!("`{role}`")), "{role}");
+    }
+}
+
+#[test]
+fn every_sheet_and_column_stands_on_its_page() {
+    let page = page("TABLE.md");
+    let headings = page.lines().filter_map(|line| line.strip_prefix("## "));
+    let found: BTreeSet<_> = headings.map(ToOwned::to_owned).collect();
+    assert_eq!(
+        found,
+        Sheet::iter().map(|sheet| sheet.to_string()).collect()
+    );
+    for sheet in Sheet::iter() {
+        let listed = rows(&part(&page, &sheet.to_string()));
+        let found = listed
+            .values()
+            .map(|row| (row[0].clone(), row[1].clone(), row[2].clone()));
+        let expected = sheet.columns().iter().map(|column| {
+            let required = sheet.required().contains(column);
+            let required = if required { "yes" } else { "no" };
+            (column.to_string(), required.to_owned(), takes(*column))
+        });
+        assert_eq!(
+            found.collect::<BTreeSet<_>>(),
+            expected.collect(),
+            "{sheet}"
+        );
+    }
+}
+
+fn takes(column: Column) -> String {
+    match column.form() {
+        Form::Address => "IP number and port".to_owned(),
+        Form::Choice(words) => words.join(", "),
+        Form::Flag => "true or false".to_owned(),
+        Form::Hash => "64 hexadecimal digits".to_owned(),
+        Form::Name => "a name".to_owned(),
+        Form::Number { least, most } => format!("{least} to {most}"),
+    }
+}
