--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -2,12 +2,6 @@
 
 mod support;
 
-use support::Desk;
-use support::SLOTS;
-use support::ask;
-use support::grants;
-use support::refusals;
-
 use coordination::admission::Reason;
 use coordination::ask::Ask;
 use coordination::ask::Ticket;
@@ -17,6 +11,11 @@
 use state::column::Column;
 use state::rank::Rank;
 use state::sheet::Sheet;
+use support::Desk;
+use support::SLOTS;
+use support::ask;
+use support::grants;
+use support::refusals;
 
 type Setting = fn(&mut Desk);
 
--- a/crates/coordination/tests/broker.rs
+++ b/crates/coordination/tests/broker.rs
@@ -2,13 +2,6 @@
 
 mod support;
 
-use support::Desk;
-use support::SLOTS;
-use support::ask;
-use support::grants;
-use support::prompt;
-use support::refusals;
-
 use coordination::admission::Reason;
 use coordination::ask::Ticket;
 use coordination::broker::Effect;
@@ -19,6 +12,12 @@
 use state::directory::Snapshot;
 use state::ident::Incarnation;
 use state::rank::Rank;
+use support::Desk;
+use support::SLOTS;
+use support::ask;
+use support::grants;
+use support::prompt;
+use support::refusals;
 
 #[test]
 fn repeated_ask_gets_the_same_place_and_counts_once() {
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -2,12 +2,6 @@
 
 mod support;
 
-use support::Desk;
-use support::ask;
-use support::grants;
-use support::prompt;
-use support::upstreams;
-
 use coordination::ask::Ticket;
 use coordination::capacity::Standing;
 use coordination::grant::Import;
@@ -15,6 +9,11 @@
 use state::column::Column;
 use state::rank::Rank;
 use state::sheet::Sheet;
+use support::Desk;
+use support::ask;
+use support::grants;
+use support::prompt;
+use support::upstreams;
 
 type Fault = fn(&mut Desk, &str);
 
--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -5,6 +5,11 @@
 
 use tokio::sync::mpsc;
 
+use crate::answer::Failure;
+use crate::answer::Part;
+use crate::broker;
+use crate::context::Context;
+use crate::job::Job;
 use coordination::admission;
 use coordination::broker::Grant;
 use coordination::broker::Report;
@@ -22,12 +27,6 @@
 use transport::upstream;
 use transport::upstream::Limits;
 
-use crate::answer::Failure;
-use crate::answer::Part;
-use crate::broker;
-use crate::context::Context;
-use crate::job::Job;
-
 const BUFFERED_PARTS: usize = 32;
 
 /// Starts to answer `job`; the parts arrive in order and end with an end or a failure.
--- a/crates/hibiscushoistd/src/completions.rs
+++ b/crates/hibiscushoistd/src/completions.rs
@@ -17,14 +17,6 @@
 use hyper::header::HeaderValue;
 use tokio::sync::mpsc;
 
-use protocol::completion::Answer;
-use protocol::completion::Choice;
-use protocol::completion::Delta;
-use protocol::completion::Message;
-use protocol::refusal;
-use protocol::refusal::Reason;
-use transport::http::Body;
-
 use crate::answer::Failure;
 use crate::answer::Part;
 use crate::attempt;
@@ -37,6 +29,13 @@
 use crate::job::Shape;
 use crate::request::Request;
 use crate::respond;
+use protocol::completion::Answer;
+use protocol::completion::Choice;
+use protocol::completion::Delta;
+use protocol::completion::Message;
+use protocol::refusal;
+use protocol::refusal::Reason;
+use transport::http::Body;
 
 const END_MARK: &str = "data: [DONE]\n\n";
 const EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
--- a/crates/hibiscushoistd/src/job.rs
+++ b/crates/hibiscushoistd/src/job.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use crate::request::Request;
 use coordination::broker::Ask;
 use coordination::broker::Ticket;
 use protocol::completion;
@@ -18,8 +19,6 @@
 use state::table::Table;
 use state::time::Instant;
 
-use crate::request::Request;
-
 const BYTES_PER_TOKEN: usize = 4;
 const DEFAULT_BLOCK_BYTES: u64 = 16 << 10;
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
