--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -57,18 +57,18 @@
         /// Holds the answer.
         response: Response,
     },
-    /// Reports the ledger's decision.
-    Begun(Decision),
     /// Reports that the ledger's decision is not known.
     BeginLost,
+    /// Reports the ledger's decision.
+    Begun(Decision),
     /// Reports that no connection was made, so that no byte left.
     ConnectFailed,
     /// Reports a connection over which nothing has been sent.
     Connected,
-    /// Reports that the ledger has the outcome, or has settled the attempt otherwise.
-    Finished,
     /// Reports that the ledger may not have the outcome.
     FinishLost,
+    /// Reports that the ledger has the outcome, or has settled the attempt otherwise.
+    Finished,
     /// Reports that no answer came although the call may have left.
     SendFailed,
     /// Reports that a pause is over.
@@ -137,15 +137,15 @@
     Old,
     /// Means that another request is running the order.
     Running,
-    /// Means that the service took no connection.
-    Unreachable,
     /// Means that the order may have run.
     Unknown,
+    /// Means that the service took no connection.
+    Unreachable,
 }
 
 impl Refusal {
-    /// Returns whether the order certainly had not run when it was refused, neither for this request
-    /// nor for any before.
+    /// Returns whether the order certainly had not run when it was refused, neither for this
+    /// request nor for any before.
     pub fn is_not_run(self) -> bool {
         match self {
             Self::Declined | Self::Late | Self::LedgerFull | Self::Mismatch | Self::Unreachable => {
--- a/crates/coordination/tests/order.rs
+++ b/crates/coordination/tests/order.rs
@@ -2,16 +2,18 @@
 
 use std::collections::BTreeMap;
 
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+use strum::IntoEnumIterator;
+
 use coordination::order::Effect;
 use coordination::order::Event;
 use coordination::order::Order;
 use coordination::order::Policy;
 use coordination::order::Refusal;
 use coordination::order::Reply;
-use proptest::collection::vec;
-use proptest::prelude::any;
-use proptest::prop_assert;
-use proptest::proptest;
 use state::ident::Digest;
 use state::ledger::Attempt;
 use state::ledger::Decision;
@@ -21,7 +23,6 @@
 use state::ledger::Report;
 use state::ledger::Response;
 use state::time::Instant;
-use strum::IntoEnumIterator;
 
 const NOW: Instant = Instant(1_000);
 const DEADLINE: Instant = Instant(11_000);
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -1,5 +1,9 @@
 //! Checks that a request which crashes upstreams takes down at most two, and spares the others.
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use coordination::quarantine::CRASHES;
 use coordination::quarantine::Outcome;
 use coordination::quarantine::Policy;
@@ -7,9 +11,6 @@
 use coordination::quarantine::Ticket;
 use coordination::quarantine::Verdict;
 use coordination::quarantine::owner;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use state::ident::Digest;
 use state::time::Instant;
 
--- a/crates/coordination/tests/retry.rs
+++ b/crates/coordination/tests/retry.rs
@@ -1,11 +1,12 @@
 //! Checks that each denial of a retry is reached, and what a retry costs.
 
+use strum::IntoEnumIterator;
+
 use coordination::retry::Denial;
 use coordination::retry::Failure;
 use coordination::retry::Policy;
 use coordination::retry::Retries;
 use state::time::Instant;
-use strum::IntoEnumIterator;
 
 const NOW: Instant = Instant(1_000);
 const SEED: u64 = 7;
--- a/crates/coordination/tests/stream.rs
+++ b/crates/coordination/tests/stream.rs
@@ -1,16 +1,17 @@
 //! Checks that an answer is put together whole, in order and from its own attempts only.
 
-use coordination::stream::Assembler;
-use coordination::stream::Bound;
-use coordination::stream::Fault;
-use coordination::stream::Finish;
-use coordination::stream::Piece;
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
 
+use coordination::stream::Assembler;
+use coordination::stream::Bound;
+use coordination::stream::Fault;
+use coordination::stream::Finish;
+use coordination::stream::Piece;
+
 const BOUND: Bound = Bound {
     bytes: 40,
     tokens: 4,
