Read events and ranks of the load command by the shared types

The load command had a reader of server-sent events and a rank of its own; both now stand once, in transport and state, so a change of either format touches one module.

--- a/crates/hibiscushoist/src/caller.rs
+++ b/crates/hibiscushoist/src/caller.rs
@@ -26,7 +26,11 @@
 use protocol::header as own;
 use protocol::refusal;
 use protocol::refusal::Reason;
+use transport::sse::Decoder;
+use transport::sse::Item;
 
+const DONE: &str = "[DONE]";
+const EVENT_LIMIT_BYTES: usize = 1 << 20;
 const GRACE: Duration = Duration::from_secs(10);
 const REFUSAL_LIMIT_BYTES: usize = 1 << 20;
 
@@ -92,7 +96,7 @@
 
 #[derive(Debug)]
 struct Reader {
-    buffer: Vec<u8>,
+    decoder: Decoder,
     last: Option<Instant>,
     outcome: Outcome,
     sent: Instant,
@@ -181,7 +185,7 @@
 impl Reader {
     fn new() -> Self {
         Self {
-            buffer: Vec::new(),
+            decoder: Decoder::new(EVENT_LIMIT_BYTES),
             last: None,
             outcome: Outcome {
                 cached_tokens: None,
@@ -197,6 +201,7 @@
 
     async fn read(&mut self, response: Response<Incoming>) -> End {
         let mut body = response.into_body();
+        let mut items = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
                 return End::Broken;
@@ -204,32 +209,29 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            self.buffer.extend_from_slice(&data);
-            if let Some(end) = self.lines() {
+            if self.decoder.push(&data, &mut items).is_err() {
+                return End::Cut;
+            }
+            let end = items.drain(..).find_map(|item| self.item(&item));
+            if let Some(end) = end {
                 return end;
             }
         }
         End::Cut
     }
 
-    fn lines(&mut self) -> Option<End> {
-        while let Some(length) = self.buffer.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = self.buffer.drain(..=length).collect();
-            let Some(data) = line.trim_ascii().strip_prefix(b"data:") else {
-                continue;
-            };
-            if let Some(end) = self.event(data.trim_ascii()) {
-                return Some(end);
-            }
+    fn item(&mut self, item: &Item) -> Option<End> {
+        match item {
+            Item::Comment => None,
+            Item::Data(data) => self.event(data),
         }
-        None
     }
 
-    fn event(&mut self, data: &[u8]) -> Option<End> {
-        if data == b"[DONE]" {
+    fn event(&mut self, data: &str) -> Option<End> {
+        if data == DONE {
             return Some(End::Done);
         }
-        let Ok(piece) = serde_json::from_slice::<Piece>(data) else {
+        let Ok(piece) = serde_json::from_str::<Piece>(data) else {
             return Some(End::Cut);
         };
         if let Some(refusal) = piece.error {
--- a/crates/hibiscushoist/src/mix.rs
+++ b/crates/hibiscushoist/src/mix.rs
@@ -11,6 +11,8 @@
 use strum::Display;
 use strum::EnumString;
 
+use state::rank::Rank;
+
 const FULL_PERCENT: usize = 100;
 const WORDS: [&str; 16] = [
     "anchor", "basin", "cove", "drift", "eddy", "fathom", "gauge", "harbour", "inlet", "jetty",
@@ -28,17 +30,6 @@
     Sabaha,
 }
 
-/// Ranks a request.
-#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum Rank {
-    /// Waits when urgent work is there.
-    Background,
-    /// Goes first.
-    Urgent,
-}
-
 /// Describes one level of the shared prefixes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Level {
--- a/crates/hibiscushoist/src/report.rs
+++ b/crates/hibiscushoist/src/report.rs
@@ -8,10 +8,10 @@
 use crate::grid::Grid;
 use crate::grid::or_dash;
 use crate::mix;
-use crate::mix::Rank;
 use crate::tally::Group;
 use crate::tally::Sum;
 use crate::tally::Tally;
+use state::rank::Rank;
 
 /// Reports how a run's traffic was served.
 #[derive(Clone, Debug, Serialize)]
--- a/crates/hibiscushoist/src/tally.rs
+++ b/crates/hibiscushoist/src/tally.rs
@@ -6,7 +6,7 @@
 
 use crate::caller::End;
 use crate::caller::Outcome;
-use crate::mix::Rank;
+use state::rank::Rank;
 
 const LONGEST_US: u64 = 3_600_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
