Name blocks apart from their weights version, and with it only upstream

Cause: a request named its blocks under the version that the table wants, so from the moment an operator changed that cell, nothing that the upstreams of the older weights still held could match, for the length of the roll-out.

Change: directories hold names without a version; `Block::under` gives the name that an upstream or store sees, and undoes itself. Where an upstream's version is unknown, a request carries no names at all. Ways weighed: naming for each version at every ask costs the broker a hash per block and version; the mask costs one XOR per block and one hash per request.

Conclusion: no name of newer weights can stand for older ones, and a roll-out keeps the hits of the upstreams that still serve.

--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -149,18 +149,16 @@
     }
 }
 
-/// Returns the request as the engine reads it, with its blocks named for the weights it serves.
+/// Returns the request as the engine reads it, with its blocks named for the weights it serves;
+/// without names where these are unknown.
 fn request(job: &Job, grant: &Grant) -> engine::Request {
     let ask = &job.ask;
-    let blocks = match &grant.version {
-        None => ask.blocks.clone(),
-        Some(version) => Block::root(&ask.workspace, &ask.model, version)
-            .chain(job.prompt.as_bytes(), job.block_bytes),
-    };
+    let version = grant.version.as_deref();
+    let blocks = version.map(|v| ask.blocks.iter().map(|block| block.under(v)).collect());
     engine::Request {
         cache: engine::Cache {
             block_bytes: job.block_bytes as u64,
-            blocks,
+            blocks: blocks.unwrap_or_default(),
             salt: ask.workspace.clone(),
         },
         id: format!("{}-{:x}", job.id, ask.ticket.0),
--- a/crates/hibiscushoistd/src/job.rs
+++ b/crates/hibiscushoistd/src/job.rs
@@ -25,6 +25,9 @@
 const LONGEST_DEADLINE_MS: u64 = 86_400_000;
 const MOST_TOKENS: u64 = 1 << 20;
 
+/// Stands for a block's name without a weights version; see [`Block::under`].
+const NO_VERSION: &str = "";
+
 /// Names the shape of the answer that a caller wants.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shape {
@@ -96,8 +99,7 @@
         let deadline_ms = deadline(request, row)?;
         let block_bytes = model.number(Column::BlockBytes);
         let block_bytes = block_bytes.unwrap_or(DEFAULT_BLOCK_BYTES) as usize;
-        let version = model.text(Column::Version).unwrap_or_default();
-        let root = Block::root(setting.workspace, &asked.model, version);
+        let root = Block::root(setting.workspace, &asked.model, NO_VERSION);
         let ask = Ask {
             blocks: root.chain(prompt.as_bytes(), block_bytes),
             caller: asked.user.clone().unwrap_or_default(),
--- a/crates/state/src/ident.rs
+++ b/crates/state/src/ident.rs
@@ -22,6 +22,7 @@
 
 impl Block {
     const CONTEXT: &'static str = "hibiscushoist 2026-12 cached block";
+    const VERSION_CONTEXT: &'static str = "hibiscushoist 2026-12 weights version";
 
     /// Returns the root that all blocks of one workspace, model and weights version descend from.
     pub fn root(workspace: &str, model: &str, version: &str) -> Self {
@@ -41,6 +42,17 @@
         Self::truncate(&hasher.finalize())
     }
 
+    /// Returns the name that this block has on an upstream that serves weights `version`.
+    ///
+    /// Directories hold blocks without a version, so that a roll-out does not hide what the
+    /// upstreams of the older weights still hold; upstreams and stores only ever see names with
+    /// one. Applied again with the same version, it returns the name without a version.
+    pub fn under(self, version: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(Self::VERSION_CONTEXT);
+        hasher.update(version.as_bytes());
+        Self(self.0 ^ Self::truncate(&hasher.finalize()).0)
+    }
+
     /// Returns the blocks of `prompt`, each of `size` bytes; a shorter tail is not a block.
     ///
     /// # Panics
