Resume streams over several attempts, hold back crashing requests, feed the broker

The thin path gave up at the first fault of an upstream, and the broker knew no cache, load or version. Now a relay places a request again and again within the retry budget and resumes its stream at the offset it has; an attempt is void when another run or weights version answers, or when a piece is crossed, missing or repeated. A cut or silent connection is told from a crash by asking the engine for its load. The digest's owner is asked for leave to run while the broker is asked for a place. Callers get a comment every 5 s without text; those that leave or stop reading cancel their run.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -41,7 +41,7 @@
             hold: 600_000,
             lease: 15_000,
             memory: 900_000,
-            records: 200_000,
+            records: 50_000,
             wait: 20,
         }
     }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -34,6 +34,9 @@
 use state::ident::Digest;
 use state::ident::Incarnation;
 
+const BYTES_PER_TOKEN: u64 = 4;
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
 /// Bounds the changes told in one answer.
 const EVENTS_LIMIT: usize = 10_000;
 /// Bounds how long an engine waits for new changes before it answers with none.
@@ -138,12 +141,29 @@
     pub(crate) cache: Cache,
     pub(crate) counts: Counts,
     pub(crate) faults: Faults,
-    pub(crate) queued_blocks: u64,
+    pub(crate) queued: Queued,
     pub(crate) running: HashMap<String, watch::Sender<bool>>,
     pub(crate) standing: engine::Standing,
     reports: VecDeque<Report>,
 }
 
+/// Counts the blocks of prompts that are not yet computed, by rank.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Queued {
+    background: u64,
+    urgent: u64,
+}
+
+impl Queued {
+    /// Returns the count of the rank that `priority` stands for.
+    pub(crate) fn of(&mut self, priority: u8) -> &mut u64 {
+        match priority {
+            0 => &mut self.urgent,
+            _ => &mut self.background,
+        }
+    }
+}
+
 struct Report {
     at: Instant,
     load: engine::Load,
@@ -259,7 +279,7 @@
             cache: Cache::new(options.blocks, options.events_retained),
             counts: Counts::default(),
             faults: Faults::default(),
-            queued_blocks: 0,
+            queued: Queued::default(),
             reports: VecDeque::new(),
             running: HashMap::new(),
             standing,
@@ -333,7 +353,9 @@
             blocks_used: inner.cache.len() as u64,
             incarnation: inner.standing.incarnation,
             model: inner.standing.model.clone(),
-            queued_tokens: inner.queued_blocks * self.options.block_bytes / 4,
+            prefill_rate: self.prefill_rate(),
+            queued_background_tokens: inner.queued.background * self.block_tokens(),
+            queued_urgent_tokens: inner.queued.urgent * self.block_tokens(),
             running: running as u64,
             serving: inner.standing.loading.is_none(),
             slots: self.options.slots as u64,
@@ -349,6 +371,16 @@
         }
     }
 
+    fn block_tokens(&self) -> u64 {
+        self.options.block_bytes / BYTES_PER_TOKEN
+    }
+
+    fn prefill_rate(&self) -> u64 {
+        let micros = self.options.prefill_time.as_micros().max(1);
+        let micros = u64::try_from(micros).unwrap_or(u64::MAX);
+        self.block_tokens() * MICROS_PER_SECOND / micros
+    }
+
     fn load(&self) -> engine::Load {
         self.observe();
         let inner = self.lock();
--- a/crates/fakes/src/engine_stream.rs
+++ b/crates/fakes/src/engine_stream.rs
@@ -92,7 +92,7 @@
         let incarnation = standing.incarnation;
         let (cancel, cancelled) = watch::channel(false);
         inner.running.insert(asked.id.clone(), cancel);
-        inner.queued_blocks += chain.len() as u64;
+        *inner.queued.of(asked.priority) += chain.len() as u64;
         let end = asked.max_tokens.min(shared.options.answer_tokens);
         let slots = shared.slots.clone();
         let priority = asked.priority;
@@ -162,7 +162,7 @@
             let mut inner = self.shared.lock();
             inner.counts.started += 1;
             let cached = inner.cache.matched(&self.chain);
-            inner.queued_blocks -= cached as u64;
+            *inner.queued.of(self.asked.priority) -= cached as u64;
             self.usage = Some(Usage {
                 cached_blocks: cached as u64,
                 prompt_blocks: self.chain.len() as u64,
@@ -203,7 +203,7 @@
         }
         inner.cache.store(&self.chain[..=index]);
         inner.counts.prefilled += 1;
-        inner.queued_blocks -= 1;
+        *inner.queued.of(self.asked.priority) -= 1;
         drop(inner);
         self.enter(Stage::Prefill(index + 1));
         Step::Again
@@ -284,7 +284,7 @@
             Stage::Prefill(index) => self.chain.len() - index.min(self.chain.len()),
             Stage::Decode | Stage::Done | Stage::Mark => 0,
         };
-        inner.queued_blocks -= left as u64;
+        *inner.queued.of(self.asked.priority) -= left as u64;
         if self.stage != Stage::Done {
             inner.counts.stopped += 1;
         }
--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -1,174 +1,282 @@
-//! Runs a placed request on an upstream and passes its parts on.
+//! One run of a request on one upstream.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 
-use crate::answer::Failure;
 use crate::answer::Part;
-use crate::broker;
 use crate::context::Context;
 use crate::job::Job;
-use coordination::admission;
+use crate::suspects::Pass;
 use coordination::broker::Grant;
 use coordination::broker::Report;
 use coordination::report::Progress;
+use coordination::retry::Reason;
+use coordination::stream::Assembler;
+use coordination::stream::Fault;
+use coordination::stream::Finish;
+use coordination::stream::Resume;
 use protocol::engine;
+use protocol::engine::Code;
 use protocol::refusal::NotRun;
-use protocol::refusal::Reason;
-use state::column::Column;
+use state::ident::Incarnation;
 use state::rank::Rank;
-use state::sheet::Sheet;
 use transport::engine::Client;
 use transport::engine::Item;
 use transport::engine::Stream;
-use transport::upstream;
+use transport::metric;
+use transport::upstream::Error;
 use transport::upstream::Limits;
+use transport::upstream::Signature;
 
-const BUFFERED_PARTS: usize = 32;
+/// Bounds the exchanges that carry answers.
+const LIMITS: Limits = Limits {
+    body: 1 << 20,
+    connect: Duration::from_millis(1_000),
+    head: Duration::from_millis(3_000),
+    idle: Duration::from_millis(3_000),
+};
+/// Bounds the exchange that tells a crash from a cut connection.
+const PROBE_LIMITS: Limits = Limits {
+    body: 1 << 20,
+    connect: Duration::from_millis(300),
+    head: Duration::from_millis(500),
+    idle: Duration::from_millis(500),
+};
+/// Bounds how long a caller may take none of the parts that wait for it.
+const SLOW_CALLER: Duration = Duration::from_secs(30);
 
-/// Starts to answer `job`; the parts arrive in order and end with an end or a failure.
-pub fn start(context: Arc<Context>, job: Job) -> mpsc::Receiver<Part> {
-    let (sender, receiver) = mpsc::channel(BUFFERED_PARTS);
-    tokio::spawn(async move {
-        if let Err(failure) = run(&context, &job, &sender).await {
-            let _ = sender.send(Part::Failed(failure)).await;
-        }
-    });
-    receiver
+/// Tells how an attempt ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// Means that the attempt failed.
+    Broken(Broken),
+    /// Means that the caller left.
+    Left,
+    /// Means that the whole answer came.
+    Whole(Finish),
 }
 
-async fn run(context: &Context, job: &Job, parts: &mpsc::Sender<Part>) -> Result<(), Failure> {
-    let grant = context.broker.place(job.ask.clone()).await;
-    let grant = grant.map_err(|error| refused(&error))?;
-    let mut placed = Placed {
-        context,
-        grant,
-        progress: Progress::Failed,
-    };
-    let address = address(context, &placed.grant)?;
-    let client = Client::new(address, Limits::default());
-    let request = request(job, &placed.grant);
-    let stream = client.complete(&request, None).await;
-    let mut stream = stream.map_err(|error| broken(&error))?;
-    placed.pass_on(&mut stream, parts).await
+/// Tells how an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Broken {
+    /// Tells whether another attempt may succeed.
+    pub hopeful: bool,
+    /// Tells whether the request ran.
+    pub not_run: NotRun,
+    /// Tells why.
+    pub reason: Reason,
 }
 
-struct Placed<'a> {
-    context: &'a Context,
-    grant: Grant,
-    progress: Progress,
+/// Holds what an attempt needs and changes.
+pub struct Attempt<'a> {
+    /// Tells whether no other suspect may run on the upstream.
+    pub alone: bool,
+    /// Accepts the answer.
+    pub answer: &'a mut Assembler,
+    /// Holds what the host knows.
+    pub context: &'a Context,
+    /// Reaches the upstream.
+    pub grant: &'a Grant,
+    /// Holds the request.
+    pub job: &'a Job,
+    /// Numbers the attempt from 1.
+    pub number: u32,
+    /// Receives the text.
+    pub parts: &'a mpsc::Sender<Part>,
+    /// Names the run to the owner of the digest.
+    pub pass: Pass,
+    /// Tells whether the first token came, and when.
+    pub started: Option<u64>,
 }
 
-impl Placed<'_> {
-    async fn pass_on(
-        &mut self,
-        stream: &mut Stream,
-        parts: &mpsc::Sender<Part>,
-    ) -> Result<(), Failure> {
-        let mut finish = None;
-        while let Some(item) = stream.next().await.map_err(|error| broken(&error))? {
-            match item {
-                Item::End => {
-                    let finish = finish.unwrap_or_else(|| "stop".to_owned());
-                    self.progress = Progress::Finished;
-                    let _ = parts.send(Part::End { finish }).await;
-                    return Ok(());
-                }
-                Item::Heartbeat => {}
-                Item::Piece(piece) => {
-                    if self.progress == Progress::Failed {
-                        self.progress = Progress::FirstToken;
-                        self.report();
-                    }
-                    finish = piece.finish.map(|finish| finish.to_string());
-                    if parts.send(Part::Text(piece.text)).await.is_err() {
-                        self.progress = Progress::Finished;
-                        return Ok(());
-                    }
-                }
+impl Attempt<'_> {
+    /// Runs the attempt on the engine at `address` until it ends.
+    pub async fn run(&mut self, address: std::net::SocketAddr) -> Ended {
+        let context = self.context;
+        let renewal = context
+            .suspects
+            .renew(&self.grant.upstream, self.pass, self.alone);
+        let parts = self.parts.clone();
+        tokio::select! {
+            ended = self.exchange(Client::new(address, LIMITS)) => ended,
+            () = parts.closed() => {
+                self.cancel(Client::new(address, PROBE_LIMITS));
+                Ended::Left
             }
+            () = renewal => Ended::Left,
         }
-        Err(Failure {
-            not_run: NotRun::False,
-            reason: Reason::AnswerCut,
-            retry_after_ms: None,
-        })
     }
 
-    fn report(&self) {
-        let _ = self.context.broker.settle(Report {
-            progress: self.progress,
-            ticket: self.grant.ticket,
+    fn cancel(&self, client: Client) {
+        let id = self.id();
+        tokio::spawn(async move {
+            let _ = client.cancel(id).await;
         });
     }
-}
 
-impl Drop for Placed<'_> {
-    fn drop(&mut self) {
-        if self.progress == Progress::FirstToken {
-            self.progress = Progress::Failed;
+    fn id(&self) -> String {
+        format!("{}-{}", self.job.id, self.number)
+    }
+
+    async fn exchange(&mut self, client: Client) -> Ended {
+        let upstream = &self.grant.upstream;
+        let before = self.grant.incarnation;
+        let before = before.or_else(|| self.context.health.incarnation(upstream));
+        let resume = self.answer.resume();
+        let request = self.request(resume);
+        let planned = self.planned();
+        let opened = client.complete(&request, planned.as_ref()).await;
+        let mut stream = match opened {
+            Err(error) => return self.broken(&error, before).await,
+            Ok(stream) => stream,
+        };
+        let signature = stream.signature().clone();
+        let incarnation = signature.incarnation;
+        self.context.health.observe(upstream, incarnation);
+        if let Err(fault) = self.answer.begin(request.id, signature.version) {
+            return faulty(&fault);
+        }
+        match self.read(&mut stream).await {
+            Ok(ended) => ended,
+            Err(error) => self.broken(&error, Some(incarnation)).await,
         }
-        self.report();
     }
-}
 
-fn address(context: &Context, grant: &Grant) -> Result<SocketAddr, Failure> {
-    let table = context.table();
-    let row = table.get(Sheet::Upstreams, grant.upstream.as_str());
-    let address = row.and_then(|row| row.address(Column::Address));
-    address.ok_or_else(|| Failure::before_run(Reason::NoUpstream))
-}
+    async fn read(&mut self, stream: &mut Stream) -> Result<Ended, Error> {
+        loop {
+            let accepted = match stream.next().await? {
+                None => self.answer.close().map(|()| None),
+                Some(Item::End) => self.answer.end().map(Some),
+                Some(Item::Heartbeat) => Ok(None),
+                Some(Item::Piece(piece)) => {
+                    let piece = piece.into();
+                    let accepted = self.answer.push(&piece).map(|()| None);
+                    if accepted.is_ok() && piece.tokens > 0 && !self.pass_on(piece.text).await {
+                        return Ok(Ended::Left);
+                    }
+                    accepted
+                }
+            };
+            match accepted {
+                Err(fault) => return Ok(faulty(&fault)),
+                Ok(None) => {}
+                Ok(Some(finish)) => return Ok(Ended::Whole(finish)),
+            }
+        }
+    }
 
-fn broken(error: &upstream::Error) -> Failure {
-    Failure {
-        not_run: error.not_run(),
-        reason: Reason::UpstreamFailed,
-        retry_after_ms: None,
+    /// Passes text on and returns whether the caller still takes it.
+    async fn pass_on(&mut self, text: String) -> bool {
+        if self.started.is_none() {
+            self.started = Some(transport::clock::wall_millis());
+            let _ = self.context.broker.settle(Report {
+                progress: Progress::FirstToken,
+                ticket: self.grant.ticket,
+            });
+        }
+        let sent = self.parts.send_timeout(Part::Text(text), SLOW_CALLER).await;
+        if let Err(mpsc::error::SendTimeoutError::Timeout(_)) = sent {
+            metrics::counter!(metric::SLOW_CALLERS).increment(1);
+        }
+        sent.is_ok()
     }
-}
 
-fn refused(error: &broker::Error) -> Failure {
-    let broker::Error::Refused(refusal) = error else {
-        return Failure::before_run(Reason::Overloaded);
-    };
-    let reason = match refusal.reason {
-        admission::Reason::CallerLimit => Reason::CallerLimit,
-        admission::Reason::Deadline => Reason::Deadline,
-        admission::Reason::KindLimit => Reason::KindLimit,
-        admission::Reason::NoUpstream => Reason::NoUpstream,
-        admission::Reason::Overloaded => Reason::Overloaded,
-        admission::Reason::RateLimit => Reason::RateLimit,
-        admission::Reason::WorkspaceLimit => Reason::WorkspaceLimit,
-    };
-    Failure {
-        retry_after_ms: Some(refusal.retry_after_ms),
-        ..Failure::before_run(reason)
+    async fn broken(&self, error: &Error, before: Option<Incarnation>) -> Ended {
+        let reason = match error {
+            Error::Body { .. } | Error::Format { .. } => Reason::Format,
+            Error::Connect { .. } | Error::ConnectTimeout { .. } => Reason::Connect,
+            Error::Cut { address, .. } | Error::Idle { address, .. } => {
+                let probe = Client::new(*address, PROBE_LIMITS);
+                match (self.crashed(probe, before).await, error) {
+                    (true, _) => Reason::Crash,
+                    (false, Error::Cut { .. }) => Reason::Cut,
+                    (false, _) => Reason::Idle,
+                }
+            }
+            Error::Mismatch { found, .. } => {
+                let upstream = &self.grant.upstream;
+                self.context.health.observe(upstream, found.incarnation);
+                Reason::Mismatch
+            }
+            Error::Refused { .. } => Reason::Refused,
+            Error::Status { .. } => Reason::Status,
+        };
+        let unreadable = |code| matches!(code, Code::BadRequest);
+        let hopeful = !matches!(error, Error::Refused { refusal, .. } if unreadable(refusal.code));
+        Ended::Broken(Broken {
+            hopeful,
+            not_run: error.not_run(),
+            reason,
+        })
+    }
+
+    /// Tells a crash from a cut or silent connection: after a crash the engine takes no
+    /// connection or is another run. One that cannot be asked in time has not been seen to crash.
+    async fn crashed(&self, probe: Client, before: Option<Incarnation>) -> bool {
+        match probe.load().await {
+            Err(Error::Connect { .. }) => true,
+            Err(_) => false,
+            Ok(load) => {
+                let upstream = &self.grant.upstream;
+                self.context.health.observe(upstream, load.incarnation);
+                before != Some(load.incarnation)
+            }
+        }
     }
-}
 
-/// Returns the request as the engine reads it, with its blocks named for the weights it serves;
-/// without names where these are unknown.
-fn request(job: &Job, grant: &Grant) -> engine::Request {
-    let ask = &job.ask;
-    let version = grant.version.as_deref();
-    let blocks = version.map(|v| ask.blocks.iter().map(|block| block.under(v)).collect());
-    engine::Request {
-        cache: engine::Cache {
-            block_bytes: job.block_bytes as u64,
-            blocks: blocks.unwrap_or_default(),
-            salt: ask.workspace.clone(),
-        },
-        id: format!("{}-{:x}", job.id, ask.ticket.0),
-        max_tokens: job.max_tokens,
-        model: ask.model.clone(),
-        priority: match grant.priority {
-            Rank::Background => 0,
-            Rank::Urgent => 1,
-        },
-        prompt: job.prompt.clone(),
-        resume: None,
-        rest: job.request.rest.clone(),
+    fn planned(&self) -> Option<Signature> {
+        let incarnation = self.grant.incarnation?;
+        let version = self.grant.version.clone()?;
+        Some(Signature {
+            incarnation,
+            version,
+        })
+    }
+
+    /// Returns the request as the engine reads it, with its blocks named for the weights it serves;
+    /// without names where these are unknown.
+    fn request(&self, resume: Resume) -> engine::Request {
+        let ask = &self.job.ask;
+        let version = self.grant.version.as_deref();
+        let blocks = version.map(|v| ask.blocks.iter().map(|block| block.under(v)).collect());
+        let resume = (resume.offset > 0).then_some(engine::Resume {
+            offset: resume.offset,
+            text: resume.text,
+        });
+        engine::Request {
+            cache: engine::Cache {
+                block_bytes: self.job.block_bytes as u64,
+                blocks: blocks.unwrap_or_default(),
+                salt: ask.workspace.clone(),
+            },
+            id: self.id(),
+            max_tokens: self.job.max_tokens,
+            model: ask.model.clone(),
+            priority: match self.grant.priority {
+                Rank::Background => 1,
+                Rank::Urgent => 0,
+            },
+            prompt: self.job.prompt.clone(),
+            resume,
+            rest: self.job.request.rest.clone(),
+        }
     }
 }
+
+fn faulty(fault: &Fault) -> Ended {
+    let reason = match fault {
+        Fault::Cancelled { .. } => Reason::Refused,
+        Fault::Crossed { .. } => Reason::Crossed,
+        Fault::Extra { .. } | Fault::Gap { .. } | Fault::Long { .. } | Fault::Repeat { .. } => {
+            Reason::Gap
+        }
+        Fault::NoEnd { .. } => Reason::NoEnd,
+        Fault::Version { .. } => Reason::Mismatch,
+    };
+    Ended::Broken(Broken {
+        hopeful: true,
+        not_run: NotRun::Unknown,
+        reason,
+    })
+}
--- a/crates/hibiscushoistd/src/broker.rs
+++ b/crates/hibiscushoistd/src/broker.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use thiserror::Error;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -111,21 +112,27 @@
 struct Duty {
     broker: Broker,
     clock: Clock,
+    resyncs: mpsc::Sender<String>,
     table: watch::Receiver<Arc<Table>>,
     waiting: HashMap<Ticket, oneshot::Sender<Answer>>,
 }
 
-/// Starts the duty.
+/// Starts the duty, which names in `resyncs` the upstreams whose whole cache it needs.
 ///
 /// # Errors
 ///
 /// Returns an error when the thread cannot be started.
-pub fn start(clock: Clock, mut table: watch::Receiver<Arc<Table>>) -> io::Result<Handle> {
+pub fn start(
+    clock: Clock,
+    mut table: watch::Receiver<Arc<Table>>,
+    resyncs: mpsc::Sender<String>,
+) -> io::Result<Handle> {
     let (ring, calls) = ring::bounded(RING_CALLS);
     table.mark_changed();
     let mut duty = Duty {
         broker: Broker::default(),
         clock,
+        resyncs,
         table,
         waiting: HashMap::new(),
     };
@@ -174,9 +181,12 @@
         let now = self.clock.now();
         for effect in self.broker.step(now, event) {
             match effect {
-                Effect::Export { .. } | Effect::Resync { .. } => {}
+                Effect::Export { .. } => {}
                 Effect::Grant(grant) => self.answer(grant.ticket, Ok(grant)),
                 Effect::Refuse(refusal) => self.answer(refusal.ticket, Err(refusal)),
+                Effect::Resync { upstream } => {
+                    let _ = self.resyncs.try_send(upstream);
+                }
             }
         }
     }
--- a/crates/hibiscushoistd/src/completions.rs
+++ b/crates/hibiscushoistd/src/completions.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
@@ -16,10 +17,10 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::answer::Failure;
 use crate::answer::Part;
-use crate::attempt;
 use crate::auth;
 use crate::caller;
 use crate::context::Context;
@@ -29,6 +30,7 @@
 use crate::job::Shape;
 use crate::request::Request;
 use crate::respond;
+use crate::stream as relay;
 use protocol::completion::Answer;
 use protocol::completion::Choice;
 use protocol::completion::Delta;
@@ -37,8 +39,11 @@
 use protocol::refusal::Reason;
 use transport::http::Body;
 
+const COMMENT: &[u8] = b": heartbeat\n\n";
 const END_MARK: &str = "data: [DONE]\n\n";
 const EVENT_STREAM: HeaderValue = HeaderValue::from_static("text/event-stream");
+/// Gives the time without text after which a streamed answer gets a comment.
+const HEARTBEAT: Duration = Duration::from_secs(5);
 const NO_STORE: HeaderValue = HeaderValue::from_static("no-store");
 
 /// Answers a conversation.
@@ -59,7 +64,7 @@
     };
     let form = Form::of(&job);
     let streamed = job.request.stream;
-    let mut parts = attempt::start(context, job);
+    let mut parts = relay::start(context, job);
     let first = parts.recv().await;
     let mut response = match first.unwrap_or_else(cut) {
         Part::Failed(failure) => return caller::fail(&form.id, failure),
@@ -157,10 +162,14 @@
             async move {
                 let (first, mut parts, guard) = state;
                 let part = match first {
-                    None => parts.recv().await?,
-                    Some(part) => part,
+                    None => timeout(HEARTBEAT, parts.recv()).await,
+                    part => Ok(part),
                 };
-                let frame: Result<_, Infallible> = Ok(Frame::data(form.event(part)));
+                let event = match part {
+                    Err(_) => Bytes::from_static(COMMENT),
+                    Ok(part) => form.event(part?),
+                };
+                let frame: Result<_, Infallible> = Ok(Frame::data(event));
                 Some((frame, (None, parts, guard)))
             }
         });
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -11,8 +11,10 @@
 use tokio::sync::watch;
 
 use crate::broker;
+use crate::health::Health;
 use crate::journal::Journal;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::voter;
 use state::table::Table;
 use transport::clock::Clock;
@@ -27,6 +29,8 @@
     pub clock: Clock,
     /// Turns true when the daemon begins to drain.
     pub draining: watch::Receiver<bool>,
+    /// Knows the health of upstreams.
+    pub health: Health,
     /// Counts the requests in flight.
     pub in_flight: Arc<AtomicU64>,
     /// Keeps explanations.
@@ -37,6 +41,8 @@
     pub metrics: PrometheusHandle,
     /// Holds the settings.
     pub settings: Arc<Settings>,
+    /// Reaches the owners of requests that may crash upstreams.
+    pub suspects: Suspects,
     /// Reaches the voters.
     pub voter: voter::Handle,
 }
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -13,16 +13,20 @@
 use slog::Logger;
 use thiserror::Error;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::broker;
 use crate::context::Context;
 use crate::context::Shared;
+use crate::feed;
+use crate::health::Health;
 use crate::journal::Journal;
 use crate::routes;
 use crate::settings::Entry;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::voter;
 use transport::clock::Clock;
 use transport::event;
@@ -31,6 +35,8 @@
 use transport::http::Server;
 use transport::metric;
 
+/// Bounds the upstreams whose caches are waited for at once.
+const RESYNCS: usize = 1024;
 const POLL: Duration = Duration::from_millis(20);
 
 /// Tells which part of a daemon could not start.
@@ -54,6 +60,7 @@
 pub struct Daemon {
     context: Arc<Context>,
     drain: watch::Sender<bool>,
+    feeds: JoinHandle<()>,
     server: Option<JoinHandle<()>>,
     stop: watch::Sender<bool>,
 }
@@ -75,20 +82,24 @@
         let (drain, draining) = watch::channel(false);
         let (stop, stopped) = watch::channel(false);
         let clock = Clock::default();
-        let broker =
-            broker::start(clock, voter.table()).change_context(Error::Duty { duty: "broker" })?;
+        let (resync, resyncs) = mpsc::channel(RESYNCS);
+        let broker = broker::start(clock, voter.table(), resync)
+            .change_context(Error::Duty { duty: "broker" })?;
         let context = Arc::new(Context {
             address: advertised(&settings, listener.as_ref()),
             broker,
             clock,
             draining,
+            health: Health::new(clock),
             in_flight: Arc::new(AtomicU64::new(0)),
             journal: Journal::default(),
             log: log.clone(),
             metrics: metric::install(),
             settings: settings.clone(),
+            suspects: Suspects::new(clock),
             voter,
         });
+        let feeds = tokio::spawn(feed::run(context.clone(), resyncs));
         let server = listener
             .zip(settings.entry.as_ref())
             .map(|(listener, entry)| {
@@ -103,6 +114,7 @@
         Ok(Self {
             context,
             drain,
+            feeds,
             server,
             stop,
         })
@@ -143,6 +155,12 @@
     }
 }
 
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.feeds.abort();
+    }
+}
+
 fn advertised(settings: &Settings, listener: Option<&TcpListener>) -> SocketAddr {
     let bound = listener.and_then(|listener| listener.local_addr().ok());
     let configured = settings.entry.as_ref().and_then(|entry| entry.advertise);
--- /dev/null
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -0,0 +1,270 @@
+//! Reads cache events and load reports of the engines and feeds them to the broker.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::context::Context;
+use coordination::broker::Event;
+use coordination::capacity::Standing;
+use coordination::report::Sample;
+use protocol::engine;
+use state::column::Column;
+use state::directory::Batch;
+use state::directory::Change;
+use state::directory::Snapshot;
+use state::ident::Incarnation;
+use state::row::Row;
+use state::sheet::Sheet;
+use state::table::Table;
+use transport::engine::Client;
+use transport::engine::Session;
+use transport::upstream::Error;
+use transport::upstream::Limits;
+
+const ENGINE: &str = "engine";
+/// Gives the time between two readings of one engine.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// Bounds the failures in a row before an engine counts as gone or cut off.
+const FAILURES: u32 = 2;
+const LIMITS: Limits = Limits {
+    body: 64 << 20,
+    connect: Duration::from_millis(500),
+    head: Duration::from_millis(1_000),
+    idle: Duration::from_millis(1_000),
+};
+const OFF: &str = "off";
+
+/// Reads all engines of the table until the daemon ends; `resyncs` names those whose whole cache
+/// the broker needs.
+pub async fn run(context: Arc<Context>, mut resyncs: mpsc::Receiver<String>) {
+    let mut table = context.voter.table();
+    let mut engines = Engines {
+        context,
+        feeds: BTreeMap::new(),
+        tasks: JoinSet::new(),
+    };
+    loop {
+        let current = table.borrow_and_update().clone();
+        engines.sync(&current);
+        tokio::select! {
+            changed = table.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            Some(upstream) = resyncs.recv() => {
+                if let Some(feed) = engines.feeds.get(&upstream) {
+                    feed.resync.notify_one();
+                }
+            }
+        }
+    }
+}
+
+struct Engines {
+    context: Arc<Context>,
+    feeds: BTreeMap<String, Entry>,
+    tasks: JoinSet<()>,
+}
+
+struct Entry {
+    address: SocketAddr,
+    resync: Arc<Notify>,
+    task: tokio::task::AbortHandle,
+}
+
+impl Engines {
+    fn sync(&mut self, table: &Table) {
+        let rows = table.sheet(Sheet::Upstreams);
+        let wanted = rows.filter_map(|(name, row)| Some((name, address(row)?)));
+        let wanted: BTreeMap<&str, SocketAddr> = wanted.collect();
+        self.feeds.retain(|name, entry| {
+            let stays = wanted.get(name.as_str()) == Some(&entry.address);
+            if !stays {
+                entry.task.abort();
+            }
+            stays
+        });
+        while self.tasks.try_join_next().is_some() {}
+        for (name, address) in wanted {
+            if !self.feeds.contains_key(name) {
+                let entry = self.start(name, address);
+                self.feeds.insert(name.to_owned(), entry);
+            }
+        }
+    }
+
+    fn start(&mut self, name: &str, address: SocketAddr) -> Entry {
+        let resync = Arc::new(Notify::new());
+        let feed = Feed {
+            after: 0,
+            context: self.context.clone(),
+            failures: 0,
+            incarnation: None,
+            resync: resync.clone(),
+            session: Session::new(Client::new(address, LIMITS)),
+            standing: Standing::Usable,
+            upstream: name.to_owned(),
+        };
+        let task = self.tasks.spawn(feed.run());
+        Entry {
+            address,
+            resync,
+            task,
+        }
+    }
+}
+
+struct Feed {
+    after: u64,
+    context: Arc<Context>,
+    failures: u32,
+    incarnation: Option<Incarnation>,
+    resync: Arc<Notify>,
+    session: Session,
+    standing: Standing,
+    upstream: String,
+}
+
+impl Feed {
+    async fn run(mut self) {
+        let mut whole = true;
+        loop {
+            let read = match whole {
+                false => self.read().await,
+                true => self.read_whole().await,
+            };
+            match read {
+                Err(error) => self.failed(&error),
+                Ok(()) => self.succeeded(),
+            }
+            let resync = self.resync.clone();
+            whole = tokio::select! {
+                () = resync.notified() => true,
+                () = tokio::time::sleep(INTERVAL) => false,
+            };
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), Error> {
+        let load = self.session.load().await?;
+        let incarnation = load.incarnation;
+        self.tell(Event::Load {
+            sample: sample(load),
+            upstream: self.upstream.clone(),
+        });
+        self.context.health.observe(&self.upstream, incarnation);
+        if self.incarnation != Some(incarnation) {
+            return self.read_whole().await;
+        }
+        let events = self.session.events(self.after).await?;
+        if events.incarnation == incarnation {
+            self.pass_on(&events);
+        }
+        Ok(())
+    }
+
+    async fn read_whole(&mut self) -> Result<(), Error> {
+        let snapshot = self.session.snapshot().await?;
+        self.after = snapshot.seq;
+        self.incarnation = Some(snapshot.incarnation);
+        let version = &snapshot.version;
+        let blocks = snapshot.blocks.iter().map(|b| b.block.under(version));
+        self.tell(Event::Snapshot {
+            snapshot: Snapshot {
+                blocks: blocks.collect(),
+                incarnation: snapshot.incarnation,
+                sequence: snapshot.seq,
+                version: version.clone(),
+            },
+            upstream: self.upstream.clone(),
+        });
+        Ok(())
+    }
+
+    /// Passes changes on in runs without holes, so that the directory sees each hole.
+    fn pass_on(&mut self, events: &engine::Events) {
+        let runs = events.events.chunk_by(|a, b| a.seq + 1 == b.seq);
+        for run in runs {
+            let changes = run.iter().filter_map(|e| change(e, &events.version));
+            self.tell(Event::Cache {
+                batch: Batch {
+                    changes: changes.collect(),
+                    incarnation: events.incarnation,
+                    sequence: run[0].seq - 1,
+                    version: events.version.clone(),
+                },
+                upstream: self.upstream.clone(),
+            });
+        }
+        self.after = events.newest.max(self.after);
+    }
+
+    fn failed(&mut self, error: &Error) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures < FAILURES {
+            return;
+        }
+        self.stand(match error {
+            Error::Connect { .. } => Standing::Dead,
+            _ => Standing::Ejected,
+        });
+    }
+
+    fn succeeded(&mut self) {
+        self.failures = 0;
+        self.stand(Standing::Usable);
+    }
+
+    fn stand(&mut self, standing: Standing) {
+        if self.standing == standing {
+            return;
+        }
+        self.standing = standing;
+        if standing == Standing::Dead {
+            self.incarnation = None;
+        }
+        self.tell(Event::Standing {
+            standing,
+            upstream: self.upstream.clone(),
+        });
+    }
+
+    fn tell(&self, event: Event) {
+        let _ = self.context.broker.feed(event);
+    }
+}
+
+fn address(row: &Row) -> Option<SocketAddr> {
+    let reads = row.text(Column::Type) == Some(ENGINE) && row.text(Column::Standing) != Some(OFF);
+    reads.then(|| row.address(Column::Address))?
+}
+
+fn change(event: &engine::Event, version: &str) -> Option<Change> {
+    let block = event.block.map(|block| block.under(version));
+    match event.change {
+        engine::Change::Cleared => Some(Change::Cleared),
+        engine::Change::Evicted => block.map(Change::Removed),
+        engine::Change::Stored => block.map(Change::Stored),
+    }
+}
+
+fn sample(load: engine::Load) -> Sample {
+    let narrow = |number: u64| u32::try_from(number).unwrap_or(u32::MAX);
+    Sample {
+        age_ms: load.age_ms,
+        background_tokens: load.queued_background_tokens,
+        incarnation: load.incarnation,
+        prefill_rate: narrow(load.prefill_rate),
+        running: narrow(load.running + load.waiting),
+        slots: narrow(load.slots),
+        urgent_tokens: load.queued_urgent_tokens,
+        version: load.version,
+    }
+}
--- a/crates/hibiscushoistd/tests/support/mod.rs
+++ b/crates/hibiscushoistd/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -106,6 +107,13 @@
 
     /// Returns the joined text of a streamed answer, and whether its end mark arrived.
     pub fn streamed(&self) -> (String, bool) {
+        let (text, ended) = self.streamed_or_cut();
+        assert!(ended, "{:?}", self.body);
+        (text, ended)
+    }
+
+    /// Returns the joined text of a streamed answer that may be cut, and whether it is whole.
+    pub fn streamed_or_cut(&self) -> (String, bool) {
         let body = String::from_utf8_lossy(&self.body);
         let mut text = String::new();
         let mut ended = false;
@@ -150,14 +158,14 @@
         self.send(request).await
     }
 
-    /// Sends JSON to a path.
-    pub async fn post(
+    /// Sends JSON to a path and returns the response before its body has come.
+    pub async fn open(
         &self,
         path: &str,
         key: &str,
         headers: &[(&str, &str)],
         body: &Value,
-    ) -> Response {
+    ) -> hyper::Response<Incoming> {
         let mut request = Request::post(self.uri(path));
         for (name, value) in headers {
             request = request.header(*name, *value);
@@ -166,7 +174,19 @@
             .header("authorization", format!("Bearer {key}"))
             .body(Full::from(body.to_string()))
             .expect("the request is good");
-        self.send(request).await
+        let response = self.client.request(request).await;
+        response.expect("the daemon answers")
+    }
+
+    /// Sends JSON to a path.
+    pub async fn post(
+        &self,
+        path: &str,
+        key: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Response {
+        whole(self.open(path, key, headers, body).await).await
     }
 
     /// Starts another stand-in engine and adds its row.
@@ -189,17 +209,21 @@
 
     async fn send(&self, request: Request<Full<Bytes>>) -> Response {
         let response = self.client.request(request).await;
-        let response = response.expect("the daemon answers");
-        let (parts, body) = response.into_parts();
-        let body = body.collect().await.expect("the body is whole");
-        Response {
-            body: body.to_bytes(),
-            headers: parts.headers,
-            status: parts.status.as_u16(),
-        }
+        whole(response.expect("the daemon answers")).await
     }
 
     fn uri(&self, path: &str) -> String {
         format!("http://{}{path}", self.daemon.address())
     }
 }
+
+/// Reads the whole body of a response.
+pub async fn whole(response: hyper::Response<Incoming>) -> Response {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.expect("the body is whole");
+    Response {
+        body: body.to_bytes(),
+        headers: parts.headers,
+        status: parts.status.as_u16(),
+    }
+}
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -10,6 +10,9 @@
 use strum::IntoStaticStr;
 
 use crate::block;
+use coordination::stream;
+
+pub use coordination::stream::Finish;
 use state::ident::Block;
 use state::ident::Incarnation;
 
@@ -48,7 +51,7 @@
     pub max_tokens: u64,
     /// Names the model.
     pub model: String,
-    /// Orders waiting requests; the least number runs first.
+    /// Orders waiting requests; the least number runs first, and 0 is urgent.
     pub priority: u8,
     /// Holds the text to continue.
     pub prompt: String,
@@ -109,17 +112,16 @@
     pub prompt_blocks: u64,
 }
 
-/// Tells why an answer ended.
-#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, IntoStaticStr, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-#[strum(serialize_all = "snake_case")]
-pub enum Finish {
-    /// Means that the engine was told to stop.
-    Cancelled,
-    /// Means that the answer reached its bound.
-    Length,
-    /// Means that the model ended the answer.
-    Stop,
+impl From<Piece> for stream::Piece {
+    fn from(piece: Piece) -> Self {
+        Self {
+            finish: piece.finish,
+            id: piece.id,
+            offset: piece.offset,
+            text: piece.text,
+            tokens: piece.tokens,
+        }
+    }
 }
 
 /// Asks to stop an attempt.
@@ -227,8 +229,12 @@
     pub incarnation: Incarnation,
     /// Names the model.
     pub model: String,
-    /// Counts the prompt tokens not yet computed.
-    pub queued_tokens: u64,
+    /// Gives the prompt tokens computed in a second.
+    pub prefill_rate: u64,
+    /// Counts the prompt tokens of background requests not yet computed.
+    pub queued_background_tokens: u64,
+    /// Counts the prompt tokens of urgent requests not yet computed.
+    pub queued_urgent_tokens: u64,
     /// Counts the requests that run.
     pub running: u64,
     /// Tells whether new requests are taken.
--- a/crates/transport/src/engine.rs
+++ b/crates/transport/src/engine.rs
@@ -34,6 +34,13 @@
     limits: Limits,
 }
 
+/// Asks one engine again and again over one connection, which is replaced when it fails.
+#[derive(Debug)]
+pub struct Session {
+    client: Client,
+    connection: Option<Connection>,
+}
+
 /// Holds what a stream tells.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Item {
@@ -197,9 +204,17 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Signed<T>, Error> {
         let mut connection = Connection::open(self.address, self.limits).await?;
+        self.exchange_over(&mut connection, request).await
+    }
+
+    async fn exchange_over<T: DeserializeOwned>(
+        &self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Signed<T>, Error> {
         let response = connection.send(request).await?;
         if !response.status().is_success() {
-            return Err(self.refusal(&connection, response).await);
+            return Err(self.refusal(connection, response).await);
         }
         let signature = self.signature(response.headers())?;
         let bytes = connection.whole(response.into_body()).await?;
@@ -255,6 +270,55 @@
     }
 }
 
+impl Session {
+    /// Returns a session that connects when it is first used.
+    pub fn new(client: Client) -> Self {
+        Self {
+            client,
+            connection: None,
+        }
+    }
+
+    /// Reads the changes of the cache after number `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the exchange.
+    pub async fn events(&mut self, after: u64) -> Result<engine::Events, Error> {
+        self.get(&format!("{}?after={after}", engine::EVENTS)).await
+    }
+
+    /// Reads the report of the load.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the exchange.
+    pub async fn load(&mut self) -> Result<engine::Load, Error> {
+        self.get(engine::LOAD).await
+    }
+
+    /// Reads the whole cache.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the exchange.
+    pub async fn snapshot(&mut self) -> Result<engine::Snapshot, Error> {
+        self.get(engine::SNAPSHOT).await
+    }
+
+    async fn get<T: DeserializeOwned>(&mut self, path: &str) -> Result<T, Error> {
+        let client = self.client;
+        let request = client.request(Method::GET, path, None::<&()>)?;
+        let mut connection = match self.connection.take() {
+            None => Connection::open(client.address, client.limits).await?,
+            Some(connection) => connection,
+        };
+        let signed = client.exchange_over(&mut connection, request).await?;
+        self.connection = Some(connection);
+        Ok(signed.answer)
+    }
+}
+
 impl Stream {
     /// Returns the next item, or `None` where the body is over.
     ///
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -5,10 +5,22 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+/// Counts ejections of upstreams by the reason of the last failure.
+pub const EJECTIONS: &str = "hibiscushoist_ejections_total";
+/// Counts requests that were held back because they crashed upstreams.
+pub const QUARANTINED: &str = "hibiscushoist_quarantined_total";
 /// Counts requests by path class and outcome.
 pub const REQUESTS: &str = "hibiscushoist_requests_total";
 /// Counts refusals by reason.
 pub const REFUSALS: &str = "hibiscushoist_refusals_total";
+/// Counts retries by the reason for which the attempt before failed.
+pub const RETRIES: &str = "hibiscushoist_retries_total";
+/// Counts retries that were not made by the reason.
+pub const RETRY_DENIALS: &str = "hibiscushoist_retry_denials_total";
+/// Counts runs on model engines by how they ended.
+pub const RUNS: &str = "hibiscushoist_runs_total";
+/// Counts callers that were given up because they read too slowly.
+pub const SLOW_CALLERS: &str = "hibiscushoist_slow_callers_total";
 /// Gives the revision of the table in force here.
 pub const TABLE_REVISION: &str = "hibiscushoist_table_revision";
 
