--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,6 +1,6 @@
 //! The one service that daemons offer each other over an authenticated connection.
 
-use coordination::membership::Message;
+use coordination::gossip::Message;
 
 /// Numbers the form of the messages; a connection needs the same number on both ends.
 pub const VERSION: u32 = 1;
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use coordination::membership::Message;
+use coordination::gossip::Message;
 use protocol::peer::Peer;
 use transport::peer::Client;
 use transport::peer::Error;
