--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,8 +1,11 @@
 //! Defines the messages between daemons and the formats of callers, upstreams and operators.
 
 pub mod address;
+pub mod block;
 pub mod completion;
+pub mod engine;
 pub mod header;
 pub mod operator;
 pub mod peer;
 pub mod refusal;
+pub mod service;
