--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -5,6 +5,18 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+/// Counts connections to other daemons that could not be opened.
+pub const PEER_CONNECT_FAILURES: &str = "hibiscushoist_peer_connect_failures_total";
+/// Counts connections to other daemons that were opened.
+pub const PEER_CONNECTIONS: &str = "hibiscushoist_peer_connections_total";
+/// Counts bytes from other daemons.
+pub const PEER_RECEIVED_BYTES: &str = "hibiscushoist_peer_received_bytes_total";
+/// Counts connections of other daemons that were refused, by reason.
+pub const PEER_REFUSALS: &str = "hibiscushoist_peer_refusals_total";
+/// Counts bytes to other daemons.
+pub const PEER_SENT_BYTES: &str = "hibiscushoist_peer_sent_bytes_total";
+/// Counts connections to other daemons that were replaced because they fell silent.
+pub const PEER_SILENCES: &str = "hibiscushoist_peer_silences_total";
 /// Counts requests by path class and outcome.
 pub const REQUESTS: &str = "hibiscushoist_requests_total";
 /// Counts refusals by reason.
--- a/crates/transport/src/peer.rs
+++ b/crates/transport/src/peer.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::metric;
 use crate::peer_frame::Count;
 use crate::peer_handshake;
 use crate::peer_handshake::Identity;
@@ -256,7 +257,7 @@
         let address = self.address;
         let limit = self.options.connect;
         let fail = |source| {
-            metrics::counter!("peer_connect_failures").increment(1);
+            metrics::counter!(metric::PEER_CONNECT_FAILURES).increment(1);
             Error::Connect { address, source }
         };
         let stream = timeout(limit, TcpStream::connect(address))
@@ -274,7 +275,7 @@
                 found,
             });
         }
-        metrics::counter!("peer_connections_opened").increment(1);
+        metrics::counter!(metric::PEER_CONNECTIONS).increment(1);
         let count = connection.frames.codec().count();
         let service = PeerClient::new(tarpc::client::Config::default(), connection.frames);
         let (ending, ended) = watch::channel(());
@@ -319,7 +320,7 @@
         context.deadline = Instant::now() + options.silence;
         let answer = live.client.ping(context).await;
         if answer.is_err() && live.count.received() == before {
-            metrics::counter!("peer_connections_silent").increment(1);
+            metrics::counter!(metric::PEER_SILENCES).increment(1);
             return;
         }
     }
--- a/crates/transport/src/peer_frame.rs
+++ b/crates/transport/src/peer_frame.rs
@@ -15,6 +15,7 @@
 use tokio_util::codec::Encoder;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::metric;
 use crate::peer_key::Key;
 use crate::peer_key::TAG_BYTES;
 use crate::peer_key::Tag;
@@ -111,7 +112,7 @@
         }
         self.received += 1;
         self.count.received.fetch_add(1, Ordering::Relaxed);
-        metrics::counter!("peer_received_bytes").increment(frame.len() as u64);
+        metrics::counter!(metric::PEER_RECEIVED_BYTES).increment(frame.len() as u64);
         Ok(Some(postcard::from_bytes(body)?))
     }
 }
@@ -126,7 +127,7 @@
         let mut frame = BytesMut::with_capacity(TAG_BYTES + body.len());
         frame.extend_from_slice(&tag);
         frame.extend_from_slice(&body);
-        metrics::counter!("peer_sent_bytes").increment(frame.len() as u64);
+        metrics::counter!(metric::PEER_SENT_BYTES).increment(frame.len() as u64);
         self.lengths.encode(Bytes::from(frame), bytes)?;
         self.sent += 1;
         Ok(())
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use crate::metric;
 use crate::peer_handshake;
 use crate::peer_handshake::Connection;
 use crate::peer_handshake::Identity;
@@ -46,7 +47,7 @@
             continue;
         };
         let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() else {
-            metrics::counter!("peer_refusals", "reason" => "handshakes").increment(1);
+            metrics::counter!(metric::PEER_REFUSALS, "reason" => "handshakes").increment(1);
             continue;
         };
         let identity = Arc::clone(&identity);
@@ -57,7 +58,8 @@
             drop(permit);
             match opened {
                 Err(error) => {
-                    metrics::counter!("peer_refusals", "reason" => reason(&error)).increment(1);
+                    metrics::counter!(metric::PEER_REFUSALS, "reason" => reason(&error))
+                        .increment(1);
                     refused(error);
                 }
                 Ok(connection) => serve(connection).await,
