--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -16,7 +16,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use coordination::gossip::Body;
 use coordination::gossip::Message;
+use coordination::host::Version;
 use protocol::peer::Peer;
 use transport::peer::Client;
 use transport::peer::Error;
@@ -48,6 +50,16 @@
     async fn ping(self, _: Context) {}
 }
 
+fn message() -> Message {
+    Message {
+        body: Body::Probe,
+        digest: 7,
+        from: "host-1".to_owned(),
+        updates: Vec::new(),
+        version: Version::default(),
+    }
+}
+
 struct Server {
     address: SocketAddr,
     calls: Arc<AtomicUsize>,
@@ -105,7 +117,7 @@
 async fn gossip(client: &Client) -> Result<Message, Error> {
     client
         .call(LIMIT, |peer, context| async move {
-            peer.gossip(context, Message::Probe).await
+            peer.gossip(context, message()).await
         })
         .await
 }
@@ -143,7 +155,7 @@
 async fn a_call_reaches_a_daemon_of_the_same_fleet() {
     let server = start(identity("salt", 1, None), false).await;
     let client = client(identity("salt", 1, None), server.address);
-    assert_matches!(gossip(&client).await, Ok(Message::Probe));
+    assert_matches!(gossip(&client).await, Ok(answer) if answer == message());
     assert_eq!(server.calls.load(Ordering::SeqCst), 1);
 }
 
@@ -231,7 +243,7 @@
     assert_matches!(broken, Err(Error::Lost { .. }));
     assert!(!broken.unwrap_err().not_sent());
     assert_eq!(server.calls.load(Ordering::SeqCst), 0);
-    assert_matches!(gossip(&client).await, Ok(Message::Probe));
+    assert_matches!(gossip(&client).await, Ok(answer) if answer == message());
 }
 
 #[tokio::test]
@@ -244,7 +256,7 @@
     let limit = Duration::from_millis(1_500);
     let answer = client
         .call(limit, |peer, context| async move {
-            peer.gossip(context, Message::Probe).await
+            peer.gossip(context, message()).await
         })
         .await;
     assert_matches!(answer, Err(Error::Deadline { .. }));
