--- a/crates/hibiscushoistd/src/ini.rs
+++ b/crates/hibiscushoistd/src/ini.rs
@@ -8,6 +8,11 @@
 use ini::Ini;
 use thiserror::Error;
 
+/// Stands for a value that must not be repeated.
+const HIDDEN: &str = "(hidden)";
+/// Lists the keys whose values must not be repeated, not even wrong ones.
+const SECRETS: [&str; 2] = ["key", "previous_key"];
+
 /// Tells what is wrong with a settings file.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum Error {
@@ -281,12 +286,13 @@
     }
 
     fn value(&self, section: &str, key: &str, accepted: &str, value: &str) -> Error {
+        let shown = if SECRETS.contains(&key) { HIDDEN } else { value };
         Error::Value {
             accepted: accepted.to_owned(),
             file: self.path.clone(),
             key: key.to_owned(),
             section: section.to_owned(),
-            value: value.to_owned(),
+            value: shown.to_owned(),
         }
     }
 }
