--- a/crates/hibiscushoistd/src/ini.rs
+++ b/crates/hibiscushoistd/src/ini.rs
@@ -286,7 +286,11 @@
     }
 
     fn value(&self, section: &str, key: &str, accepted: &str, value: &str) -> Error {
-        let shown = if SECRETS.contains(&key) { HIDDEN } else { value };
+        let shown = if SECRETS.contains(&key) {
+            HIDDEN
+        } else {
+            value
+        };
         Error::Value {
             accepted: accepted.to_owned(),
             file: self.path.clone(),
