--- a/crates/hibiscushoistd/tests/decoders.rs
+++ b/crates/hibiscushoistd/tests/decoders.rs
@@ -69,7 +69,10 @@
     }
 
     #[test]
-    fn only_the_operators_key_passes(bytes in vec(any::<u8>(), 0..40), scheme in "[Bb]earer {0,2}|") {
+    fn only_the_operators_key_passes(
+        bytes in vec(any::<u8>(), 0..40),
+        scheme in "[Bb]earer {0,2}|",
+    ) {
         let value = [scheme.as_bytes(), &bytes].concat();
         let Ok(value) = HeaderValue::from_bytes(&value) else {
             return Ok(());
--- a/crates/transport/tests/decoders.rs
+++ b/crates/transport/tests/decoders.rs
@@ -23,7 +23,10 @@
 
 proptest! {
     #[test]
-    fn bytes_without_the_key_are_no_frame(bytes in vec(any::<u8>(), 0..300), framed in any::<bool>()) {
+    fn bytes_without_the_key_are_no_frame(
+        bytes in vec(any::<u8>(), 0..300),
+        framed in any::<bool>(),
+    ) {
         let mut buffer = BytesMut::new();
         if framed {
             buffer.extend((bytes.len() as u32).to_be_bytes());
