--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -18,7 +18,6 @@
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
 use state::column::Column;
-use state::ident::Block;
 use state::rank::Rank;
 use state::sheet::Sheet;
 use transport::engine::Client;
