--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,12 +4,17 @@
 
 pub mod admission;
 pub mod ask;
+pub mod breaker;
 pub mod broker;
 pub mod capacity;
 pub mod grant;
 pub mod lease;
 pub mod machine;
 pub mod membership;
+pub mod order;
 pub mod placement;
 pub mod pool;
+pub mod quarantine;
 pub mod report;
+pub mod retry;
+pub mod stream;
