--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -116,10 +116,10 @@
     NameTaken(SocketAddr),
     /// Tells that this host stood still for that many milliseconds.
     Paused(u64),
-    /// Tells that this host hears from others again.
-    Reunited,
     /// Tells that a host runs a new process.
     Restarted(String),
+    /// Tells that this host hears from others again.
+    Reunited,
     /// Tells that a host does not answer.
     Suspected(String),
 }
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -6,6 +6,7 @@
 use common::Fleet;
 use common::address;
 use common::name;
+
 use coordination::gossip::Change;
 use coordination::gossip::Event;
 use coordination::host::Load;
