Add the demonstration of the main job

Cause: a newcomer should see on one command what the daemon does, and a change that breaks one of these promises should fail that command.

Change: `hibiscushoist demo` runs a daemon with an embedded voter in a temporary folder, three stand-in engines and a stand-in service, and checks five steps with what was expected and found. It exits with 1 at the first step that did not happen.

--- a/crates/hibiscushoist/src/command.rs
+++ b/crates/hibiscushoist/src/command.rs
@@ -11,6 +11,8 @@
 pub enum Command {
     /// Prints the entry addresses that a caller should use.
     Addresses,
+    /// Shows the main job on this machine, with stand-ins.
+    Demo,
     /// Prints how one request was decided.
     Explain,
     /// Makes a key or prints the hash of one.
@@ -30,6 +32,7 @@
     pub fn summary(self) -> &'static str {
         match self {
             Self::Addresses => "print the entry addresses that a caller should use",
+            Self::Demo => "show the main job on this machine, with stand-ins",
             Self::Explain => "print how one request was decided",
             Self::Key => "make a key, or print the hash of one",
             Self::Load => "send caller traffic and report how it was served",
@@ -43,6 +46,7 @@
     pub fn help(self) -> &'static str {
         match self {
             Self::Addresses => help::ADDRESSES,
+            Self::Demo => help::DEMO,
             Self::Explain => help::EXPLAIN,
             Self::Key => help::KEY,
             Self::Load => help::LOAD,
--- a/crates/hibiscushoist/src/error.rs
+++ b/crates/hibiscushoist/src/error.rs
@@ -49,6 +49,19 @@
         /// Repeats the name.
         name: Option<String>,
     },
+    /// Reports a step of the demonstration that did not happen.
+    #[error("this did not happen: {step}\n  expected: {expected}\n  found: {found}")]
+    Demo {
+        /// Tells what was expected.
+        expected: String,
+        /// Tells what was found.
+        found: String,
+        /// Names the step.
+        step: String,
+    },
+    /// Reports a demonstration that could not start.
+    #[error("the demonstration could not start")]
+    DemoStart,
     /// Reports a failure that the daemon told.
     #[error("{}", .0.message)]
     Failed(operator::Failure),
@@ -126,7 +139,12 @@
     /// Returns the exit code that tells the kind of failure to scripts.
     pub fn exit(&self) -> u8 {
         match self {
-            Self::Answer { .. } | Self::Output | Self::Runtime | Self::Status { .. } => FAILED,
+            Self::Answer { .. }
+            | Self::Demo { .. }
+            | Self::DemoStart
+            | Self::Output
+            | Self::Runtime
+            | Self::Status { .. } => FAILED,
             Self::Arguments(_)
             | Self::Cell { .. }
             | Self::Command { .. }
--- a/crates/hibiscushoist/src/help.rs
+++ b/crates/hibiscushoist/src/help.rs
@@ -31,6 +31,19 @@
   hibiscushoist addresses --json | jq -r '.addresses[0]'
 ";
 
+/// Explains `demo`.
+pub const DEMO: &str = "\
+Usage: hibiscushoist demo
+
+Runs a daemon, three stand-in engines and a stand-in service in this process and shows that two
+workspaces share nothing, that a nested prefix hits, that a broken stream is resumed, that an order
+sent twice runs once and that an edited cell takes effect. Prints what was decided and why, and
+exits with 1 when any of it did not happen. Needs no set-up and leaves nothing behind.
+
+Example:
+  hibiscushoist demo
+";
+
 /// Explains `explain`.
 pub const EXPLAIN: &str = "\
 Usage: hibiscushoist explain ID [--server ADDRESS] [--key-file FILE] [--json]
--- a/crates/hibiscushoist/src/lib.rs
+++ b/crates/hibiscushoist/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod client;
 pub mod command;
 pub mod credential;
+pub mod demo;
+pub mod demo_bench;
 pub mod edit;
 pub mod error;
 pub mod explain;
@@ -62,6 +64,7 @@
     }
     match command {
         Command::Addresses => addresses::run(rest, out).await,
+        Command::Demo => demo::run(rest, out).await,
         Command::Explain => explain::run(rest, out).await,
         Command::Key => key::run(rest, out),
         Command::Load => load::run(rest, out).await,
