Tell engines to run urgent work first

The engine contract runs the least priority number first, and the daemon sent 0 for background and 1 for urgent, so a busy engine served the ranks in reverse. Ruled out: the broker grants urgent work first, as its own tests show; only the number on the wire was wrong.

--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -164,8 +164,8 @@
         max_tokens: job.max_tokens,
         model: ask.model.clone(),
         priority: match grant.priority {
-            Rank::Background => 0,
-            Rank::Urgent => 1,
+            Rank::Background => 1,
+            Rank::Urgent => 0,
         },
         prompt: job.prompt.clone(),
         resume: None,
