--- a/crates/hibiscushoistd/src/status.rs
+++ b/crates/hibiscushoistd/src/status.rs
@@ -24,17 +24,21 @@
         host: settings.name.clone(),
         revision: table.revision(),
         roles: settings.roles.iter().map(ToString::to_string).collect(),
-        upstreams: upstreams.map(|(name, row)| upstream(name, row)).collect(),
+        upstreams: upstreams
+            .map(|(name, row)| upstream(context, name, row))
+            .collect(),
         uptime_ms: context.clock.now().0,
         version: env!("CARGO_PKG_VERSION").to_owned(),
         ..Status::default()
     }
 }
 
-fn upstream(name: &str, row: &Row) -> operator::Upstream {
+fn upstream(context: &Context, name: &str, row: &Row) -> operator::Upstream {
     let address = row.address(Column::Address);
+    let incarnation = context.health.incarnation(name);
     operator::Upstream {
         address: address.map(|a| a.to_string()).unwrap_or_default(),
+        incarnation: incarnation.map(|i| i.0),
         name: name.to_owned(),
         standing: row.text(Column::Standing).unwrap_or("serving").to_owned(),
         ..operator::Upstream::default()
--- a/crates/hibiscushoistd/tests/streams.rs
+++ b/crates/hibiscushoistd/tests/streams.rs
@@ -22,7 +22,11 @@
 
 async fn bench(engines: usize) -> Bench {
     let add = |test: Test, _| test.engine(Options::default());
-    (0..engines).fold(Test::new(), add).start().await
+    let bench = (0..engines).fold(Test::new(), add).start().await;
+    timeout(OUTER_LIMIT, bench.ready())
+        .await
+        .expect("the engines are known");
+    bench
 }
 
 fn ask() -> Value {
--- a/crates/hibiscushoistd/tests/support/mod.rs
+++ b/crates/hibiscushoistd/tests/support/mod.rs
@@ -202,6 +202,18 @@
         self.engines.push(engine);
     }
 
+    /// Waits until the daemon has read the load of every stand-in engine.
+    pub async fn ready(&self) {
+        loop {
+            let status = self.get("/admin/status", OPERATOR_KEY).await.json();
+            let upstreams = status["upstreams"].as_array().expect("a list").clone();
+            if upstreams.iter().all(|u| u["incarnation"].is_u64()) {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    }
+
     /// Returns the address of the daemon.
     pub fn address(&self) -> SocketAddr {
         self.daemon.address()
