--- a/crates/coordination/src/order.rs
+++ b/crates/coordination/src/order.rs
@@ -290,7 +290,10 @@
                 self.stage = Stage::Connecting { attempt, tries: 1 };
                 Effect::Connect(attempt)
             }
-            Decision::Running(_) => self.ask_again(now, Refusal::Running),
+            Decision::Running(_) | Decision::Stale => {
+                self.intent.owner = renewed(self.intent.owner);
+                self.ask_again(now, Refusal::Running)
+            }
             Decision::Unknown => refused(Refusal::Unknown),
         }
     }
@@ -344,3 +347,11 @@
         }
     }
 }
+
+/// Returns the name of the asking after the one named `owner`.
+fn renewed(owner: u128) -> u128 {
+    let digest = Digest::of(&[&owner.to_le_bytes()]);
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&digest.0[..16]);
+    u128::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/crates/coordination/src/raft_election.rs
@@ -0,0 +1,142 @@
+//! Elections: pre-votes, votes and what a member promises by them.
+
+use std::collections::BTreeSet;
+
+use crate::quorum::Identity;
+use crate::raft::Raft;
+use crate::raft::State;
+use crate::raft_entry::Hard;
+use crate::raft_entry::Position;
+use crate::raft_leader::Leader;
+use crate::raft_message::Body;
+
+impl Raft {
+    /// Asks whether the others would vote for this member.
+    pub(crate) fn precampaign(&mut self) {
+        self.defer_election();
+        if !self.config().votes(self.identity) {
+            return;
+        }
+        self.fail_reads();
+        self.state = State::PreCandidate(BTreeSet::new());
+        let last = self.log.last();
+        let term = self.hard.term + 1;
+        for peer in self.other_voters() {
+            self.send(peer, term, Body::PreVote { last });
+        }
+        self.count(self.identity);
+    }
+
+    /// Counts a vote or a pre-vote of `voter`.
+    pub(crate) fn count(&mut self, voter: Identity) {
+        let config = self.log.config();
+        match &mut self.state {
+            State::Candidate(votes) => {
+                votes.insert(voter);
+                if config.majority(|id| votes.contains(&id)) {
+                    self.lead();
+                }
+            }
+            State::PreCandidate(votes) => {
+                votes.insert(voter);
+                if config.majority(|id| votes.contains(&id)) {
+                    self.campaign();
+                }
+            }
+            State::Follower(_) | State::Leader(_) => {}
+        }
+    }
+
+    /// Follows `leader`, or nobody yet, in `term`.
+    pub(crate) fn follow(&mut self, term: u64, leader: Option<Identity>) {
+        self.fail_reads();
+        if term > self.hard.term {
+            self.set_hard(Hard { term, vote: None });
+        }
+        let stays = matches!(self.state, State::Follower(_));
+        self.state = State::Follower(leader);
+        if !stays {
+            self.defer_election();
+        }
+    }
+
+    pub(crate) fn on_pre_vote(&mut self, from: Identity, term: u64, last: Position) {
+        let granted = term > self.hard.term && last >= self.log.last() && !self.promised();
+        let reply = if granted { term } else { self.hard.term };
+        self.send(from, reply, Body::PreVoteReply { granted });
+    }
+
+    pub(crate) fn on_pre_vote_reply(&mut self, from: Identity, term: u64, granted: bool) {
+        let expected = term == self.hard.term + 1;
+        if granted && expected && matches!(self.state, State::PreCandidate(_)) {
+            self.count(from);
+        }
+    }
+
+    pub(crate) fn on_vote(&mut self, from: Identity, term: u64, last: Position) {
+        if term < self.hard.term {
+            let granted = false;
+            return self.send_synced(from, self.hard.term, Body::VoteReply { granted });
+        }
+        let again = term == self.hard.term && self.hard.vote == Some(from);
+        if self.promised() && !again {
+            return;
+        }
+        if term > self.hard.term {
+            self.follow(term, None);
+        }
+        let free = self.hard.vote.is_none_or(|vote| vote == from);
+        let granted = free && last >= self.log.last() && matches!(self.state, State::Follower(_));
+        if granted {
+            let vote = Some(from);
+            self.set_hard(Hard { term, vote });
+            self.defer_election();
+        }
+        self.send_synced(from, term, Body::VoteReply { granted });
+    }
+
+    pub(crate) fn on_vote_reply(&mut self, from: Identity, term: u64, granted: bool) {
+        if granted && term == self.hard.term && matches!(self.state, State::Candidate(_)) {
+            self.count(from);
+        }
+    }
+
+    /// Returns the other members that vote.
+    pub(crate) fn other_voters(&self) -> Vec<Identity> {
+        let voters = self.log.config().voters();
+        voters.filter(|id| *id != self.identity).collect()
+    }
+
+    fn campaign(&mut self) {
+        self.defer_election();
+        let hard = Hard {
+            term: self.hard.term + 1,
+            vote: Some(self.identity),
+        };
+        self.set_hard(hard);
+        self.voted = self.sequence + 1;
+        self.state = State::Candidate(BTreeSet::new());
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send_synced(peer, hard.term, Body::Vote { last });
+        }
+    }
+
+    fn lead(&mut self) {
+        let last = self.log.last();
+        let mut leader = Leader::new(self.now, self.log.at(), last.index);
+        leader.track(self.log.config(), self.identity, last.index + 1);
+        self.state = State::Leader(Box::new(leader));
+        self.begin_term();
+    }
+
+    /// Returns whether a leader may count on this member not to vote yet.
+    fn promised(&self) -> bool {
+        match &self.state {
+            State::Leader(leader) => leader.lease(&self.settings) > self.now,
+            State::Candidate(_) | State::Follower(_) | State::PreCandidate(_) => {
+                self.now.since(self.heard) < self.settings.election
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft_follower.rs
@@ -0,0 +1,206 @@
+//! What a member does with messages: entries, snapshots and the answers to its own.
+
+use std::sync::Arc;
+
+use crate::quorum::Identity;
+use crate::raft::Effect;
+use crate::raft::Incoming;
+use crate::raft::Raft;
+use crate::raft::State;
+use crate::raft_entry::Entry;
+use crate::raft_entry::Meta;
+use crate::raft_entry::Position;
+use crate::raft_entry::Record;
+use crate::raft_entry::Snapshot;
+use crate::raft_message::Body;
+use crate::raft_message::Envelope;
+
+impl Raft {
+    /// Takes in a message, unless it is for another identity or from another group.
+    pub(crate) fn receive(&mut self, envelope: Envelope) {
+        let Envelope {
+            body,
+            from,
+            group,
+            term,
+            to,
+        } = envelope;
+        let own = self.log.config().group;
+        let none = Identity::default();
+        let foreign = own != none && group != none && group != own;
+        if to != self.identity || foreign {
+            return;
+        }
+        match body {
+            Body::PreVote { last } => return self.on_pre_vote(from, term, last),
+            Body::PreVoteReply { granted } if granted => {
+                return self.on_pre_vote_reply(from, term, granted);
+            }
+            Body::Vote { last } => return self.on_vote(from, term, last),
+            _ if term > self.hard.term => self.follow(term, None),
+            _ => {}
+        }
+        let current = term == self.hard.term;
+        match body {
+            Body::Append { round, .. } | Body::Piece { round, .. } if !current => {
+                let hint = 0;
+                self.send_synced(from, self.hard.term, Body::Rejected { hint, round });
+            }
+            Body::Append {
+                commit,
+                entries,
+                previous,
+                round,
+            } => {
+                self.hear(from);
+                self.append(from, round, previous, entries, commit);
+            }
+            Body::Piece {
+                data,
+                meta,
+                offset,
+                round,
+                total,
+            } => {
+                self.hear(from);
+                self.take_piece(from, round, meta, offset, &data, total);
+            }
+            Body::Accepted { matched, round } if current => self.on_accepted(from, round, matched),
+            Body::Received {
+                index,
+                offset,
+                round,
+            } if current => self.on_received(from, round, index, offset),
+            Body::Rejected { hint, round } if current => self.on_rejected(from, round, hint),
+            Body::VoteReply { granted } => self.on_vote_reply(from, term, granted),
+            Body::Accepted { .. }
+            | Body::PreVote { .. }
+            | Body::PreVoteReply { .. }
+            | Body::Received { .. }
+            | Body::Rejected { .. }
+            | Body::Vote { .. } => {}
+        }
+    }
+
+    fn append(
+        &mut self,
+        from: Identity,
+        round: u64,
+        previous: Position,
+        entries: Vec<Entry>,
+        commit: u64,
+    ) {
+        let base = self.log.snapshot().meta.position.index;
+        let known = previous.index < base || self.log.term(previous.index) == Some(previous.term);
+        if !known {
+            let hint = self.hint(previous);
+            let term = self.hard.term;
+            return self.send_synced(from, term, Body::Rejected { hint, round });
+        }
+        let matched = previous.index + entries.len() as u64;
+        self.extend(entries);
+        self.commit_to(commit.min(matched));
+        let matched = matched.max(base.min(self.commit));
+        let accepted = Body::Accepted { matched, round };
+        self.send_synced(from, self.hard.term, accepted);
+    }
+
+    fn commit_to(&mut self, index: u64) {
+        self.commit = self.commit.max(index);
+        self.apply();
+    }
+
+    fn extend(&mut self, entries: Vec<Entry>) {
+        let base = self.log.snapshot().meta.position.index;
+        let new = entries.into_iter().skip_while(|entry| {
+            let position = entry.position;
+            position.index <= base || self.log.term(position.index) == Some(position.term)
+        });
+        let new: Vec<Entry> = new.collect();
+        let Some(first) = new.first().map(|entry| entry.position.index) else {
+            return;
+        };
+        assert!(first > self.commit, "committed entry {first} contradicted");
+        self.log.truncate(first);
+        new.iter().for_each(|entry| self.log.push(entry.clone()));
+        self.records.push(Record::Entries(new));
+    }
+
+    fn hear(&mut self, leader: Identity) {
+        let known = matches!(self.state, State::Follower(Some(known)) if known == leader);
+        if !known {
+            self.follow(self.hard.term, Some(leader));
+        }
+        self.heard = self.now;
+        self.defer_election();
+    }
+
+    fn hint(&self, previous: Position) -> u64 {
+        let last = self.log.last().index;
+        if previous.index > last {
+            return last;
+        }
+        let term = self.log.term(previous.index);
+        let mut index = previous.index - 1;
+        while index > self.commit && self.log.term(index) == term {
+            index -= 1;
+        }
+        index
+    }
+
+    fn install(&mut self, meta: Meta, data: Vec<u8>) {
+        let snapshot = Arc::new(Snapshot {
+            data: data.into(),
+            meta,
+        });
+        let index = snapshot.meta.position.index;
+        self.log.reset(snapshot.clone());
+        self.commit = index;
+        self.applied = index;
+        self.records.push(Record::Install(snapshot.clone()));
+        self.effects.push(Effect::Restore(snapshot));
+    }
+
+    fn take_piece(
+        &mut self,
+        from: Identity,
+        round: u64,
+        meta: Meta,
+        offset: u64,
+        data: &[u8],
+        total: u64,
+    ) {
+        let position = meta.position;
+        let term = self.hard.term;
+        if position.index <= self.commit || self.log.term(position.index) == Some(position.term) {
+            self.commit_to(position.index);
+            let matched = position.index;
+            return self.send_synced(from, term, Body::Accepted { matched, round });
+        }
+        if self.incoming.as_ref().is_none_or(|i| i.meta != meta) {
+            let data = Vec::new();
+            let meta = meta.clone();
+            self.incoming = Some(Incoming { data, meta });
+        }
+        let Some(incoming) = &mut self.incoming else {
+            return;
+        };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(data);
+        }
+        let offset = incoming.data.len() as u64;
+        if offset < total {
+            let index = position.index;
+            let received = Body::Received {
+                index,
+                offset,
+                round,
+            };
+            return self.send_synced(from, term, received);
+        }
+        let whole = self.incoming.take().map(|incoming| incoming.data);
+        self.install(meta, whole.unwrap_or_default());
+        let matched = position.index;
+        self.send_synced(from, term, Body::Accepted { matched, round });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/raft_message.rs
@@ -0,0 +1,96 @@
+//! What members of the replicated log tell each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::quorum::Identity;
+use crate::raft_entry::Entry;
+use crate::raft_entry::Meta;
+use crate::raft_entry::Position;
+
+/// Carries one message.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Envelope {
+    /// Holds the message.
+    pub body: Body,
+    /// Names the sender.
+    pub from: Identity,
+    /// Identifies the sender's group.
+    pub group: Identity,
+    /// Gives the sender's term; for a pre-vote and its grant the term that would follow.
+    pub term: u64,
+    /// Names the receiver, by identity and not by host.
+    pub to: Identity,
+}
+
+/// Holds a message.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Body {
+    /// Confirms entries that are on the sender's disk.
+    Accepted {
+        /// Gives the last index up to which both logs are the same.
+        matched: u64,
+        /// Repeats the round.
+        round: u64,
+    },
+    /// Brings entries; without any it is a heartbeat.
+    Append {
+        /// Gives the leader's commit index.
+        commit: u64,
+        /// Holds the entries.
+        entries: Vec<Entry>,
+        /// Names the entry before them.
+        previous: Position,
+        /// Numbers the leader's round of messages.
+        round: u64,
+    },
+    /// Brings a piece of a snapshot.
+    Piece {
+        /// Holds the piece.
+        data: Vec<u8>,
+        /// Describes the snapshot.
+        meta: Meta,
+        /// Gives where the piece starts, in bytes.
+        offset: u64,
+        /// Numbers the leader's round of messages.
+        round: u64,
+        /// Gives the size of the whole snapshot, in bytes.
+        total: u64,
+    },
+    /// Asks whether a candidate would be voted for.
+    PreVote {
+        /// Names the candidate's last entry.
+        last: Position,
+    },
+    /// Answers a pre-vote.
+    PreVoteReply {
+        /// Tells whether the candidate would be voted for.
+        granted: bool,
+    },
+    /// Tells how much of a snapshot has arrived.
+    Received {
+        /// Gives the index of the snapshot.
+        index: u64,
+        /// Gives where the next piece starts, in bytes.
+        offset: u64,
+        /// Repeats the round.
+        round: u64,
+    },
+    /// Refuses entries whose predecessor the sender lacks.
+    Rejected {
+        /// Gives the last index at which the logs may be the same.
+        hint: u64,
+        /// Repeats the round.
+        round: u64,
+    },
+    /// Asks for a vote.
+    Vote {
+        /// Names the candidate's last entry.
+        last: Position,
+    },
+    /// Answers a request for a vote.
+    VoteReply {
+        /// Tells whether the vote is the candidate's.
+        granted: bool,
+    },
+}
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -18,6 +18,7 @@
 const BUCKETS: u64 = 64;
 const HOUR: u64 = 3_600_000;
 const MARGIN: u64 = 50;
+const SEEN: usize = 16;
 
 /// Fences one attempt at a call; a later attempt has a greater number.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -36,8 +37,10 @@
     Replay(Response),
     /// Lets the asker send the call, once, under this attempt.
     Run(Attempt),
-    /// Tells that another asker is sending the call.
+    /// Tells that another asker is sending the call; a later asking needs an owner of its own.
     Running(Attempt),
+    /// Refuses a copy of an asking that had an answer; the call has not run, ask under a new owner.
+    Stale,
     /// Tells that the call may have run; it is never run again.
     Unknown,
 }
@@ -129,9 +132,15 @@
     until: u64,
 }
 
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Seen {
+    attempt: Attempt,
+    owner: u128,
+}
+
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 enum Phase {
-    Running { deadline: u64, owner: u128 },
+    Running { deadline: u64 },
     Settled { at: u64, outcome: Outcome },
 }
 
@@ -139,7 +148,9 @@
 struct Record {
     attempt: Attempt,
     digest: Digest,
+    owner: u128,
     phase: Phase,
+    seen: Vec<Seen>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -211,21 +222,26 @@
         if self.retired.iter().any(|bucket| bucket.ids.contains(&id)) {
             return Decision::Expired;
         }
-        match self.records.get(&id) {
-            Some(record) if record.digest != intent.digest => Decision::Mismatch,
-            Some(record) => match &record.phase {
-                Phase::Running { owner, .. } if *owner == intent.owner => {
-                    Decision::Run(record.attempt)
-                }
-                Phase::Running { .. } => Decision::Running(record.attempt),
-                Phase::Settled { outcome, .. } => match outcome {
-                    Outcome::Done(response) => Decision::Replay(response.clone()),
-                    Outcome::NotRun => self.run(now, id, intent),
-                    Outcome::Unknown => Decision::Unknown,
-                },
+        if !self.records.contains_key(&id) && self.len() >= self.limits.records {
+            return Decision::Full;
+        }
+        let Some(record) = self.records.get_mut(&id) else {
+            return self.run(now, id, intent);
+        };
+        if record.digest != intent.digest {
+            return Decision::Mismatch;
+        }
+        match &record.phase {
+            Phase::Running { .. } if record.owner == intent.owner => Decision::Run(record.attempt),
+            Phase::Running { .. } => {
+                record.see(intent.owner);
+                Decision::Running(record.attempt)
+            }
+            Phase::Settled { outcome, .. } => match outcome {
+                Outcome::Done(response) => Decision::Replay(response.clone()),
+                Outcome::NotRun => self.run_again(now, id, intent),
+                Outcome::Unknown => Decision::Unknown,
             },
-            None if self.len() >= self.limits.records => Decision::Full,
-            None => self.run(now, id, intent),
         }
     }
 
@@ -255,7 +271,7 @@
             return Settlement::Stale;
         };
         if record.attempt != report.attempt {
-            return Settlement::Stale;
+            return record.settled_earlier(report);
         }
         match &record.phase {
             Phase::Settled { outcome, .. } if *outcome == report.outcome => Settlement::Recorded,
@@ -331,24 +347,34 @@
         self.attempts += 1;
         let attempt = Attempt(self.attempts);
         let deadline = now.saturating_add(intent.hold);
+        let seen = self.records.remove(&id).map(Record::into_seen);
         let record = Record {
             attempt,
             digest: intent.digest,
-            phase: Phase::Running {
-                deadline,
-                owner: intent.owner,
-            },
+            owner: intent.owner,
+            phase: Phase::Running { deadline },
+            seen: seen.unwrap_or_default(),
         };
         self.records.insert(id, record);
         self.open.insert((deadline, id));
         Decision::Run(attempt)
     }
 
+    fn run_again(&mut self, now: u64, id: u128, intent: &Intent) -> Decision {
+        let record = self.records.get(&id);
+        let late =
+            |r: &Record| r.owner == intent.owner || r.seen.iter().any(|e| e.owner == intent.owner);
+        if record.is_some_and(late) {
+            return Decision::Stale;
+        }
+        self.run(now, id, intent)
+    }
+
     fn settle(&mut self, now: u64, id: u128, outcome: Outcome) {
         let Some(record) = self.records.get_mut(&id) else {
             return;
         };
-        if let Phase::Running { deadline, .. } = record.phase {
+        if let Phase::Running { deadline } = record.phase {
             self.open.remove(&(deadline, id));
         }
         self.bytes -= record.size();
@@ -365,6 +391,34 @@
 }
 
 impl Record {
+    fn into_seen(mut self) -> Vec<Seen> {
+        self.see(self.owner);
+        self.seen
+    }
+
+    /// Remembers an asking that was answered while this attempt was the newest.
+    fn see(&mut self, owner: u128) {
+        if self.seen.iter().any(|seen| seen.owner == owner) {
+            return;
+        }
+        if self.seen.len() == SEEN {
+            self.seen.remove(0);
+        }
+        self.seen.push(Seen {
+            attempt: self.attempt,
+            owner,
+        });
+    }
+
+    /// Confirms a late copy of a report that an earlier attempt did not run.
+    fn settled_earlier(&self, report: &Report) -> Settlement {
+        let known = self.seen.iter().any(|e| e.attempt == report.attempt);
+        match report.outcome {
+            Outcome::NotRun if known => Settlement::Recorded,
+            Outcome::Done(_) | Outcome::NotRun | Outcome::Unknown => Settlement::Stale,
+        }
+    }
+
     fn is_not_run(&self) -> bool {
         matches!(
             &self.phase,
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -184,3 +184,40 @@
     ledger.expire(10_000);
     assert!(ledger.is_empty());
 }
+
+#[test]
+fn late_copy_of_an_ended_asking_starts_no_attempt() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    ledger.finish(1, &report("a", 1, Outcome::NotRun));
+    assert_eq!(ledger.begin(2, &intent("a", 1)), Decision::Stale);
+    ledger.begin(3, &intent("a", 2));
+    ledger.finish(4, &report("a", 2, Outcome::NotRun));
+    assert_eq!(ledger.begin(5, &intent("a", 1)), Decision::Stale);
+    assert_eq!(ledger.begin(6, &intent("a", 3)), Decision::Run(Attempt(3)));
+}
+
+#[test]
+fn late_copy_of_a_report_gets_its_first_answer() {
+    let mut ledger = Ledger::new(LIMITS);
+    let not_run = report("a", 1, Outcome::NotRun);
+    ledger.begin(0, &intent("a", 1));
+    assert_eq!(ledger.finish(1, &not_run), Settlement::Recorded);
+    ledger.begin(2, &intent("a", 2));
+    assert_eq!(ledger.finish(3, &not_run), Settlement::Recorded);
+    assert_eq!(
+        ledger.begin(4, &intent("a", 3)),
+        Decision::Running(Attempt(2))
+    );
+}
+
+#[test]
+fn late_copy_of_an_asking_that_was_told_to_wait_starts_no_attempt() {
+    let mut ledger = Ledger::new(LIMITS);
+    ledger.begin(0, &intent("a", 1));
+    let waits = ledger.begin(1, &intent("a", 2));
+    assert_eq!(waits, Decision::Running(Attempt(1)));
+    ledger.finish(2, &report("a", 1, Outcome::NotRun));
+    assert_eq!(ledger.begin(3, &intent("a", 2)), Decision::Stale);
+    assert_eq!(ledger.begin(4, &intent("a", 3)), Decision::Run(Attempt(2)));
+}
