--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,10 +1,12 @@
 //! Moves bytes: HTTP, peer connections, files, clocks, threads and rings.
 
 pub mod clock;
+pub mod disk;
 pub mod engine;
 pub mod event;
 pub mod http;
 pub mod log;
+pub mod log_frame;
 pub mod metric;
 pub mod peer;
 pub mod peer_frame;
@@ -14,4 +16,5 @@
 pub mod ring;
 pub mod service;
 pub mod sse;
+pub mod store;
 pub mod upstream;
