--- a/crates/coordination/tests/addresses.rs
+++ b/crates/coordination/tests/addresses.rs
@@ -6,13 +6,12 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use common::name;
+use common::profile;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use common::name;
-use common::profile;
-
 use coordination::addresses;
 use coordination::addresses::Ask;
 use coordination::host::Load;
