--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! Every decision is a step function: it takes the time and an event and returns typed effects.
 
+mod raft_election;
+mod raft_follower;
+mod raft_leader;
+
 pub mod addresses;
 pub mod admission;
 pub mod ask;
@@ -21,6 +25,13 @@
 pub mod placement;
 pub mod pool;
 pub mod quarantine;
+pub mod quorum;
+pub mod raft;
+pub mod raft_entry;
+pub mod raft_log;
+pub mod raft_message;
+pub mod raft_progress;
+pub mod raft_settings;
 pub mod rendezvous;
 pub mod report;
 pub mod retry;
