Run the failure detector, the address list and the drain in the daemon

Cause: daemons did not know of each other; callers were told one address and a drain slept instead of following the step function. Change: a membership thread with a view for all duties, a pool with one connection to each other daemon, the peer service, addresses and status from the view, load reports, a drain with its limit and second signal, and answers that close their connection while the host drains.

--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -10,11 +10,11 @@
 use crate::host::Version;
 
 /// Names a call of this host until it is answered.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Call(pub u64);
 
 /// Names a call of another host until this one answers it.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Asked(pub u64);
 
 /// Tells what a message is for.
--- a/crates/hibiscushoistd/src/caller.rs
+++ b/crates/hibiscushoistd/src/caller.rs
@@ -5,12 +5,15 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use hyper::Response;
-use serde::Serialize;
 
 use crate::answer::Failure;
+use crate::auth;
 use crate::context::Context;
 use crate::request::Request;
 use crate::respond;
+use coordination::addresses;
+use coordination::addresses::Ask;
+use protocol::address::Listing;
 use protocol::refusal::Reason;
 use protocol::refusal::Refusal;
 use transport::http::Body;
@@ -18,12 +21,6 @@
 
 const TEXT: &str = "text/plain; version=0.0.4";
 
-#[derive(Serialize)]
-struct Addresses {
-    addresses: Vec<String>,
-    lifetime_ms: u64,
-}
-
 /// Answers which addresses a caller should use.
 pub fn addresses(context: Arc<Context>, request: Request) -> BoxFuture<'static, Response<Body>> {
     async move {
@@ -31,11 +28,16 @@
         let lifetime = entry
             .map(|entry| entry.address_lifetime)
             .unwrap_or_default();
-        let addresses = Addresses {
-            addresses: vec![context.address.to_string()],
+        let ask = Ask {
+            draw: rand::random(),
+            prefix: request.query_text("prefix").map(str::to_owned),
+            workspace: auth::workspace(&request.headers, &context.table()).unwrap_or_default(),
+        };
+        let listing = Listing {
+            addresses: addresses::order(&context.view(), &ask),
             lifetime_ms: lifetime.as_millis() as u64,
         };
-        let mut response = respond::json(200, &addresses);
+        let mut response = respond::json(200, &listing);
         respond::name(&mut response, &request.id);
         response
     }
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -12,9 +13,13 @@
 
 use crate::broker;
 use crate::journal::Journal;
+use crate::member;
+use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::voter;
+use coordination::view::View;
 use state::table::Table;
+use state::time::Instant;
 use transport::clock::Clock;
 
 /// Holds what the handlers of a daemon share.
@@ -25,6 +30,8 @@
     pub broker: broker::Handle,
     /// Reads the clock.
     pub clock: Clock,
+    /// Tells when the daemon began to drain.
+    pub drain_began: OnceLock<Instant>,
     /// Turns true when the daemon begins to drain.
     pub draining: watch::Receiver<bool>,
     /// Counts the requests in flight.
@@ -33,8 +40,12 @@
     pub journal: Journal,
     /// Receives events.
     pub log: Logger,
+    /// Reaches the duty that knows the fleet.
+    pub member: member::Handle,
     /// Renders the counters.
     pub metrics: PrometheusHandle,
+    /// Holds the connections to other daemons, in a fleet of several hosts.
+    pub pool: Option<Pool>,
     /// Holds the settings.
     pub settings: Arc<Settings>,
     /// Reaches the voters.
@@ -47,6 +58,11 @@
         self.voter.table().borrow().clone()
     }
 
+    /// Returns what this host knows of the fleet.
+    pub fn view(&self) -> Arc<View> {
+        self.member.view().borrow().clone()
+    }
+
     /// Counts a request in flight until the returned guard is dropped.
     pub fn enter(&self) -> Guard {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -20,10 +21,18 @@
 use crate::context::Context;
 use crate::context::Shared;
 use crate::journal::Journal;
+use crate::links::Links;
+use crate::load;
+use crate::member;
+use crate::peer;
 use crate::routes;
 use crate::settings::Entry;
 use crate::settings::Settings;
 use crate::voter;
+use coordination::drain;
+use coordination::drain::Drain;
+use coordination::drain::Effect;
+use coordination::drain::Outcome;
 use transport::clock::Clock;
 use transport::event;
 use transport::event::Event;
@@ -31,6 +40,8 @@
 use transport::http::Server;
 use transport::metric;
 
+const FAREWELL: Duration = Duration::from_millis(300);
+const HANDOVER_MS: u64 = 2_000;
 const POLL: Duration = Duration::from_millis(20);
 
 /// Tells which part of a daemon could not start.
@@ -77,15 +88,23 @@
         let clock = Clock::default();
         let broker =
             broker::start(clock, voter.table()).change_context(Error::Duty { duty: "broker" })?;
+        let address = advertised(&settings, listener.as_ref());
+        let mut links = Links::open(&settings).await?;
+        let options = links.membership(&settings, address);
+        let member = member::start(options, links.pool.clone(), clock, log.clone())
+            .change_context(Error::Duty { duty: "member" })?;
         let context = Arc::new(Context {
-            address: advertised(&settings, listener.as_ref()),
+            address,
             broker,
             clock,
+            drain_began: OnceLock::new(),
             draining,
             in_flight: Arc::new(AtomicU64::new(0)),
             journal: Journal::default(),
             log: log.clone(),
+            member: member.clone(),
             metrics: metric::install(),
+            pool: links.pool.clone(),
             settings: settings.clone(),
             voter,
         });
@@ -95,9 +114,12 @@
                 let server = server(&context, entry);
                 tokio::spawn(server.run(listener, stopped))
             });
+        links.serve(peer::Service { member }, &log);
+        tokio::spawn(load::watch(context.clone()));
         let details = slog::o!(
             "host" => settings.name.clone(),
             "entry" => context.address.to_string(),
+            "peer" => links.address.to_string(),
         );
         event::emit(&log, Event::Started, details);
         Ok(Self {
@@ -114,33 +136,73 @@
     }
 
     /// Takes the host off the list, serves on for the lifetime of addresses, ends the last request
-    /// and returns whether all of them ended before the limit.
-    pub async fn drain(&mut self) -> bool {
-        let entry = self.context.settings.entry.as_ref();
-        let lifetime = entry.map(|e| e.address_lifetime).unwrap_or_default();
-        let limit = entry.map(|e| e.drain_limit).unwrap_or_default();
-        event::emit(&self.context.log, Event::DrainBegun, slog::o!());
-        self.drain.send_replace(true);
-        tokio::time::sleep(lifetime).await;
-        let ended = tokio::time::timeout(limit, self.end()).await.is_ok();
-        let event = match ended {
-            false => Event::DrainLimitPassed,
-            true => Event::Stopped,
-        };
-        event::emit(&self.context.log, event, slog::o!());
-        ended
+    /// and returns how that went; `again` ends the rest at once.
+    pub async fn drain(&mut self, again: impl Future<Output = ()>) -> Outcome {
+        let mut drain = Drain::new(self.drain_limits());
+        let mut event = drain::Event::Signal;
+        tokio::pin!(again);
+        loop {
+            match drain.step(self.context.clock.now(), event) {
+                None => {}
+                Some(Effect::Announce) => self.announce(),
+                Some(Effect::Close) => {
+                    self.stop.send_replace(true);
+                }
+                Some(Effect::End(outcome)) => {
+                    self.leave(outcome).await;
+                    return outcome;
+                }
+            }
+            event = tokio::select! {
+                () = &mut again => drain::Event::Signal,
+                () = tokio::time::sleep(POLL) => drain::Event::Tick {
+                    in_flight: self.in_flight(),
+                },
+            };
+        }
     }
 
     /// Closes the listener and waits for the last request to end.
     pub async fn end(&mut self) {
         self.stop.send_replace(true);
-        if let Some(server) = self.server.take() {
-            let _ = server.await;
-        }
-        while self.context.in_flight.load(Ordering::SeqCst) > 0 {
+        while self.in_flight() > 0 {
             tokio::time::sleep(POLL).await;
         }
     }
+
+    fn announce(&self) {
+        event::emit(&self.context.log, Event::DrainBegun, slog::o!());
+        let _ = self.context.drain_began.set(self.context.clock.now());
+        self.drain.send_replace(true);
+        let _ = self.context.member.drain();
+    }
+
+    fn drain_limits(&self) -> drain::Limits {
+        let entry = self.context.settings.entry.as_ref();
+        let millis = |duration: Duration| duration.as_millis() as u64;
+        drain::Limits {
+            lifetime: entry.map_or(HANDOVER_MS, |e| millis(e.address_lifetime)),
+            limit: entry.map_or(HANDOVER_MS, |e| millis(e.drain_limit)),
+        }
+    }
+
+    /// Counts the requests in flight, and one more while a connection is still open.
+    fn in_flight(&self) -> u64 {
+        let open = self.server.as_ref().is_some_and(|s| !s.is_finished());
+        self.context.in_flight.load(Ordering::SeqCst) + u64::from(open)
+    }
+
+    async fn leave(&self, outcome: Outcome) {
+        let event = match outcome {
+            Outcome::Clean => Event::Stopped,
+            Outcome::Forced | Outcome::LimitPassed => Event::DrainLimitPassed,
+        };
+        let in_flight = slog::o!("in_flight" => self.in_flight());
+        event::emit(&self.context.log, event, in_flight);
+        if self.context.pool.is_some() && self.context.member.leave().is_ok() {
+            tokio::time::sleep(FAREWELL).await;
+        }
+    }
 }
 
 fn advertised(settings: &Settings, listener: Option<&TcpListener>) -> SocketAddr {
@@ -151,7 +213,12 @@
         .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+/// Binds `address`.
+///
+/// # Errors
+///
+/// Returns an error that names the address.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
     let bound: io::Result<TcpListener> = TcpListener::bind(address).await;
     bound.change_context(Error::Bind { address })
 }
--- a/crates/hibiscushoistd/src/main.rs
+++ b/crates/hibiscushoistd/src/main.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use coordination::drain::Outcome;
 use hibiscushoistd::daemon::Daemon;
 use hibiscushoistd::options;
 use hibiscushoistd::options::Command;
@@ -69,13 +70,14 @@
         _ = interrupt.recv() => {}
         _ = terminate.recv() => {}
     }
-    let ended = tokio::select! {
-        ended = daemon.drain() => ended,
-        _ = interrupt.recv() => false,
-        _ = terminate.recv() => false,
+    let again = async {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
     };
-    Ok(match ended {
-        false => ExitCode::FAILURE,
-        true => ExitCode::SUCCESS,
+    Ok(match daemon.drain(again).await {
+        Outcome::Clean => ExitCode::SUCCESS,
+        Outcome::Forced | Outcome::LimitPassed => ExitCode::FAILURE,
     })
 }
--- a/crates/hibiscushoistd/src/request.rs
+++ b/crates/hibiscushoistd/src/request.rs
@@ -52,10 +52,15 @@
 
     /// Returns the number under `name` in the query.
     pub fn query_number(&self, name: &str) -> Option<u64> {
+        self.query_text(name)?.parse().ok()
+    }
+
+    /// Returns the text under `name` in the query, as it was sent.
+    pub fn query_text(&self, name: &str) -> Option<&str> {
         let pairs = self.uri.query()?.split('&');
         let mut values = pairs.filter_map(|pair| pair.split_once('='));
         let (_, value) = values.find(|(key, _)| *key == name)?;
-        value.parse().ok()
+        Some(value)
     }
 
     /// Reads the whole body, at most `limit` bytes, within `timeout`.
--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -16,7 +16,9 @@
 use gotham::state::FromState;
 use gotham::state::State;
 use hyper::Response;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 
 use crate::admin;
 use crate::caller;
@@ -55,7 +57,12 @@
         let request = Request::take(&mut state);
         async move {
             let guard = context.enter();
-            let response = endpoint(context, request).await;
+            let draining = context.draining.clone();
+            let mut response = endpoint(context, request).await;
+            if *draining.borrow() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             drop(guard);
             Ok((state, response))
         }
--- a/crates/hibiscushoistd/src/status.rs
+++ b/crates/hibiscushoistd/src/status.rs
@@ -2,7 +2,15 @@
 
 use std::sync::atomic::Ordering;
 
+use strum::IntoEnumIterator;
+
 use crate::context::Context;
+use coordination::host::Load;
+use coordination::host::Role;
+use coordination::host::Standing;
+use coordination::ownership;
+use coordination::view::Member;
+use coordination::view::View;
 use protocol::operator;
 use protocol::operator::Status;
 use state::column::Column;
@@ -13,29 +21,61 @@
 pub fn of(context: &Context) -> Status {
     let settings = &context.settings;
     let table = context.table();
+    let view = context.view();
     let upstreams = table.sheet(Sheet::Upstreams);
+    let now = context.clock.now();
     let drain = context.draining.borrow().then(|| operator::Drain {
         in_flight: context.in_flight.load(Ordering::SeqCst),
-        since_ms: 0,
+        since_ms: context.drain_began.get().map_or(0, |at| now.since(*at)),
     });
     Status {
         drain,
         failure_domain: settings.failure_domain.clone(),
         host: settings.name.clone(),
+        hosts: view.hosts.iter().map(host).collect(),
         revision: table.revision(),
         roles: settings.roles.iter().map(ToString::to_string).collect(),
-        upstreams: upstreams.map(|(name, row)| upstream(name, row)).collect(),
+        upstreams: upstreams
+            .map(|(name, row)| upstream(name, row, &view))
+            .collect(),
         uptime_ms: context.clock.now().0,
         version: env!("CARGO_PKG_VERSION").to_owned(),
         ..Status::default()
     }
 }
 
-fn upstream(name: &str, row: &Row) -> operator::Upstream {
+fn host(member: &Member) -> operator::Host {
+    let profile = &member.record.profile;
+    let roles = Role::iter().filter(|role| profile.roles.contains(*role));
+    operator::Host {
+        address: profile.entry.map(|address| address.to_string()),
+        failure_domain: profile.domain.clone(),
+        name: member.record.host.clone(),
+        roles: roles.map(|role| role.to_string()).collect(),
+        standing: standing(member).to_owned(),
+    }
+}
+
+fn standing(member: &Member) -> &'static str {
+    let profile = &member.record.profile;
+    match (member.record.standing, profile.load) {
+        (Standing::Dead, _) => "dead",
+        (Standing::Left, _) => "left",
+        (Standing::Suspect, _) => "suspect",
+        (Standing::Alive, _) if profile.draining => "leaving",
+        (Standing::Alive, _) if !member.reachable => "cut",
+        (Standing::Alive, Load::Busy) => "busy",
+        (Standing::Alive, Load::Normal) => "live",
+        (Standing::Alive, Load::Overloaded) => "overloaded",
+    }
+}
+
+fn upstream(name: &str, row: &Row, view: &View) -> operator::Upstream {
     let address = row.address(Column::Address);
     operator::Upstream {
         address: address.map(|a| a.to_string()).unwrap_or_default(),
         name: name.to_owned(),
+        owner: ownership::owner(view, name).map(|member| member.record.host.clone()),
         standing: row.text(Column::Standing).unwrap_or("serving").to_owned(),
         ..operator::Upstream::default()
     }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -28,19 +28,63 @@
     TableApplied = 200,
     /// Logs that an edit was refused.
     EditRefused = 201,
+    /// Logs that a host was seen for the first time or again.
+    HostJoined = 300,
+    /// Logs that a host runs a new process.
+    HostRestarted = 301,
+    /// Logs that a host does not answer.
+    HostSuspected = 302,
+    /// Logs that a suspected host answers again.
+    HostCleared = 303,
+    /// Logs that a host is held to be dead.
+    HostDied = 304,
+    /// Logs that a host wants no new work.
+    HostDraining = 305,
+    /// Logs that a host ended as it should.
+    HostLeft = 306,
+    /// Logs that the load class of a host changed.
+    HostLoaded = 307,
+    /// Logs that a host answers others but not this one.
+    LinkCut = 310,
+    /// Logs that a host answers this one again.
+    LinkMended = 311,
+    /// Logs that this host hears from nobody.
+    Isolated = 312,
+    /// Logs that this host hears from others again.
+    Reunited = 313,
+    /// Logs that this process stood still.
+    Paused = 314,
+    /// Logs that another host uses the name of this one.
+    NameTaken = 315,
+    /// Logs that a daemon was refused.
+    PeerRefused = 316,
 }
 
 impl Event {
     /// Returns the severity of the event.
     pub fn level(self) -> Level {
         match self {
-            Self::ConnectionFailed | Self::RequestRefused => Level::Debug,
+            Self::ConnectionFailed | Self::HostLoaded | Self::RequestRefused => Level::Debug,
+            Self::ConnectionLimit
+            | Self::DrainLimitPassed
+            | Self::HostDied
+            | Self::LinkCut
+            | Self::Paused
+            | Self::PeerRefused => Level::Warning,
             Self::DrainBegun
             | Self::EditRefused
+            | Self::HostCleared
+            | Self::HostDraining
+            | Self::HostJoined
+            | Self::HostLeft
+            | Self::HostRestarted
+            | Self::HostSuspected
+            | Self::LinkMended
+            | Self::Reunited
             | Self::Started
             | Self::Stopped
             | Self::TableApplied => Level::Info,
-            Self::ConnectionLimit | Self::DrainLimitPassed => Level::Warning,
+            Self::Isolated | Self::NameTaken => Level::Error,
         }
     }
 
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -5,6 +5,10 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+/// Gives how many hosts are present, this one included.
+pub const HOSTS: &str = "hibiscushoist_hosts";
+/// Counts changes in the view of the fleet.
+pub const MEMBERSHIP_CHANGES: &str = "hibiscushoist_membership_changes_total";
 /// Counts connections to other daemons that could not be opened.
 pub const PEER_CONNECT_FAILURES: &str = "hibiscushoist_peer_connect_failures_total";
 /// Counts connections to other daemons that were opened.
