Share suspects among hosts and make sure that a stopped run has stopped

Each host remembered crashing requests alone, so one resent through eight hosts could have crashed an upstream for each. The digest's owner, chosen by rendezvous among the brokers, is now asked by peer call while the broker places the request; an owner that is silent for 250 ms is passed over for 1 s, and crashes are told to all hosts, so that the next owner knows them.

Every run that did not end whole is now cancelled by name, and the signature of that answer tells crash from stop; one that cannot be confirmed stays counted until its lease ends.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -1,10 +1,11 @@
 //! Keeps a request that crashes upstreams from crashing more than two of the fleet.
 //!
-//! Each digest has one owner among the daemons, chosen by [`owner`], which is asked before any run.
+//! Each digest has one owner among the daemons, the first of [`owners`], which is asked before any run.
 //! Without a success, runs and crashes of a digest together never exceed [`CRASHES`]. A digest
 //! that was in flight at a crash is a suspect: it runs again with no other suspect on its
 //! upstream, is cleared by its first success and is held back after its second crash.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
@@ -14,6 +15,10 @@
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
+use crate::ownership;
+use crate::rendezvous;
+use crate::view::Member;
+use crate::view::View;
 use state::ident::Digest;
 use state::time::Instant;
 
@@ -89,6 +94,36 @@
     Whole,
 }
 
+/// Asks an owner on behalf of another host.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Call {
+    /// Tells of a digest and its crashes so far.
+    Adopt(Digest, usize),
+    /// Asks whether a digest may run.
+    Enter(Digest, Ticket),
+    /// Asks to be the only suspect on the upstream of that name.
+    Isolate(String, Ticket),
+    /// Tells how a run ended.
+    Leave(Digest, Ticket, Outcome),
+    /// Frees the upstream of that name for other suspects.
+    Release(String, Ticket),
+    /// Prolongs a run.
+    Renew(Digest, Ticket),
+}
+
+/// Answers a [`Call`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Answer {
+    /// Confirms what was told.
+    Done,
+    /// Answers [`Call::Isolate`].
+    Isolated(bool),
+    /// Answers [`Call::Leave`] with the crashes so far.
+    Left(usize),
+    /// Answers [`Call::Enter`].
+    Verdict(Verdict),
+}
+
 /// Remembers digests on behalf of the fleet.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
@@ -134,6 +169,27 @@
         }
     }
 
+    /// Answers a call.
+    pub fn answer(&mut self, now: Instant, call: Call) -> Answer {
+        match call {
+            Call::Adopt(digest, crashes) => self.adopt(now, digest, crashes),
+            Call::Enter(digest, ticket) => {
+                return Answer::Verdict(self.enter(now, digest, ticket));
+            }
+            Call::Isolate(upstream, ticket) => {
+                return Answer::Isolated(self.isolate(now, upstream, ticket));
+            }
+            Call::Leave(digest, ticket, outcome) => {
+                return Answer::Left(self.leave(now, digest, ticket, outcome));
+            }
+            Call::Release(upstream, ticket) => self.release(&upstream, ticket),
+            Call::Renew(digest, ticket) => {
+                self.renew(now, digest, ticket);
+            }
+        }
+        Answer::Done
+    }
+
     /// Answers whether `digest` may run; a permission counts as a run under `ticket`.
     pub fn enter(&mut self, now: Instant, digest: Digest, ticket: Ticket) -> Verdict {
         let policy = self.policy;
@@ -290,8 +346,10 @@
     }
 }
 
-/// Returns the member of `hosts` that owns `subject`, the same wherever the members are the same.
-pub fn owner<'a>(hosts: impl IntoIterator<Item = &'a str>, subject: &[u8]) -> Option<&'a str> {
-    let score = |host: &&str| Digest::of(&[host.as_bytes(), subject]).0;
-    hosts.into_iter().max_by_key(score)
+/// Ranks the hosts that may own `digest`, the owner first, the same wherever the views are the same.
+pub fn owners(view: &View, digest: Digest) -> Vec<&Member> {
+    let mut hosts: Vec<&Member> = ownership::brokers(view).collect();
+    let score = |member: &&Member| Reverse(rendezvous::score(&digest.0, &member.record.host));
+    hosts.sort_by_key(score);
+    hosts
 }
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -110,7 +110,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            attempts: 4,
+            attempts: 8,
             backoff: 20,
             backoff_limit: 1_000,
             burst: 20,
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -4,13 +4,21 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use coordination::host::Load;
+use coordination::host::Profile;
+use coordination::host::Record;
+use coordination::host::Role;
+use coordination::host::Standing;
+use coordination::host::Version;
 use coordination::quarantine::CRASHES;
 use coordination::quarantine::Outcome;
 use coordination::quarantine::Policy;
 use coordination::quarantine::Quarantine;
 use coordination::quarantine::Ticket;
 use coordination::quarantine::Verdict;
-use coordination::quarantine::owner;
+use coordination::quarantine::owners;
+use coordination::view::Member;
+use coordination::view::View;
 use state::ident::Digest;
 use state::time::Instant;
 
@@ -133,22 +141,63 @@
     assert!(quarantine.is_empty());
 }
 
+fn view(me: &str, draining: &str) -> View {
+    let hosts = ["h1", "h2", "h3", "h4"].map(|host| Member {
+        reachable: true,
+        record: Record {
+            host: host.to_owned(),
+            profile: Profile {
+                domain: "d".to_owned(),
+                draining: host == draining,
+                entry: None,
+                load: Load::Normal,
+                peer: ([127, 0, 0, 1], 1).into(),
+                region: "r".to_owned(),
+                roles: [Role::Broker].into_iter().collect(),
+            },
+            standing: Standing::Alive,
+            version: Version::default(),
+        },
+    });
+    View {
+        hosts: hosts.to_vec(),
+        isolated: false,
+        me: me.to_owned(),
+    }
+}
+
+fn owner(view: &View, digest: Digest) -> String {
+    owners(view, digest)[0].record.host.clone()
+}
+
 #[test]
 fn every_host_names_the_same_owner_and_work_is_spread() {
-    let hosts = ["h1", "h2", "h3", "h4"];
     let mut counts = [0; 4];
     for i in 0..4_000_u32 {
-        let subject = i.to_le_bytes();
-        let chosen = owner(hosts, &subject).unwrap();
-        let turned = hosts.iter().rev().copied();
-        assert_eq!(owner(turned, &subject), Some(chosen));
-        counts[hosts.iter().position(|h| *h == chosen).unwrap()] += 1;
+        let digest = Digest::of(&[&i.to_le_bytes()]);
+        let chosen = owner(&view("h1", ""), digest);
+        assert_eq!(owner(&view("h2", ""), digest), chosen);
+        counts[["h1", "h2", "h3", "h4"]
+            .iter()
+            .position(|h| *h == chosen)
+            .unwrap()] += 1;
     }
     assert!(
         counts.iter().all(|c| (900..1_100).contains(c)),
         "{counts:?}"
     );
-    assert_eq!(owner([], b"x"), None);
+}
+
+#[test]
+fn a_host_that_leaves_hands_its_digests_to_the_next_in_rank() {
+    let stays = view("h1", "");
+    let leaves = view("h1", "h2");
+    for i in 0..100_u32 {
+        let digest = Digest::of(&[&i.to_le_bytes()]);
+        let ranked = owners(&stays, digest);
+        let first = ranked.iter().find(|m| m.record.host != "h2").unwrap();
+        assert_eq!(owner(&leaves, digest), first.record.host);
+    }
 }
 
 /// Holds one request somewhere in the fleet.
--- a/crates/fakes/tests/contract.rs
+++ b/crates/fakes/tests/contract.rs
@@ -389,7 +389,7 @@
     let request = request("w", PROMPT);
     let mut stream = client.complete(&request, None).await.unwrap();
     assert_eq!(stream.next().await.unwrap(), Some(Item::Heartbeat));
-    assert!(client.cancel("a-1").await.unwrap().found);
+    assert!(client.cancel("a-1").await.unwrap().answer.found);
     loop {
         match stream.next().await.unwrap() {
             Some(Item::Heartbeat) => {}
@@ -398,7 +398,7 @@
         }
     }
     assert_eq!(client.load().await.unwrap().running, 0);
-    assert!(!client.cancel("b").await.unwrap().found);
+    assert!(!client.cancel("b").await.unwrap().answer.found);
     drop(engine);
 }
 
--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One run of a request on one upstream.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -29,6 +30,10 @@
 use transport::upstream::Limits;
 use transport::upstream::Signature;
 
+/// Bounds the tries to stop a run.
+const CANCELS: usize = 5;
+/// Gives the pause between them.
+const CANCEL_PAUSE: Duration = Duration::from_millis(20);
 /// Bounds the exchanges that carry answers.
 const LIMITS: Limits = Limits {
     body: 1 << 20,
@@ -36,8 +41,8 @@
     head: Duration::from_millis(3_000),
     idle: Duration::from_millis(3_000),
 };
-/// Bounds the exchange that tells a crash from a cut connection.
-const PROBE_LIMITS: Limits = Limits {
+/// Bounds the exchange that stops a run and tells a crash from a cut connection.
+const CANCEL_LIMITS: Limits = Limits {
     body: 1 << 20,
     connect: Duration::from_millis(300),
     head: Duration::from_millis(500),
@@ -68,6 +73,17 @@
     pub reason: Reason,
 }
 
+/// Tells what became of a run on its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// Means that the upstream crashed while the request was in flight on it.
+    Crashed,
+    /// Means that the request no longer runs, or never did.
+    Stopped,
+    /// Means that the request may still run.
+    Unknown,
+}
+
 /// Holds what an attempt needs and changes.
 pub struct Attempt<'a> {
     /// Tells whether no other suspect may run on the upstream.
@@ -78,6 +94,8 @@
     pub context: &'a Context,
     /// Reaches the upstream.
     pub grant: &'a Grant,
+    /// Names the run of the upstream that the request was sent to, as far as it is known.
+    pub incarnation: Option<Incarnation>,
     /// Holds the request.
     pub job: &'a Job,
     /// Numbers the attempt from 1.
@@ -91,28 +109,48 @@
 }
 
 impl Attempt<'_> {
-    /// Runs the attempt on the engine at `address` until it ends.
-    pub async fn run(&mut self, address: std::net::SocketAddr) -> Ended {
+    /// Runs the attempt on the engine at `address` until it ends, and makes sure that it did.
+    pub async fn run(&mut self, address: SocketAddr) -> (Ended, Fate) {
         let context = self.context;
         let renewal = context
             .suspects
             .renew(&self.grant.upstream, self.pass, self.alone);
         let parts = self.parts.clone();
-        tokio::select! {
+        let ended = tokio::select! {
             ended = self.exchange(Client::new(address, LIMITS)) => ended,
-            () = parts.closed() => {
-                self.cancel(Client::new(address, PROBE_LIMITS));
-                Ended::Left
-            }
+            () = parts.closed() => Ended::Left,
             () = renewal => Ended::Left,
-        }
+        };
+        let fate = match &ended {
+            Ended::Broken(broken) if broken.not_run == NotRun::True => Fate::Stopped,
+            Ended::Broken(_) | Ended::Left => self.stop(address).await,
+            Ended::Whole(_) => Fate::Stopped,
+        };
+        (named(ended, fate), fate)
     }
 
-    fn cancel(&self, client: Client) {
-        let id = self.id();
-        tokio::spawn(async move {
-            let _ = client.cancel(id).await;
-        });
+    /// Cancels the run and tells what became of it.
+    ///
+    /// After a crash the engine takes no connection or is another run. One that does not answer in
+    /// time has not been seen to crash, but may still be running the request.
+    async fn stop(&self, address: SocketAddr) -> Fate {
+        let client = Client::new(address, CANCEL_LIMITS);
+        for _ in 0..CANCELS {
+            match client.cancel(self.id()).await {
+                Err(Error::Connect { .. }) => return Fate::Crashed,
+                Err(Error::Cut { .. }) => tokio::time::sleep(CANCEL_PAUSE).await,
+                Err(_) => return Fate::Unknown,
+                Ok(signed) => {
+                    let found = signed.signature.incarnation;
+                    self.context.health.observe(&self.grant.upstream, found);
+                    return match self.incarnation == Some(found) {
+                        false => Fate::Crashed,
+                        true => Fate::Stopped,
+                    };
+                }
+            }
+        }
+        Fate::Unknown
     }
 
     fn id(&self) -> String {
@@ -121,28 +159,33 @@
 
     async fn exchange(&mut self, client: Client) -> Ended {
         let upstream = &self.grant.upstream;
-        let before = self.grant.incarnation;
-        let before = before.or_else(|| self.context.health.incarnation(upstream));
+        let known = self.grant.incarnation;
+        self.incarnation = known.or_else(|| self.context.health.incarnation(upstream));
         let resume = self.answer.resume();
         let request = self.request(resume);
         let planned = self.planned();
         let opened = client.complete(&request, planned.as_ref()).await;
         let mut stream = match opened {
-            Err(error) => return self.broken(&error, before).await,
+            Err(error) => return self.broken(&error),
             Ok(stream) => stream,
         };
         let signature = stream.signature().clone();
-        let incarnation = signature.incarnation;
-        self.context.health.observe(upstream, incarnation);
+        self.observe(signature.incarnation);
         if let Err(fault) = self.answer.begin(request.id, signature.version) {
             return faulty(&fault);
         }
         match self.read(&mut stream).await {
+            Err(error) => self.broken(&error),
             Ok(ended) => ended,
-            Err(error) => self.broken(&error, Some(incarnation)).await,
         }
     }
 
+    fn observe(&mut self, incarnation: Incarnation) {
+        self.incarnation = Some(incarnation);
+        let upstream = &self.grant.upstream;
+        self.context.health.observe(upstream, incarnation);
+    }
+
     async fn read(&mut self, stream: &mut Stream) -> Result<Ended, Error> {
         loop {
             let accepted = match stream.next().await? {
@@ -182,21 +225,14 @@
         sent.is_ok()
     }
 
-    async fn broken(&self, error: &Error, before: Option<Incarnation>) -> Ended {
+    fn broken(&mut self, error: &Error) -> Ended {
         let reason = match error {
             Error::Body { .. } | Error::Format { .. } => Reason::Format,
             Error::Connect { .. } | Error::ConnectTimeout { .. } => Reason::Connect,
-            Error::Cut { address, .. } | Error::Idle { address, .. } => {
-                let probe = Client::new(*address, PROBE_LIMITS);
-                match (self.crashed(probe, before).await, error) {
-                    (true, _) => Reason::Crash,
-                    (false, Error::Cut { .. }) => Reason::Cut,
-                    (false, _) => Reason::Idle,
-                }
-            }
+            Error::Cut { .. } => Reason::Cut,
+            Error::Idle { .. } => Reason::Idle,
             Error::Mismatch { found, .. } => {
-                let upstream = &self.grant.upstream;
-                self.context.health.observe(upstream, found.incarnation);
+                self.observe(found.incarnation);
                 Reason::Mismatch
             }
             Error::Refused { .. } => Reason::Refused,
@@ -211,20 +247,6 @@
         })
     }
 
-    /// Tells a crash from a cut or silent connection: after a crash the engine takes no
-    /// connection or is another run. One that cannot be asked in time has not been seen to crash.
-    async fn crashed(&self, probe: Client, before: Option<Incarnation>) -> bool {
-        match probe.load().await {
-            Err(Error::Connect { .. }) => true,
-            Err(_) => false,
-            Ok(load) => {
-                let upstream = &self.grant.upstream;
-                self.context.health.observe(upstream, load.incarnation);
-                before != Some(load.incarnation)
-            }
-        }
-    }
-
     fn planned(&self) -> Option<Signature> {
         let incarnation = self.grant.incarnation?;
         let version = self.grant.version.clone()?;
@@ -264,6 +286,17 @@
     }
 }
 
+/// Names a cut by its cause where that was a crash.
+fn named(ended: Ended, fate: Fate) -> Ended {
+    match ended {
+        Ended::Broken(broken) if fate == Fate::Crashed => Ended::Broken(Broken {
+            reason: Reason::Crash,
+            ..broken
+        }),
+        ended => ended,
+    }
+}
+
 fn faulty(fault: &Fault) -> Ended {
     let reason = match fault {
         Fault::Cancelled { .. } => Reason::Refused,
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -72,6 +72,7 @@
     context: Arc<Context>,
     drain: watch::Sender<bool>,
     feeds: JoinHandle<()>,
+    peer: SocketAddr,
     server: Option<JoinHandle<()>>,
     stop: watch::Sender<bool>,
 }
@@ -101,6 +102,7 @@
         let options = links.membership(&settings, address);
         let member = member::start(options, links.pool.clone(), clock, log.clone())
             .change_context(Error::Duty { duty: "member" })?;
+        let suspects = Suspects::new(clock, member.clone(), links.pool.clone());
         let context = Arc::new(Context {
             address,
             broker,
@@ -115,7 +117,7 @@
             metrics: metric::install(),
             pool: links.pool.clone(),
             settings: settings.clone(),
-            suspects: Suspects::new(clock),
+            suspects: suspects.clone(),
             voter,
         });
         let feeds = tokio::spawn(feed::run(context.clone(), resyncs));
@@ -125,7 +127,7 @@
                 let server = server(&context, entry);
                 tokio::spawn(server.run(listener, stopped))
             });
-        links.serve(peer::Service { member }, &log);
+        links.serve(peer::Service { member, suspects }, &log);
         tokio::spawn(load::watch(context.clone()));
         let details = slog::o!(
             "host" => settings.name.clone(),
@@ -137,6 +139,7 @@
             context,
             drain,
             feeds,
+            peer: links.address,
             server,
             stop,
         })
@@ -147,6 +150,11 @@
         self.context.address
     }
 
+    /// Returns the address that other daemons are told.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Takes the host off the list, serves on for the lifetime of addresses, ends the last request
     /// and returns how that went; `again` ends the rest at once.
     pub async fn drain(&mut self, again: impl Future<Output = ()>) -> Outcome {
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -10,7 +10,9 @@
 use tokio::net::TcpListener;
 
 use crate::member;
+use crate::suspects::Suspects;
 use coordination::gossip::Message;
+use coordination::quarantine;
 use protocol::peer::Peer;
 use transport::event;
 use transport::event::Event;
@@ -25,6 +27,8 @@
 pub struct Service {
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
+    /// Answers for the requests that may crash upstreams.
+    pub suspects: Suspects,
 }
 
 impl Peer for Service {
@@ -36,6 +40,10 @@
     }
 
     async fn ping(self, _: Context) {}
+
+    async fn suspect(self, _: Context, call: quarantine::Call) -> quarantine::Answer {
+        self.suspects.answer(call)
+    }
 }
 
 /// Answers the calls of other daemons until the task is dropped.
--- a/crates/hibiscushoistd/src/stream.rs
+++ b/crates/hibiscushoistd/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::attempt::Attempt;
 use crate::attempt::Broken;
 use crate::attempt::Ended;
+use crate::attempt::Fate;
 use crate::broker;
 use crate::context::Context;
 use crate::job::Job;
@@ -132,15 +133,16 @@
             answer: &mut self.answer,
             context: self.context,
             grant: &place.grant,
+            incarnation: None,
             job: self.job,
             number: self.attempts,
             parts: self.parts,
             pass: place.pass,
             started: None,
         };
-        let ended = attempt.run(place.address).await;
+        let (ended, fate) = attempt.run(place.address).await;
         let started = attempt.started;
-        self.settle(&place, &ended).await;
+        self.settle(&place, &ended, fate).await;
         match ended {
             Ended::Broken(broken) => {
                 self.story.end(broken.reason.to_string(), started);
@@ -200,7 +202,7 @@
             };
             let grant = match granted {
                 Err(error) => {
-                    self.leave("", pass, Outcome::Stopped).await;
+                    self.context.suspects.leave(pass, Outcome::Stopped).await;
                     if let Verdict::Held(millis) = verdict {
                         return Err(self.held(millis));
                     }
@@ -306,11 +308,7 @@
 
     async fn give_back(&self, grant: &Grant, pass: Pass) {
         self.report(grant, Progress::Failed);
-        self.leave(&grant.upstream, pass, Outcome::Stopped).await;
-    }
-
-    async fn leave(&self, upstream: &str, pass: Pass, outcome: Outcome) {
-        self.context.suspects.leave(upstream, pass, outcome).await;
+        self.context.suspects.leave(pass, Outcome::Stopped).await;
     }
 
     async fn pause(&mut self, reason: &str, pause: u64) {
@@ -358,31 +356,36 @@
         });
     }
 
-    async fn settle(&self, place: &Place, ended: &Ended) {
+    async fn settle(&self, place: &Place, ended: &Ended, fate: Fate) {
         let upstream = &place.grant.upstream;
         let health = &self.context.health;
-        let (progress, outcome) = match ended {
+        let progress = match ended {
             Ended::Broken(broken) => {
                 match broken.reason {
                     retry::Reason::Mismatch | retry::Reason::Refused => {}
                     reason => health.failed(upstream, reason),
                 }
-                let crashed = broken.reason == retry::Reason::Crash;
-                let outcome = if crashed {
-                    Outcome::Crashed
-                } else {
-                    Outcome::Stopped
-                };
-                (Progress::Failed, outcome)
+                Progress::Failed
             }
-            Ended::Left => (Progress::Finished, Outcome::Stopped),
+            Ended::Left => Progress::Finished,
             Ended::Whole(_) => {
                 health.succeeded(upstream);
-                (Progress::Finished, Outcome::Whole)
+                Progress::Finished
             }
         };
         self.report(&place.grant, progress);
-        self.leave(upstream, place.pass, outcome).await;
+        let outcome = match (ended, fate) {
+            (Ended::Whole(_), _) => Outcome::Whole,
+            (_, Fate::Crashed) => Outcome::Crashed,
+            (_, Fate::Stopped) => Outcome::Stopped,
+            // The run stays counted until its lease is over.
+            (_, Fate::Unknown) => return,
+        };
+        let suspects = &self.context.suspects;
+        if place.alone {
+            suspects.release(upstream, place.pass).await;
+        }
+        suspects.leave(place.pass, outcome).await;
     }
 }
 
--- a/crates/hibiscushoistd/src/suspects.rs
+++ b/crates/hibiscushoistd/src/suspects.rs
@@ -1,30 +1,57 @@
 //! Asks the owner of a request's digest whether the request may run.
+//!
+//! An owner that does not answer in time is passed over for a while in favour of the next in rank,
+//! at last this host. Two hosts that see different owners each keep to the bound on their own.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use crate::member;
+use crate::pool::Pool;
+use coordination::ownership;
+use coordination::quarantine;
+use coordination::quarantine::Answer;
+use coordination::quarantine::Call;
 use coordination::quarantine::Outcome;
 use coordination::quarantine::Policy;
 use coordination::quarantine::Quarantine;
 use coordination::quarantine::Ticket;
 use coordination::quarantine::Verdict;
+use coordination::view::Member;
+use coordination::view::View;
 use state::ident::Digest;
+use state::time::Instant;
 use transport::clock::Clock;
 use transport::metric;
 
+/// Bounds the wait for an owner.
+const CALL_LIMIT: Duration = Duration::from_millis(250);
+/// Bounds the owners that are asked in turn.
+const OWNERS: usize = 2;
+/// Gives how long an owner that did not answer is passed over, in milliseconds.
+const PASSED_OVER: u64 = 1_000;
 /// Gives the time between renewals of a run.
 const RENEWAL: Duration = Duration::from_secs(5);
 
 /// Reaches the owners of digests.
-#[derive(Debug)]
+#[derive(Clone)]
 pub struct Suspects {
     clock: Clock,
-    own: Mutex<Quarantine>,
+    member: member::Handle,
+    pool: Option<Pool>,
+    shared: Arc<Mutex<Shared>>,
 }
 
-/// Names one run of a request with its owner.
+struct Shared {
+    own: Quarantine,
+    silent: BTreeMap<String, Instant>,
+}
+
+/// Names one run of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Pass {
     /// Identifies the request's content.
@@ -35,17 +62,31 @@
 
 impl Suspects {
     /// Returns suspects that nobody was told of yet.
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, member: member::Handle, pool: Option<Pool>) -> Self {
+        let shared = Shared {
+            own: Quarantine::new(Policy::default()),
+            silent: BTreeMap::new(),
+        };
         Self {
             clock,
-            own: Mutex::new(Quarantine::new(Policy::default())),
+            member,
+            pool,
+            shared: Arc::new(Mutex::new(shared)),
         }
     }
 
+    /// Answers a call for what this host owns.
+    pub fn answer(&self, call: Call) -> Answer {
+        let now = self.clock.now();
+        self.lock().own.answer(now, call)
+    }
+
     /// Asks whether the request may run.
     pub async fn enter(&self, pass: Pass) -> Verdict {
-        let now = self.clock.now();
-        let verdict = self.lock().enter(now, pass.digest, pass.ticket);
+        let call = Call::Enter(pass.digest, pass.ticket);
+        let Answer::Verdict(verdict) = self.ask_owner(pass.digest, call).await else {
+            return Verdict::Run;
+        };
         if let Verdict::Held(_) = verdict {
             metrics::counter!(metric::QUARANTINED).increment(1);
         }
@@ -54,33 +95,110 @@
 
     /// Asks to be the only suspect on `upstream`.
     pub async fn isolate(&self, upstream: &str, pass: Pass) -> bool {
-        let now = self.clock.now();
-        self.lock().isolate(now, upstream, pass.ticket)
+        let call = Call::Isolate(upstream.to_owned(), pass.ticket);
+        self.ask_broker(upstream, call).await == Answer::Isolated(true)
     }
 
-    /// Tells how the run on `upstream` ended.
-    pub async fn leave(&self, upstream: &str, pass: Pass, outcome: Outcome) {
-        let now = self.clock.now();
-        let outcome_name: &'static str = outcome.into();
-        metrics::counter!(metric::RUNS, "outcome" => outcome_name).increment(1);
-        let mut own = self.lock();
-        own.release(upstream, pass.ticket);
-        own.leave(now, pass.digest, pass.ticket, outcome);
+    /// Tells how a run ended.
+    pub async fn leave(&self, pass: Pass, outcome: Outcome) {
+        let name: &'static str = outcome.into();
+        metrics::counter!(metric::RUNS, "outcome" => name).increment(1);
+        let call = Call::Leave(pass.digest, pass.ticket, outcome);
+        let answer = self.ask_owner(pass.digest, call).await;
+        if let (Outcome::Crashed, Answer::Left(crashes)) = (outcome, answer) {
+            self.spread(&Call::Adopt(pass.digest, crashes));
+        }
+    }
+
+    /// Frees `upstream` for other suspects.
+    pub async fn release(&self, upstream: &str, pass: Pass) {
+        let call = Call::Release(upstream.to_owned(), pass.ticket);
+        self.ask_broker(upstream, call).await;
     }
 
     /// Keeps the run on `upstream` counted, and alone where it is, for as long as this is polled.
     pub async fn renew(&self, upstream: &str, pass: Pass, alone: bool) {
         loop {
             tokio::time::sleep(RENEWAL).await;
-            let now = self.clock.now();
-            self.lock().renew(now, pass.digest, pass.ticket);
+            let call = Call::Renew(pass.digest, pass.ticket);
+            self.ask_owner(pass.digest, call).await;
             if alone {
                 self.isolate(upstream, pass).await;
             }
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Quarantine> {
-        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    async fn ask_broker(&self, upstream: &str, call: Call) -> Answer {
+        let view = self.view();
+        let owner = ownership::owner(&view, upstream);
+        self.ask(owner.into_iter().collect(), &view, call).await
+    }
+
+    async fn ask_owner(&self, digest: Digest, call: Call) -> Answer {
+        let view = self.view();
+        self.ask(quarantine::owners(&view, digest), &view, call)
+            .await
+    }
+
+    async fn ask(&self, owners: Vec<&Member>, view: &View, call: Call) -> Answer {
+        for owner in owners.into_iter().take(OWNERS) {
+            let host = &owner.record.host;
+            if *host == view.me {
+                break;
+            }
+            if self.is_silent(host) {
+                continue;
+            }
+            match self.send(owner, call.clone()).await {
+                None => self.pass_over(host),
+                Some(answer) => return answer,
+            }
+        }
+        self.answer(call)
+    }
+
+    async fn send(&self, member: &Member, call: Call) -> Option<Answer> {
+        let record = &member.record;
+        let host = Some(record.host.clone());
+        let client = self.pool.as_ref()?.client(record.profile.peer, host);
+        let call = client.call(CALL_LIMIT, |peer, context| async move {
+            peer.suspect(context, call).await
+        });
+        let answered = tokio::time::timeout(CALL_LIMIT, call).await;
+        answered.ok()?.ok()
+    }
+
+    /// Tells all other hosts, so that whichever owns the digest next knows of its crashes.
+    fn spread(&self, call: &Call) {
+        let view = self.view();
+        for member in &view.hosts {
+            if member.record.host == view.me {
+                self.answer(call.clone());
+                continue;
+            }
+            let (suspects, member, call) = (self.clone(), member.clone(), call.clone());
+            tokio::spawn(async move { suspects.send(&member, call).await });
+        }
+    }
+
+    fn is_silent(&self, host: &str) -> bool {
+        let now = self.clock.now();
+        self.lock()
+            .silent
+            .get(host)
+            .is_some_and(|until| now < *until)
+    }
+
+    fn pass_over(&self, host: &str) {
+        let until = self.clock.now() + PASSED_OVER;
+        self.lock().silent.insert(host.to_owned(), until);
+    }
+
+    fn view(&self) -> Arc<View> {
+        self.member.view().borrow().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/hibiscushoistd/tests/streams.rs
+++ b/crates/hibiscushoistd/tests/streams.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use tokio::time::timeout;
 
+use fakes::engine::Counts;
 use fakes::engine::Faults;
 use fakes::engine::Options;
 use support::Bench;
@@ -16,6 +17,7 @@
 use support::Response;
 use support::Test;
 
+const ATTEMPTS: usize = 8;
 const OUTER_LIMIT: Duration = Duration::from_secs(60);
 const PATH: &str = "/v1/completions";
 const TOKENS: u64 = 20;
@@ -103,7 +105,7 @@
     assert_eq!(response.json()["error"]["reason"], "upstream_failed");
     assert_eq!(response.json()["error"]["not_run"], "unknown");
     let found = outcomes(&explanation(&bench, &response).await);
-    assert_eq!(found, vec![("crossed".to_owned(), 0); 4]);
+    assert_eq!(found, vec![("crossed".to_owned(), 0); ATTEMPTS]);
 }
 
 #[tokio::test]
@@ -175,6 +177,29 @@
     timeout(OUTER_LIMIT, stopped).await.expect("the run stops");
 }
 
+#[tokio::test]
+async fn a_caller_that_leaves_before_the_first_token_stops_its_answer() {
+    let slow = Options {
+        token_time: OUTER_LIMIT,
+        ..Options::default()
+    };
+    let bench = Test::new().engine(slow).start().await;
+    let count = |count: fn(&Counts) -> u64| {
+        let engine = &bench.engines[0];
+        let counted = async move {
+            while count(&engine.counts()) == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(OUTER_LIMIT, counted)
+    };
+    tokio::select! {
+        _ = post(&bench) => panic!("the answer takes longer"),
+        started = count(|c| c.started) => started.expect("the run starts"),
+    }
+    count(|c| c.stopped).await.expect("the run stops");
+}
+
 #[tokio::test]
 async fn connections_that_went_silent_are_replaced() {
     let slow = Options {
--- a/crates/hibiscushoistd/tests/support/mod.rs
+++ b/crates/hibiscushoistd/tests/support/mod.rs
@@ -32,6 +32,9 @@
 pub struct Test {
     engines: Vec<engine::Options>,
     entry: String,
+    name: String,
+    peer: String,
+    upstreams: Vec<SocketAddr>,
 }
 
 impl Test {
@@ -39,9 +42,31 @@
         Self {
             engines: Vec::new(),
             entry: String::new(),
+            name: "a".to_owned(),
+            peer: String::new(),
+            upstreams: Vec::new(),
         }
     }
 
+    /// Names the host and lets it meet the hosts at `seeds`.
+    pub fn host(mut self, name: &str, seeds: &[SocketAddr]) -> Self {
+        let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
+        let key = "5a".repeat(32);
+        let seeds = match seeds.is_empty() {
+            false => format!("seeds = {}\n", seeds.join(", ")),
+            true => String::new(),
+        };
+        self.name = name.to_owned();
+        self.peer = format!("[peer]\nlisten = 127.0.0.1:0\nkey = {key}\n{seeds}");
+        self
+    }
+
+    /// Adds a row for an engine that runs already, named `u1` and on.
+    pub fn upstream(mut self, address: SocketAddr) -> Self {
+        self.upstreams.push(address);
+        self
+    }
+
     /// Adds a stand-in engine, named `u1` and on.
     pub fn engine(mut self, options: engine::Options) -> Self {
         self.engines.push(options);
@@ -58,11 +83,13 @@
     /// Starts the daemon and the stand-ins, and fills the table.
     pub async fn start(self) -> Bench {
         let text = format!(
-            "[daemon]\nname = a\nfleet = test\nfailure_domain = one\nroles = broker, entry\n\
+            "[daemon]\nname = {}\nfleet = test\nfailure_domain = one\nroles = broker, entry\n\
              [entry]\nlisten = 127.0.0.1:0\naddress_lifetime_ms = 1\n{}\
-             [operator]\nkey_hash = {}\n",
+             [operator]\nkey_hash = {}\n{}",
+            self.name,
             self.entry,
             auth::hash(OPERATOR_KEY),
+            self.peer,
         );
         let settings = Settings::parse("a.ini", text).expect("the settings are good");
         let daemon = Daemon::start(settings, log::discard()).await;
@@ -77,6 +104,9 @@
         }
         let cells = json!({"block_bytes": "64", "version": "v1"});
         bench.add("models", "m", cells).await;
+        for (i, address) in self.upstreams.into_iter().enumerate() {
+            bench.add_engine(&format!("u{}", i + 1), address).await;
+        }
         for options in self.engines {
             bench.start_engine(options).await;
         }
@@ -193,13 +223,18 @@
     pub async fn start_engine(&mut self, options: engine::Options) {
         let engine = Engine::start(options).await.expect("the engine starts");
         let row = format!("u{}", self.engines.len() + 1);
+        self.add_engine(&row, engine.address()).await;
+        self.engines.push(engine);
+    }
+
+    /// Adds the row of an engine that runs already.
+    pub async fn add_engine(&self, row: &str, address: SocketAddr) {
         let cells = BTreeMap::from([
-            ("address", engine.address().to_string()),
+            ("address", address.to_string()),
             ("model", "m".to_owned()),
             ("type", "engine".to_owned()),
         ]);
-        self.add("upstreams", &row, json!(cells)).await;
-        self.engines.push(engine);
+        self.add("upstreams", row, json!(cells)).await;
     }
 
     /// Waits until the daemon has read the load of every stand-in engine.
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,6 +1,7 @@
 //! The one service that daemons offer each other over an authenticated connection.
 
 use coordination::gossip::Message;
+use coordination::quarantine;
 
 /// Numbers the form of the messages; a connection needs the same number on both ends.
 pub const VERSION: u32 = 1;
@@ -14,4 +15,6 @@
     async fn gossip(message: Message) -> Message;
     /// Returns at once, which shows that the connection works both ways.
     async fn ping();
+    /// Answers for the requests that may crash upstreams.
+    async fn suspect(call: quarantine::Call) -> quarantine::Answer;
 }
--- a/crates/transport/src/engine.rs
+++ b/crates/transport/src/engine.rs
@@ -82,10 +82,9 @@
     /// # Errors
     ///
     /// Returns the error of the exchange.
-    pub async fn cancel(&self, id: impl Into<String>) -> Result<engine::Cancelled, Error> {
+    pub async fn cancel(&self, id: impl Into<String>) -> Result<Signed<engine::Cancelled>, Error> {
         let cancel = engine::Cancel { id: id.into() };
-        let signed = self.post(engine::CANCEL, &cancel).await?;
-        Ok(signed.answer)
+        self.post(engine::CANCEL, &cancel).await
     }
 
     /// Starts an answer, where `planned` names the run and the weights it must come from.
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -19,6 +19,7 @@
 use coordination::gossip::Body;
 use coordination::gossip::Message;
 use coordination::host::Version;
+use coordination::quarantine;
 use protocol::peer::Peer;
 use transport::peer::Client;
 use transport::peer::Error;
@@ -48,6 +49,10 @@
     }
 
     async fn ping(self, _: Context) {}
+
+    async fn suspect(self, _: Context, _: quarantine::Call) -> quarantine::Answer {
+        quarantine::Answer::Done
+    }
 }
 
 fn message() -> Message {
