--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -2,19 +2,40 @@
 //!
 //! Every decision is a step function: it takes the time and an event and returns typed effects.
 
+mod raft_election;
+mod raft_follower;
+mod raft_leader;
+
+pub mod addresses;
 pub mod admission;
 pub mod ask;
 pub mod breaker;
 pub mod broker;
 pub mod capacity;
+pub mod drain;
+pub mod gossip;
 pub mod grant;
+pub mod host;
 pub mod lease;
+pub mod liveness;
 pub mod machine;
 pub mod membership;
 pub mod order;
+pub mod ownership;
 pub mod placement;
 pub mod pool;
 pub mod quarantine;
+pub mod quorum;
+pub mod raft;
+pub mod raft_entry;
+pub mod raft_log;
+pub mod raft_message;
+pub mod raft_progress;
+pub mod raft_settings;
+pub mod rendezvous;
 pub mod report;
 pub mod retry;
+pub mod roster;
+pub mod rumor;
 pub mod stream;
+pub mod view;
