--- /dev/null
+++ b/crates/coordination/examples/measure/router.rs
@@ -0,0 +1,169 @@
+//! The policies that are compared: the broker and three baselines.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use coordination::ask::Ask;
+use coordination::ask::Ticket;
+use coordination::broker::Broker;
+use coordination::broker::Effect;
+use coordination::broker::Event;
+use state::column::Column;
+use state::edit::Action;
+use state::edit::Edit;
+use state::ident::Block;
+use state::row;
+use state::sheet::Sheet;
+use state::table::Table;
+use state::time::Instant;
+use strum::Display;
+use strum::EnumIter;
+
+use crate::work;
+use crate::work::Deployment;
+use crate::work::Request;
+
+const STICKY_LEVELS: usize = 2;
+const WORKSPACES: usize = 8;
+
+/// Names a policy.
+#[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Policy {
+    /// Means the broker of this package.
+    Broker,
+    /// Means the engine with the fewest requests that were sent to it.
+    LeastLoad,
+    /// Means each engine in turn.
+    RoundRobin,
+    /// Means the engine that a hash of the prompt's upper levels names.
+    StickyHash,
+}
+
+/// Chooses engines for requests.
+pub struct Router {
+    /// Holds the broker.
+    pub broker: Broker,
+    /// Counts the requests sent to each engine.
+    pub inflight: Vec<u32>,
+    /// Tells which engines are thought to run.
+    pub usable: Vec<bool>,
+    next: usize,
+    policy: Policy,
+    sticky_blocks: usize,
+}
+
+impl Router {
+    /// Returns a router for a deployment.
+    pub fn new(policy: Policy, deployment: &Deployment) -> Self {
+        let mut broker = Broker::default();
+        let table = Arc::new(table(deployment));
+        broker.step(Instant(0), Event::Table { owned: None, table });
+        Self {
+            broker,
+            inflight: vec![0; deployment.engines],
+            next: 0,
+            policy,
+            sticky_blocks: deployment.levels[..STICKY_LEVELS].iter().sum(),
+            usable: vec![true; deployment.engines],
+        }
+    }
+
+    /// Chooses an engine at once, as the baselines do.
+    pub fn choose(&mut self, request: &Request) -> Option<usize> {
+        let usable: Vec<usize> = (0..self.usable.len()).filter(|e| self.usable[*e]).collect();
+        self.next += 1;
+        match self.policy {
+            Policy::Broker => None,
+            Policy::LeastLoad => usable.into_iter().min_by_key(|e| (self.inflight[*e], *e)),
+            Policy::RoundRobin => usable.get(self.next % usable.len().max(1)).copied(),
+            Policy::StickyHash => {
+                let root = request.blocks[..self.sticky_blocks].last()?;
+                usable
+                    .into_iter()
+                    .max_by_key(|engine| mixed(*root, *engine))
+            }
+        }
+    }
+
+    /// Passes an event to the broker, where it is the policy.
+    pub fn step(&mut self, now: u64, event: Event) -> Vec<Effect> {
+        match self.policy {
+            Policy::Broker => self.broker.step(Instant(now / 1_000), event),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Returns the ask for a request.
+pub fn ask(request: &Request, ticket: Ticket, deadline_ms: u64, excluded: Vec<String>) -> Ask {
+    let whole = request.blocks.len() as u32 * coordination::pool::BLOCK_TOKENS;
+    Ask {
+        blocks: request.blocks.to_vec(),
+        caller: format!("c{}", request.caller),
+        deadline_ms,
+        domain: "d0".to_owned(),
+        excluded,
+        kind: request.rank.to_string(),
+        model: "m".to_owned(),
+        output_tokens: request.output,
+        prompt_tokens: whole + request.tail,
+        rank: request.rank,
+        ticket,
+        version: None,
+        workspace: work::workspace(request.workspace),
+    }
+}
+
+/// Returns the name of an engine.
+pub fn engine(index: usize) -> String {
+    format!("e{index:02}")
+}
+
+fn mixed(block: Block, engine: usize) -> u128 {
+    block.child(&engine.to_le_bytes()).0
+}
+
+fn table(deployment: &Deployment) -> Table {
+    let mut table = Table::default();
+    for index in 0..deployment.engines {
+        let domain = format!("d{}", index % 3);
+        let cells = [
+            (Column::Address, "192.0.2.1:1"),
+            (Column::Domain, domain.as_str()),
+            (Column::Model, "m"),
+            (Column::Type, "engine"),
+        ];
+        add(&mut table, Sheet::Upstreams, engine(index), &cells);
+    }
+    let cells = [(Column::Address, "192.0.2.1:2"), (Column::Type, "kv_store")];
+    add(&mut table, Sheet::Upstreams, "store".to_owned(), &cells);
+    let trade = deployment.trade.to_string();
+    let hash = "0".repeat(64);
+    for index in 0..WORKSPACES {
+        let cells = [(Column::KeyHash, hash.as_str()), (Column::Trade, &trade)];
+        add(
+            &mut table,
+            Sheet::Workspaces,
+            work::workspace(index),
+            &cells,
+        );
+    }
+    for (name, floor) in [("background", "20"), ("urgent", "0")] {
+        let cells = [(Column::Rank, name), (Column::Floor, floor)];
+        add(&mut table, Sheet::Kinds, name.to_owned(), &cells);
+    }
+    table
+}
+
+fn add(table: &mut Table, sheet: Sheet, row: String, cells: &[(Column, &str)]) {
+    let cells = cells.iter().map(|(c, text)| (*c, (*text).to_owned()));
+    let edit = Edit {
+        action: Action::Add(cells.collect::<BTreeMap<_, _>>()),
+        author: "measure".to_owned(),
+        if_revision: 0,
+        key: String::new(),
+        name: row::Name { row, sheet },
+    };
+    table.apply(&edit).expect("the table is valid");
+}
