Count the work that waits for an upstream, and name a cache to import from

Requests that wait for the same warm upstream each thought themselves next, and blocks that had left an engine were computed again although the store held them. A search now adds the work it passes over to the upstream that it waits for, and each grant names the deepest known cache. The model's store starts with every shared prompt, as after hours of service, and the baselines import from it as well, so that they differ in routing alone.

--- a/crates/coordination/examples/measure/figures.rs
+++ b/crates/coordination/examples/measure/figures.rs
@@ -15,6 +15,7 @@
 
 const FLOOD_US: std::ops::Range<u64> = 32_000_000..60_000_000;
 const PERCENT: f64 = 100.0;
+const STEADY_US: std::ops::Range<u64> = 20_000_000..58_000_000;
 
 /// Holds the figures of one rank.
 #[derive(Clone, Debug, Default)]
@@ -52,7 +53,7 @@
     /// Takes the figures of `run`; in a flood, of the time of the flood only.
     pub fn of(run: &Run, scene: Scene) -> Self {
         let counted = |request: &Request| match scene {
-            Scene::Alone | Scene::Steady => request.at >= work::WARM_US,
+            Scene::Alone | Scene::Steady => STEADY_US.contains(&request.at),
             Scene::BackgroundFlood | Scene::UrgentFlood => FLOOD_US.contains(&request.at),
         };
         let all: Vec<(&Request, &Record)> = run
--- a/crates/coordination/examples/measure/main.rs
+++ b/crates/coordination/examples/measure/main.rs
@@ -1,6 +1,6 @@
 //! Measures the broker against three baselines in virtual time, for the sizes of both deployments.
 //!
-//! `cargo run --release -p coordination --example measure [SEED]`
+//! `cargo run --release -p coordination --example measure [SEED [POLICY]]`
 
 mod cache;
 mod engine;
@@ -53,13 +53,15 @@
 fn main() {
     let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let seed = seed.unwrap_or(DEFAULT_SEED);
+    let only = std::env::args().nth(2);
     println!("Seed {seed}, blocks of {BLOCK_TOKENS} tokens.");
     for deployment in &DEPLOYMENTS {
         let alone = alone(deployment, seed);
         for scene in [Scene::Steady, Scene::BackgroundFlood, Scene::UrgentFlood] {
             println!("\n### {}: {scene:?}\n", deployment.name);
             head();
-            for policy in Policy::iter() {
+            let wanted = |policy: &Policy| only.as_ref().is_none_or(|o| *o == policy.to_string());
+            for policy in Policy::iter().filter(wanted) {
                 let run = Run::new(policy, deployment, scene, seed);
                 row(policy, &Figures::of(&run, scene), alone);
             }
--- a/crates/coordination/examples/measure/run.rs
+++ b/crates/coordination/examples/measure/run.rs
@@ -155,6 +155,9 @@
             store_sequence: 0,
             tickets: HashMap::new(),
         };
+        for blocks in work::prompts(deployment) {
+            run.store.touch(&blocks);
+        }
         run.start();
         run.drive();
         run
@@ -267,7 +270,8 @@
         if let Some(engine) = self.router.choose(&request) {
             self.placed.insert(at, (engine, ticket));
             self.router.inflight[engine] += 1;
-            self.after(HOP_US, What::Push(at, engine, 0, request.rank));
+            let import = self.store.depth(&request.blocks);
+            self.after(HOP_US, What::Push(at, engine, import, request.rank));
         }
     }
 
@@ -353,6 +357,10 @@
                     self.records[at].first = Some(self.now + HOP_US + CLIENT_US);
                     self.records[at].origin = origin;
                     self.after(HOP_US, What::Done(at, ticket, Progress::FirstToken));
+                    if self.policy != Policy::Broker {
+                        let blocks = Rc::clone(&self.requests[at].blocks);
+                        self.after(EXPORT_US, What::Export(blocks));
+                    }
                 }
             }
         }
--- a/crates/coordination/examples/measure/work.rs
+++ b/crates/coordination/examples/measure/work.rs
@@ -11,8 +11,6 @@
 
 /// Gives the length of a run, in microseconds.
 pub const LENGTH_US: u64 = 70 * SECOND_US;
-/// Gives the time from which requests are counted.
-pub const WARM_US: u64 = 20 * SECOND_US;
 /// Gives one second.
 pub const SECOND_US: u64 = 1_000_000;
 
@@ -128,6 +126,24 @@
     requests
 }
 
+/// Returns the shared part of every prompt.
+pub fn prompts(deployment: &Deployment) -> Vec<Vec<Block>> {
+    let mut prompts: Vec<Vec<Block>> = Vec::new();
+    for workspace in 0..WORKSPACES {
+        let root = Block::root(&self::workspace(workspace), "m", "v1");
+        let mut level = vec![(root, Vec::new())];
+        for (number, count) in deployment.levels.into_iter().enumerate() {
+            let parts = |(block, blocks): &(Block, Vec<Block>)| {
+                let extend = |part| extend(*block, blocks.clone(), number, part, count);
+                (0..deployment.fan[number]).map(extend).collect::<Vec<_>>()
+            };
+            level = level.iter().flat_map(parts).collect();
+        }
+        prompts.extend(level.into_iter().map(|(_, blocks)| blocks));
+    }
+    prompts
+}
+
 /// Returns the name of a workspace.
 pub fn workspace(index: usize) -> String {
     format!("w{index}")
@@ -221,10 +237,7 @@
             let fan = self.deployment.fan[level];
             let choice = if viral { 0 } else { self.skewed(fan) };
             let part = (choice + shift * (level + 1)) % fan;
-            for number in 0..count {
-                block = block.child(&[level as u8, part as u8, number as u8]);
-                blocks.push(block);
-            }
+            (block, blocks) = extend(block, blocks, level, part, count);
         }
         blocks
     }
@@ -242,3 +255,19 @@
         bound - 1
     }
 }
+
+/// Adds the blocks of one level of a prompt.
+fn extend(
+    parent: Block,
+    mut blocks: Vec<Block>,
+    level: usize,
+    part: usize,
+    count: usize,
+) -> (Block, Vec<Block>) {
+    let mut block = parent;
+    for number in 0..count {
+        block = block.child(&[level as u8, part as u8, number as u8]);
+        blocks.push(block);
+    }
+    (block, blocks)
+}
--- a/crates/coordination/src/broker.rs
+++ b/crates/coordination/src/broker.rs
@@ -20,6 +20,7 @@
 use crate::capacity::Work;
 pub use crate::grant::Grant;
 use crate::pool::Pool;
+use crate::pool::Promised;
 use crate::pool::Proposal;
 use crate::report::Progress;
 pub use crate::report::Report;
@@ -305,16 +306,21 @@
             return false;
         }
         let mut chosen = None;
+        let mut promised = Promised::default();
         let pool = &self.pool;
         let directory = &self.directory;
         let rules = self.admission.rules();
         let waiting = self.admission.take(rank, |waiting| {
             let trade = rules.trade(&waiting.ask.workspace);
-            let proposal = pool.propose(&waiting.ask, priority, trade, directory, now);
-            match pool.open(proposal.slot, needed, now) {
-                true => proposal.judge(&mut chosen),
-                false => Verdict::Pass,
+            let ask = &waiting.ask;
+            let proposal = pool.propose(ask, priority, trade, directory, &promised, now);
+            if !pool.open(proposal.slot, needed, now) {
+                promised.add(proposal.slot, proposal.work_us);
+                return Verdict::Pass;
             }
+            let work = proposal.work;
+            chosen = Some(proposal);
+            Verdict::Take(work)
         });
         let (Some(waiting), Some(proposal)) = (waiting, chosen) else {
             return false;
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -50,12 +50,12 @@
     pub cost_us: u64,
     /// Gives the expected time to the first token, in microseconds.
     pub expected_us: u64,
-    /// Gives the blocks to import, counted from the start of the prompt; zero for none.
-    pub import: u32,
     /// Names the candidate.
     pub slot: Slot,
     /// Gives the blocks that the upstream has to compute.
     pub uncached: u32,
+    /// Gives the time that bringing in and computing the prompt takes, in microseconds.
+    pub work_us: u64,
 }
 
 /// Rates one candidate for a request.
@@ -71,10 +71,9 @@
     let import_us = IMPORT_START_US
         + fetched * IMPORT_BLOCK_US
         + (missing.saturating_sub(fetched)) * candidate.block_us;
-    let imports = fetched > 0 && import_us < compute_us;
-    let (work_us, import, uncached) = match imports {
-        true => (import_us, held, missing.saturating_sub(fetched)),
-        false => (compute_us, 0, missing),
+    let (work_us, uncached) = match fetched > 0 && import_us < compute_us {
+        true => (import_us, missing.saturating_sub(fetched)),
+        false => (compute_us, missing),
     };
     let distance_us = if candidate.remote { DISTANCE_US } else { 0 };
     let expected_us = candidate.wait_us + work_us + candidate.tail_us + distance_us;
@@ -84,9 +83,9 @@
     Rating {
         cost_us,
         expected_us,
-        import,
         slot,
         uncached: uncached as u32,
+        work_us: work_us + candidate.tail_us,
     }
 }
 
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -22,7 +22,6 @@
 use state::directory::Slot;
 use state::ident::Block;
 use state::ident::Incarnation;
-use state::queue::Verdict;
 use state::rank::Rank;
 use state::row::Row;
 use state::sheet::Sheet;
@@ -63,8 +62,6 @@
     pub expected_us: u64,
     /// Names where to import from.
     pub import: Option<Import>,
-    /// Tells whether the best upstream takes the request at once.
-    pub open: bool,
     /// Ranks the request within the upstream.
     pub priority: Rank,
     /// Gives the leading blocks that the upstream is thought to hold.
@@ -77,6 +74,14 @@
     pub tokens: u64,
     /// Gives the expected work, in tokens of prompt.
     pub work: u64,
+    /// Gives the time that bringing in and computing the prompt takes, in microseconds.
+    pub work_us: u64,
+}
+
+/// Sums the work of waiting requests that would rather wait for an upstream than go elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Promised {
+    us: Vec<u64>,
 }
 
 /// Holds the upstreams of a broker.
@@ -86,15 +91,19 @@
     upstreams: Vec<Upstream>,
 }
 
-impl Proposal {
-    /// Takes the request if its best upstream is open, and moves the proposal to `chosen`.
-    pub fn judge(self, chosen: &mut Option<Self>) -> Verdict {
-        if !self.open {
-            return Verdict::Pass;
+impl Promised {
+    /// Adds the work of a request that waits for the upstream.
+    pub fn add(&mut self, slot: Slot, us: u64) {
+        let at = usize::from(slot.0);
+        if self.us.len() <= at {
+            self.us.resize(at + 1, 0);
         }
-        let work = self.work;
-        *chosen = Some(self);
-        Verdict::Take(work)
+        self.us[at] += us;
+    }
+
+    /// Returns the time that the upstream will take for what waits for it, in microseconds.
+    pub fn at(&self, slot: Slot) -> u64 {
+        self.us.get(usize::from(slot.0)).copied().unwrap_or(0)
     }
 }
 
@@ -193,6 +202,7 @@
         priority: Rank,
         trade: u64,
         directory: &Directory,
+        promised: &Promised,
         now: Instant,
     ) -> Proposal {
         let residency = directory.resident(&ask.blocks, now);
@@ -208,7 +218,8 @@
             .filter(|(_, upstream)| upstream.fits(ask))
             .map(|(slot, upstream)| {
                 let doubtful = directory.doubtful(slot);
-                let candidate = candidate(upstream, ask, priority, depth(slot), doubtful, now);
+                let mut candidate = candidate(upstream, ask, priority, depth(slot), doubtful, now);
+                candidate.wait_us += promised.at(slot);
                 placement::rate(demand, slot, &candidate)
             })
             .collect();
@@ -221,14 +232,13 @@
             .prompt_tokens
             .saturating_sub(demand.blocks * BLOCK_TOKENS);
         let tokens = u64::from(best.uncached * BLOCK_TOKENS + tail);
-        let import = (best.import > 0).then_some(source).flatten();
+        let import = source.filter(|source| held > 0 && *source != best.slot);
         Proposal {
             expected_us: best.expected_us,
             import: import.map(|source| Import {
-                blocks: best.import,
+                blocks: held,
                 source: self.name(source).to_owned(),
             }),
-            open: self.at(best.slot).capacity.open(priority, now),
             priority,
             resident: depth(best.slot),
             scores: ratings
@@ -239,6 +249,7 @@
             slot: best.slot,
             tokens,
             work: admission::work(tokens, ask.output_tokens),
+            work_us: best.work_us,
         }
     }
 
