Keep slots for urgent work by its demand, and refuse early under a standing queue

Urgent work lost its places in floods for three causes seen in the model: the fixed reserve of a quarter of the slots was below its demand once background slowed every step; background that was placed while urgent waited passed by the reserve; and an urgent queue filled up to the deadline, so that nearly all were served late. The reserve now follows the slots that urgent work kept busy lately, all background obeys it, a rank is refused once its wait passes a tenth of the deadline (urgent) or half of it (background), and callers with little in flight get the last slots.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -31,7 +31,9 @@
 
 const CALLER_QUEUE: usize = 256;
 const DECODE_COST: u64 = 4;
+const LIGHT_INFLIGHT: u64 = 2;
 const MOST_FLOOR_PERCENT: u64 = 50;
+const PATIENCE_DIVISORS: [u64; 2] = [2, 10];
 const QUEUE_LIMIT: usize = 8_192;
 const RATE_BURST_MS: u64 = 2_000;
 const REACH: Reach = Reach {
@@ -257,8 +259,9 @@
             return Err(refuse(Reason::Overloaded, self.wait_ms(&ask, now)));
         }
         let wait = self.wait_ms(&ask, now);
-        if wait >= ask.deadline_ms {
-            return Err(refuse(Reason::Deadline, wait - ask.deadline_ms));
+        let patience = ask.deadline_ms / PATIENCE_DIVISORS[ask.rank.index()];
+        if wait >= patience {
+            return Err(refuse(Reason::Deadline, wait - patience));
         }
         if let Some(wait) = self.over_rate(&ask, rules, now) {
             return Err(refuse(Reason::RateLimit, wait));
@@ -382,11 +385,23 @@
     }
 
     /// Looks at the requests of `rank` in order of service and takes the first that `judge` takes.
-    pub fn take(&mut self, rank: Rank, judge: impl FnMut(&Waiting) -> Verdict) -> Option<Waiting> {
-        self.queues[rank.index()].take(REACH, judge)
+    ///
+    /// `judge` also learns whether the caller has little in flight.
+    pub fn take(
+        &mut self,
+        rank: Rank,
+        mut judge: impl FnMut(&Waiting, bool) -> Verdict,
+    ) -> Option<Waiting> {
+        let usage = &self.usage;
+        self.queues[rank.index()].take(REACH, |waiting| {
+            let usage = usage.get(&waiting.ask.workspace);
+            let caller = usage.and_then(|usage| usage.callers.get(&waiting.ask.caller));
+            judge(waiting, caller.is_none_or(|count| *count <= LIGHT_INFLIGHT))
+        })
     }
 
-    fn floor_percent(&self) -> u64 {
+    /// Returns the share of work that background keeps, in percent.
+    pub fn floor_percent(&self) -> u64 {
         let background = |kind: &&Kind| kind.rank == Rank::Background;
         let named = self.rules.kinds.values().filter(background);
         let floors: Vec<u64> = named.filter_map(|kind| kind.floor).collect();
--- a/crates/coordination/src/broker.rs
+++ b/crates/coordination/src/broker.rs
@@ -16,7 +16,9 @@
 use crate::admission::Rules;
 pub use crate::ask::Ask;
 pub use crate::ask::Ticket;
+use crate::capacity::Class;
 use crate::capacity::Standing;
+use crate::capacity::Turn;
 use crate::capacity::Work;
 pub use crate::grant::Grant;
 use crate::pool::Pool;
@@ -35,6 +37,7 @@
 use state::table::Table;
 use state::time::Instant;
 
+const BUSY_DECAY: u64 = 64;
 const EXPIRY_MS: u64 = 50;
 const HELD_LIFETIME_MS: u64 = 600_000;
 const RESYNC_MS: u64 = 500;
@@ -133,6 +136,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Broker {
     admission: Admission,
+    busy: u64,
     directory: Directory,
     expired: Instant,
     held: HashMap<Ticket, Held>,
@@ -271,7 +275,7 @@
         if self.held.contains_key(&ask.ticket) {
             return;
         }
-        let mut work = self.pool.begin(slot, 0, ask.rank, now);
+        let mut work = self.pool.begin(slot, 0, ask.rank, ask.rank, now);
         if started {
             self.pool.start(slot, &mut work, now);
         }
@@ -300,9 +304,17 @@
 
     fn place(&mut self, rank: Rank, owed: bool, now: Instant, effects: &mut Vec<Effect>) -> bool {
         let priority = if owed { Rank::Urgent } else { rank };
-        let yields = rank == Rank::Background && self.admission.len(Rank::Urgent) > 0;
-        let needed = if yields { Rank::Urgent } else { priority };
-        if !self.pool.any_open(needed, now) {
+        let turn = Turn {
+            owed,
+            reserve: self.pool.reserve(self.busy, self.admission.floor_percent()),
+            yields: self.admission.len(Rank::Urgent) > 0,
+        };
+        let class = |light: bool| match rank {
+            Rank::Background => Class::Background(turn),
+            Rank::Urgent if light => Class::Light,
+            Rank::Urgent => Class::Heavy,
+        };
+        if !self.pool.any_open(class(true), now) {
             return false;
         }
         let mut chosen = None;
@@ -310,11 +322,11 @@
         let pool = &self.pool;
         let directory = &self.directory;
         let rules = self.admission.rules();
-        let waiting = self.admission.take(rank, |waiting| {
+        let waiting = self.admission.take(rank, |waiting, light| {
             let trade = rules.trade(&waiting.ask.workspace);
             let ask = &waiting.ask;
             let proposal = pool.propose(ask, priority, trade, directory, &promised, now);
-            if !pool.open(proposal.slot, needed, now) {
+            if !pool.open(proposal.slot, class(light), now) {
                 promised.add(proposal.slot, proposal.work_us);
                 return Verdict::Pass;
             }
@@ -340,7 +352,9 @@
         let ask = waiting.ask;
         let slot = proposal.slot;
         let tokens = proposal.tokens;
-        let work = self.pool.begin(slot, tokens, proposal.priority, now);
+        let work = self
+            .pool
+            .begin(slot, tokens, ask.rank, proposal.priority, now);
         let served = admission::work(tokens, ask.output_tokens);
         self.admission.serve(ask.rank, served, now);
         self.directory.expect(slot, &ask.blocks, now);
@@ -445,6 +459,8 @@
             return;
         }
         self.expired = now;
+        let busy = self.pool.urgent() + self.admission.len(Rank::Urgent) as u64;
+        self.busy = busy.max(self.busy - self.busy.div_ceil(BUSY_DECAY));
         for refusal in self.admission.expire(now) {
             self.waiting.remove(&refusal.ticket);
             effects.push(Effect::Refuse(refusal));
--- a/crates/coordination/src/capacity.rs
+++ b/crates/coordination/src/capacity.rs
@@ -16,9 +16,10 @@
 const DEFAULT_SERVICE_MS: u64 = 2_000;
 const MICROS_PER_MILLI: u64 = 1_000;
 const MILLIS_PER_SECOND: u64 = 1_000;
-const RESERVE_PERCENT: u32 = 25;
+const LIGHT_SLOTS_DIVISOR: u32 = 16;
+const LIGHT_WINDOW_MS: u64 = 150;
 const SERVICE_SAMPLES: u64 = 8;
-const URGENT_WINDOW_MS: u64 = 120;
+const URGENT_WINDOW_MS: u64 = 60;
 
 /// Tells whether an upstream may get new work.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -43,14 +44,38 @@
     pub granted: Instant,
     /// Ranks the work within the upstream.
     pub priority: Rank,
+    /// Ranks the work itself.
+    pub rank: Rank,
     /// Tells whether the first token arrived.
     pub started: bool,
     /// Gives the prompt tokens that the upstream has to compute.
     pub tokens: u64,
 }
 
+/// Describes the terms on which background work is taken.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Turn {
+    /// Tells whether background is below its floor, so that this work goes before urgent work.
+    pub owed: bool,
+    /// Gives the slots that background leaves to urgent work.
+    pub reserve: u32,
+    /// Tells whether urgent work waits.
+    pub yields: bool,
+}
+
+/// Classes work by how much of an upstream it may fill.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Class {
+    /// Means background work.
+    Background(Turn),
+    /// Means urgent work of a caller that has much in flight.
+    Heavy,
+    /// Means urgent work of a caller that has little in flight.
+    Light,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
-struct Class {
+struct Load {
     inflight: u32,
     pending: u32,
     recent: u64,
@@ -60,7 +85,7 @@
 /// Tracks the load of one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Capacity {
-    classes: [Class; 2],
+    loads: [Load; 2],
     epoch: u64,
     limit: Option<u32>,
     measured: Instant,
@@ -70,20 +95,21 @@
 }
 
 impl Capacity {
-    /// Records that the upstream got `tokens` of prompt to compute.
-    pub fn begin(&mut self, tokens: u64, priority: Rank, now: Instant) -> Work {
+    /// Records that the upstream got work of `rank` with `tokens` of prompt to compute.
+    pub fn begin(&mut self, tokens: u64, rank: Rank, priority: Rank, now: Instant) -> Work {
         if self.pending() == 0 {
             self.progress = now;
         }
-        let class = &mut self.classes[priority.index()];
-        class.inflight += 1;
-        class.pending += 1;
-        class.recent += tokens;
-        class.tokens += tokens;
+        self.loads[rank.index()].inflight += 1;
+        let load = &mut self.loads[priority.index()];
+        load.pending += 1;
+        load.recent += tokens;
+        load.tokens += tokens;
         Work {
             epoch: self.epoch,
             granted: now,
             priority,
+            rank,
             started: false,
             tokens,
         }
@@ -95,16 +121,21 @@
         if work.epoch != self.epoch {
             return;
         }
-        let class = &mut self.classes[work.priority.index()];
-        class.inflight = class.inflight.saturating_sub(1);
+        let load = &mut self.loads[work.rank.index()];
+        load.inflight = load.inflight.saturating_sub(1);
         let taken = now.since(work.granted);
         let mean = self.service_ms.unwrap_or(taken);
         self.service_ms = Some((mean * (SERVICE_SAMPLES - 1) + taken) / SERVICE_SAMPLES);
     }
 
+    /// Returns the urgent requests in flight.
+    pub fn urgent(&self) -> u32 {
+        self.loads[Rank::Urgent.index()].inflight
+    }
+
     /// Returns the requests in flight, of both ranks.
     pub fn inflight(&self) -> u32 {
-        self.classes.iter().map(|class| class.inflight).sum()
+        self.loads.iter().map(|load| load.inflight).sum()
     }
 
     /// Sets the bound on requests in flight that the table gives.
@@ -119,23 +150,30 @@
             return;
         }
         self.measured = measured;
-        for class in &mut self.classes {
-            class.recent = 0;
+        for load in &mut self.loads {
+            load.recent = 0;
         }
         self.sample = Some(sample);
     }
 
-    /// Returns whether the upstream takes a further request of `rank` without queueing it long.
-    pub fn open(&self, rank: Rank, now: Instant) -> bool {
+    /// Returns whether the upstream takes a further request without queueing it long.
+    pub fn open(&self, class: Class, now: Instant) -> bool {
         let slots = self.slots();
-        let reserve = (slots * RESERVE_PERCENT / 100).max(1);
-        let background = self.classes[Rank::Background.index()].inflight;
-        let window = match rank {
-            Rank::Background if slots > 1 && background + reserve >= slots => return false,
-            Rank::Background => BACKGROUND_WINDOW_MS,
-            Rank::Urgent => URGENT_WINDOW_MS,
+        let light = slots / LIGHT_SLOTS_DIVISOR;
+        let background = self.loads[Rank::Background.index()].inflight;
+        let (usable, window) = match class {
+            Class::Background(turn) if background + turn.reserve >= slots => return false,
+            Class::Background(turn) if turn.yields => (slots - light, URGENT_WINDOW_MS),
+            Class::Background(_) => (slots, BACKGROUND_WINDOW_MS),
+            Class::Heavy => (slots - light, URGENT_WINDOW_MS),
+            Class::Light => (slots, LIGHT_WINDOW_MS),
+        };
+        let priority = match class {
+            Class::Background(turn) if !turn.owed => Rank::Background,
+            _ => Rank::Urgent,
         };
-        self.inflight() < slots && self.backlog_us(rank, now) < window * MICROS_PER_MILLI
+        let backlog = self.backlog_us(priority, now);
+        self.inflight() < usable && backlog < window * MICROS_PER_MILLI
     }
 
     /// Returns the time that computing `tokens` takes, in microseconds.
@@ -150,7 +188,7 @@
 
     /// Forgets all load, because the upstream came back empty.
     pub fn reset(&mut self, now: Instant) {
-        self.classes = [Class::default(); 2];
+        self.loads = [Load::default(); 2];
         self.epoch += 1;
         self.measured = now;
         self.progress = now;
@@ -171,9 +209,9 @@
         }
         work.started = true;
         self.progress = now;
-        let class = &mut self.classes[work.priority.index()];
-        class.pending = class.pending.saturating_sub(1);
-        class.tokens = class.tokens.saturating_sub(work.tokens);
+        let load = &mut self.loads[work.priority.index()];
+        load.pending = load.pending.saturating_sub(1);
+        load.tokens = load.tokens.saturating_sub(work.tokens);
     }
 
     /// Returns the weights version that the last load report names.
@@ -201,17 +239,16 @@
     }
 
     fn backlog(&self, rank: Rank, now: Instant) -> u64 {
-        let class = self.classes[rank.index()];
-        let mean = class.tokens / u64::from(class.pending.max(1));
+        let load = self.loads[rank.index()];
+        let mean = load.tokens / u64::from(load.pending.max(1));
         let done = self.computed(now.since(self.progress)).min(mean);
-        let own = class.tokens - done;
+        let own = load.tokens - done;
         let reported = self.sample.as_ref().map_or(0, |sample| match rank {
             Rank::Background => sample.background_tokens,
             Rank::Urgent => sample.urgent_tokens,
         });
-        let left =
-            (reported + class.recent).saturating_sub(self.computed(now.since(self.measured)));
-        own.max(left.min(reported + class.tokens))
+        let left = (reported + load.recent).saturating_sub(self.computed(now.since(self.measured)));
+        own.max(left.min(reported + load.tokens))
     }
 
     fn computed(&self, millis: u64) -> u64 {
@@ -219,7 +256,7 @@
     }
 
     fn pending(&self) -> u32 {
-        self.classes.iter().map(|class| class.pending).sum()
+        self.loads.iter().map(|load| load.pending).sum()
     }
 
     fn rate(&self) -> u64 {
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -6,6 +6,7 @@
 use crate::admission;
 use crate::ask::Ask;
 use crate::capacity::Capacity;
+use crate::capacity::Class;
 use crate::capacity::Standing;
 use crate::capacity::Work;
 use crate::grant::Import;
@@ -32,6 +33,9 @@
 pub const BLOCK_TOKENS: u32 = 4_096;
 
 const KEEP_BLOCKS: usize = 1;
+const LEAST_RESERVE: u64 = 25;
+const PERCENT: u64 = 100;
+const RESERVE_PERCENT: u64 = 130;
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum Role {
@@ -117,6 +121,10 @@
             && (version.is_none() || version == self.capacity.version())
     }
 
+    fn takes_work(&self) -> bool {
+        self.role == Role::Engine && self.usable()
+    }
+
     fn usable(&self) -> bool {
         self.listed && self.serving && self.standing == Standing::Usable
     }
@@ -141,16 +149,23 @@
 }
 
 impl Pool {
-    /// Returns whether any upstream takes work of `rank` at once.
-    pub fn any_open(&self, rank: Rank, now: Instant) -> bool {
-        let open =
-            |u: &Upstream| u.role == Role::Engine && u.usable() && u.capacity.open(rank, now);
+    /// Returns whether any upstream takes work of the class at once.
+    pub fn any_open(&self, class: Class, now: Instant) -> bool {
+        let open = |u: &Upstream| u.takes_work() && u.capacity.open(class, now);
         self.upstreams.iter().any(open)
     }
 
-    /// Records work that was sent to an upstream.
-    pub fn begin(&mut self, slot: Slot, tokens: u64, priority: Rank, now: Instant) -> Work {
-        self.at_mut(slot).capacity.begin(tokens, priority, now)
+    /// Records work of `rank` that was sent to an upstream.
+    pub fn begin(
+        &mut self,
+        slot: Slot,
+        tokens: u64,
+        rank: Rank,
+        priority: Rank,
+        now: Instant,
+    ) -> Work {
+        let capacity = &mut self.at_mut(slot).capacity;
+        capacity.begin(tokens, rank, priority, now)
     }
 
     /// Records the end of work.
@@ -189,10 +204,23 @@
         &self.at(slot).name
     }
 
-    /// Returns whether an upstream takes work of `rank` at once.
-    pub fn open(&self, slot: Slot, rank: Rank, now: Instant) -> bool {
+    /// Returns whether an upstream takes work of the class at once.
+    pub fn open(&self, slot: Slot, class: Class, now: Instant) -> bool {
         let upstream = self.upstreams.get(usize::from(slot.0));
-        upstream.is_some_and(|upstream| upstream.capacity.open(rank, now))
+        upstream.is_some_and(|upstream| upstream.capacity.open(class, now))
+    }
+
+    /// Returns the slots that an upstream should keep for urgent work.
+    ///
+    /// Urgent work kept `busy` slots busy over all upstreams lately; background keeps `floor`
+    /// percent of the slots.
+    pub fn reserve(&self, busy: u64, floor: u64) -> u32 {
+        let engines = self.upstreams.iter().filter(|u| u.takes_work());
+        let slots: u64 = engines.map(|u| u64::from(u.capacity.slots())).sum();
+        let count = self.upstreams.iter().filter(|u| u.takes_work()).count() as u64;
+        let needed = (busy * RESERVE_PERCENT / PERCENT).max(slots * LEAST_RESERVE / PERCENT);
+        let most = slots * (PERCENT - floor.min(PERCENT)) / PERCENT;
+        needed.min(most).div_ceil(count.max(1)) as u32
     }
 
     /// Proposes the best place for a request.
@@ -312,6 +340,15 @@
         }
     }
 
+    /// Returns the urgent requests in flight on all upstreams.
+    pub fn urgent(&self) -> u64 {
+        let urgent = self
+            .upstreams
+            .iter()
+            .map(|u| u64::from(u.capacity.urgent()));
+        urgent.sum()
+    }
+
     /// Returns the weights version of an upstream, where it is known.
     pub fn version(&self, slot: Slot) -> Option<&str> {
         self.at(slot).capacity.version()
