--- /dev/null
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -0,0 +1,282 @@
+//! One run of a request on one upstream.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use crate::answer::Part;
+use crate::context::Context;
+use crate::job::Job;
+use crate::suspects::Pass;
+use coordination::broker::Grant;
+use coordination::broker::Report;
+use coordination::report::Progress;
+use coordination::retry::Reason;
+use coordination::stream::Assembler;
+use coordination::stream::Fault;
+use coordination::stream::Finish;
+use coordination::stream::Resume;
+use protocol::engine;
+use protocol::engine::Code;
+use protocol::refusal::NotRun;
+use state::ident::Incarnation;
+use state::rank::Rank;
+use transport::engine::Client;
+use transport::engine::Item;
+use transport::engine::Stream;
+use transport::metric;
+use transport::upstream::Error;
+use transport::upstream::Limits;
+use transport::upstream::Signature;
+
+/// Bounds the exchanges that carry answers.
+const LIMITS: Limits = Limits {
+    body: 1 << 20,
+    connect: Duration::from_millis(1_000),
+    head: Duration::from_millis(3_000),
+    idle: Duration::from_millis(3_000),
+};
+/// Bounds the exchange that tells a crash from a cut connection.
+const PROBE_LIMITS: Limits = Limits {
+    body: 1 << 20,
+    connect: Duration::from_millis(300),
+    head: Duration::from_millis(500),
+    idle: Duration::from_millis(500),
+};
+/// Bounds how long a caller may take none of the parts that wait for it.
+const SLOW_CALLER: Duration = Duration::from_secs(30);
+
+/// Tells how an attempt ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// Means that the attempt failed.
+    Broken(Broken),
+    /// Means that the caller left.
+    Left,
+    /// Means that the whole answer came.
+    Whole(Finish),
+}
+
+/// Tells how an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Broken {
+    /// Tells whether another attempt may succeed.
+    pub hopeful: bool,
+    /// Tells whether the request ran.
+    pub not_run: NotRun,
+    /// Tells why.
+    pub reason: Reason,
+}
+
+/// Holds what an attempt needs and changes.
+pub struct Attempt<'a> {
+    /// Tells whether no other suspect may run on the upstream.
+    pub alone: bool,
+    /// Accepts the answer.
+    pub answer: &'a mut Assembler,
+    /// Holds what the host knows.
+    pub context: &'a Context,
+    /// Reaches the upstream.
+    pub grant: &'a Grant,
+    /// Holds the request.
+    pub job: &'a Job,
+    /// Numbers the attempt from 1.
+    pub number: u32,
+    /// Receives the text.
+    pub parts: &'a mpsc::Sender<Part>,
+    /// Names the run to the owner of the digest.
+    pub pass: Pass,
+    /// Tells whether the first token came, and when.
+    pub started: Option<u64>,
+}
+
+impl Attempt<'_> {
+    /// Runs the attempt on the engine at `address` until it ends.
+    pub async fn run(&mut self, address: std::net::SocketAddr) -> Ended {
+        let context = self.context;
+        let renewal = context
+            .suspects
+            .renew(&self.grant.upstream, self.pass, self.alone);
+        let parts = self.parts.clone();
+        tokio::select! {
+            ended = self.exchange(Client::new(address, LIMITS)) => ended,
+            () = parts.closed() => {
+                self.cancel(Client::new(address, PROBE_LIMITS));
+                Ended::Left
+            }
+            () = renewal => Ended::Left,
+        }
+    }
+
+    fn cancel(&self, client: Client) {
+        let id = self.id();
+        tokio::spawn(async move {
+            let _ = client.cancel(id).await;
+        });
+    }
+
+    fn id(&self) -> String {
+        format!("{}-{}", self.job.id, self.number)
+    }
+
+    async fn exchange(&mut self, client: Client) -> Ended {
+        let upstream = &self.grant.upstream;
+        let before = self.grant.incarnation;
+        let before = before.or_else(|| self.context.health.incarnation(upstream));
+        let resume = self.answer.resume();
+        let request = self.request(resume);
+        let planned = self.planned();
+        let opened = client.complete(&request, planned.as_ref()).await;
+        let mut stream = match opened {
+            Err(error) => return self.broken(&error, before).await,
+            Ok(stream) => stream,
+        };
+        let signature = stream.signature().clone();
+        let incarnation = signature.incarnation;
+        self.context.health.observe(upstream, incarnation);
+        if let Err(fault) = self.answer.begin(request.id, signature.version) {
+            return faulty(&fault);
+        }
+        match self.read(&mut stream).await {
+            Ok(ended) => ended,
+            Err(error) => self.broken(&error, Some(incarnation)).await,
+        }
+    }
+
+    async fn read(&mut self, stream: &mut Stream) -> Result<Ended, Error> {
+        loop {
+            let accepted = match stream.next().await? {
+                None => self.answer.close().map(|()| None),
+                Some(Item::End) => self.answer.end().map(Some),
+                Some(Item::Heartbeat) => Ok(None),
+                Some(Item::Piece(piece)) => {
+                    let piece = piece.into();
+                    let accepted = self.answer.push(&piece).map(|()| None);
+                    if accepted.is_ok() && piece.tokens > 0 && !self.pass_on(piece.text).await {
+                        return Ok(Ended::Left);
+                    }
+                    accepted
+                }
+            };
+            match accepted {
+                Err(fault) => return Ok(faulty(&fault)),
+                Ok(None) => {}
+                Ok(Some(finish)) => return Ok(Ended::Whole(finish)),
+            }
+        }
+    }
+
+    /// Passes text on and returns whether the caller still takes it.
+    async fn pass_on(&mut self, text: String) -> bool {
+        if self.started.is_none() {
+            self.started = Some(transport::clock::wall_millis());
+            let _ = self.context.broker.settle(Report {
+                progress: Progress::FirstToken,
+                ticket: self.grant.ticket,
+            });
+        }
+        let sent = self.parts.send_timeout(Part::Text(text), SLOW_CALLER).await;
+        if let Err(mpsc::error::SendTimeoutError::Timeout(_)) = sent {
+            metrics::counter!(metric::SLOW_CALLERS).increment(1);
+        }
+        sent.is_ok()
+    }
+
+    async fn broken(&self, error: &Error, before: Option<Incarnation>) -> Ended {
+        let reason = match error {
+            Error::Body { .. } | Error::Format { .. } => Reason::Format,
+            Error::Connect { .. } | Error::ConnectTimeout { .. } => Reason::Connect,
+            Error::Cut { address, .. } | Error::Idle { address, .. } => {
+                let probe = Client::new(*address, PROBE_LIMITS);
+                match (self.crashed(probe, before).await, error) {
+                    (true, _) => Reason::Crash,
+                    (false, Error::Cut { .. }) => Reason::Cut,
+                    (false, _) => Reason::Idle,
+                }
+            }
+            Error::Mismatch { found, .. } => {
+                let upstream = &self.grant.upstream;
+                self.context.health.observe(upstream, found.incarnation);
+                Reason::Mismatch
+            }
+            Error::Refused { .. } => Reason::Refused,
+            Error::Status { .. } => Reason::Status,
+        };
+        let unreadable = |code| matches!(code, Code::BadRequest);
+        let hopeful = !matches!(error, Error::Refused { refusal, .. } if unreadable(refusal.code));
+        Ended::Broken(Broken {
+            hopeful,
+            not_run: error.not_run(),
+            reason,
+        })
+    }
+
+    /// Tells a crash from a cut or silent connection: after a crash the engine takes no
+    /// connection or is another run. One that cannot be asked in time has not been seen to crash.
+    async fn crashed(&self, probe: Client, before: Option<Incarnation>) -> bool {
+        match probe.load().await {
+            Err(Error::Connect { .. }) => true,
+            Err(_) => false,
+            Ok(load) => {
+                let upstream = &self.grant.upstream;
+                self.context.health.observe(upstream, load.incarnation);
+                before != Some(load.incarnation)
+            }
+        }
+    }
+
+    fn planned(&self) -> Option<Signature> {
+        let incarnation = self.grant.incarnation?;
+        let version = self.grant.version.clone()?;
+        Some(Signature {
+            incarnation,
+            version,
+        })
+    }
+
+    /// Returns the request as the engine reads it, with its blocks named for the weights it serves;
+    /// without names where these are unknown.
+    fn request(&self, resume: Resume) -> engine::Request {
+        let ask = &self.job.ask;
+        let version = self.grant.version.as_deref();
+        let blocks = version.map(|v| ask.blocks.iter().map(|block| block.under(v)).collect());
+        let resume = (resume.offset > 0).then_some(engine::Resume {
+            offset: resume.offset,
+            text: resume.text,
+        });
+        engine::Request {
+            cache: engine::Cache {
+                block_bytes: self.job.block_bytes as u64,
+                blocks: blocks.unwrap_or_default(),
+                salt: ask.workspace.clone(),
+            },
+            id: self.id(),
+            max_tokens: self.job.max_tokens,
+            model: ask.model.clone(),
+            priority: match self.grant.priority {
+                Rank::Background => 1,
+                Rank::Urgent => 0,
+            },
+            prompt: self.job.prompt.clone(),
+            resume,
+            rest: self.job.request.rest.clone(),
+        }
+    }
+}
+
+fn faulty(fault: &Fault) -> Ended {
+    let reason = match fault {
+        Fault::Cancelled { .. } => Reason::Refused,
+        Fault::Crossed { .. } => Reason::Crossed,
+        Fault::Extra { .. } | Fault::Gap { .. } | Fault::Long { .. } | Fault::Repeat { .. } => {
+            Reason::Gap
+        }
+        Fault::NoEnd { .. } => Reason::NoEnd,
+        Fault::Version { .. } => Reason::Mismatch,
+    };
+    Ended::Broken(Broken {
+        hopeful: true,
+        not_run: NotRun::Unknown,
+        reason,
+    })
+}
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -10,30 +11,49 @@
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::broker;
+use crate::health::Health;
 use crate::journal::Journal;
+use crate::member;
+use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::voter;
+use coordination::view::View;
 use state::table::Table;
+use state::time::Instant;
 use transport::clock::Clock;
 
 /// Holds what the handlers of a daemon share.
 pub struct Context {
     /// Holds the address that callers are told.
     pub address: SocketAddr,
+    /// Places requests on upstreams.
+    pub broker: broker::Handle,
     /// Reads the clock.
     pub clock: Clock,
+    /// Tells when the daemon began to drain.
+    pub drain_began: OnceLock<Instant>,
     /// Turns true when the daemon begins to drain.
     pub draining: watch::Receiver<bool>,
+    /// Knows the health of upstreams.
+    pub health: Health,
     /// Counts the requests in flight.
     pub in_flight: Arc<AtomicU64>,
     /// Keeps explanations.
     pub journal: Journal,
     /// Receives events.
     pub log: Logger,
+    /// Reaches the duty that knows the fleet.
+    pub member: member::Handle,
     /// Renders the counters.
     pub metrics: PrometheusHandle,
+    /// Holds the connections to other daemons, in a fleet of several hosts.
+    pub pool: Option<Pool>,
     /// Holds the settings.
     pub settings: Arc<Settings>,
+    /// Reaches the owners of requests that may crash upstreams.
+    pub suspects: Suspects,
     /// Reaches the voters.
     pub voter: voter::Handle,
 }
@@ -44,6 +64,11 @@
         self.voter.table().borrow().clone()
     }
 
+    /// Returns what this host knows of the fleet.
+    pub fn view(&self) -> Arc<View> {
+        self.member.view().borrow().clone()
+    }
+
     /// Counts a request in flight until the returned guard is dropped.
     pub fn enter(&self) -> Guard {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -16,10 +16,13 @@
 use gotham::state::FromState;
 use gotham::state::State;
 use hyper::Response;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 
 use crate::admin;
 use crate::caller;
+use crate::completions;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::request::Request;
@@ -36,6 +39,8 @@
         route.get("/metrics").to(to(caller::metrics));
         route.get("/readyz").to(to(caller::ready));
         route.get("/v1/addresses").to(to(caller::addresses));
+        route.post("/v1/chat/completions").to(to(completions::chat));
+        route.post("/v1/completions").to(to(completions::plain));
         route
             .request(vec![Method::GET, Method::POST], "/admin/*")
             .to(to(admin::answer));
@@ -52,7 +57,12 @@
         let request = Request::take(&mut state);
         async move {
             let guard = context.enter();
-            let response = endpoint(context, request).await;
+            let draining = context.draining.clone();
+            let mut response = endpoint(context, request).await;
+            if *draining.borrow() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             drop(guard);
             Ok((state, response))
         }
