--- a/crates/coordination/examples/measure/engine.rs
+++ b/crates/coordination/examples/measure/engine.rs
@@ -3,14 +3,13 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use crate::cache::Cache;
 use coordination::pool::BLOCK_TOKENS;
 use coordination::report::Sample;
 use state::ident::Block;
 use state::ident::Incarnation;
 use state::rank::Rank;
 
-use crate::cache::Cache;
-
 /// Gives the requests that an engine runs at once.
 pub const SLOTS: usize = 32;
 
--- a/crates/coordination/examples/measure/figures.rs
+++ b/crates/coordination/examples/measure/figures.rs
@@ -1,14 +1,13 @@
 //! The figures of a run, as the deployments measure them.
 
-use coordination::admission;
-use coordination::pool::BLOCK_TOKENS;
-use state::rank::Rank;
-
 use crate::run::Record;
 use crate::run::Run;
 use crate::work;
 use crate::work::Request;
 use crate::work::Scene;
+use coordination::admission;
+use coordination::pool::BLOCK_TOKENS;
+use state::rank::Rank;
 
 /// Gives the time to the first token that urgent work should keep, in microseconds.
 pub const URGENT_TARGET_US: u64 = 330_000;
@@ -43,7 +42,7 @@
     pub ranks: [Ranked; 2],
     /// Holds the figures of small callers, by rank.
     pub small: [Ranked; 2],
-    /// Gives the prompt tokens computed although a live cache held them, in percent of all computed.
+    /// Gives the computed prompt tokens that a live cache held, in percent of all computed.
     pub wasted_percent: f64,
     /// Gives the least and the greatest share of requests served in time of any workspace.
     pub workspaces_percent: [f64; 2],
--- a/crates/coordination/examples/measure/main.rs
+++ b/crates/coordination/examples/measure/main.rs
@@ -9,8 +9,6 @@
 mod run;
 mod work;
 
-use coordination::pool::BLOCK_TOKENS;
-use state::rank::Rank;
 use strum::IntoEnumIterator;
 
 use crate::figures::Figures;
@@ -18,6 +16,8 @@
 use crate::run::Run;
 use crate::work::Deployment;
 use crate::work::Scene;
+use coordination::pool::BLOCK_TOKENS;
+use state::rank::Rank;
 
 const DEFAULT_SEED: u64 = 1;
 
--- a/crates/coordination/examples/measure/router.rs
+++ b/crates/coordination/examples/measure/router.rs
@@ -3,6 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use strum::Display;
+use strum::EnumIter;
+
+use crate::work;
+use crate::work::Deployment;
+use crate::work::Request;
 use coordination::ask::Ask;
 use coordination::ask::Ticket;
 use coordination::broker::Broker;
@@ -16,12 +22,6 @@
 use state::sheet::Sheet;
 use state::table::Table;
 use state::time::Instant;
-use strum::Display;
-use strum::EnumIter;
-
-use crate::work;
-use crate::work::Deployment;
-use crate::work::Request;
 
 const STICKY_LEVELS: usize = 2;
 const WORKSPACES: usize = 8;
--- a/crates/coordination/examples/measure/work.rs
+++ b/crates/coordination/examples/measure/work.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
-use coordination::pool::BLOCK_TOKENS;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+
+use coordination::pool::BLOCK_TOKENS;
 use state::ident::Block;
 use state::rank::Rank;
 
