--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -6,6 +6,7 @@
 use crate::admission;
 use crate::ask::Ask;
 use crate::capacity::Capacity;
+use crate::capacity::Class;
 use crate::capacity::Standing;
 use crate::capacity::Work;
 use crate::grant::Import;
@@ -22,7 +23,6 @@
 use state::directory::Slot;
 use state::ident::Block;
 use state::ident::Incarnation;
-use state::queue::Verdict;
 use state::rank::Rank;
 use state::row::Row;
 use state::sheet::Sheet;
@@ -33,6 +33,9 @@
 pub const BLOCK_TOKENS: u32 = 4_096;
 
 const KEEP_BLOCKS: usize = 1;
+const LEAST_RESERVE: u64 = 25;
+const PERCENT: u64 = 100;
+const RESERVE_PERCENT: u64 = 130;
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum Role {
@@ -63,8 +66,6 @@
     pub expected_us: u64,
     /// Names where to import from.
     pub import: Option<Import>,
-    /// Tells whether the best upstream takes the request at once.
-    pub open: bool,
     /// Ranks the request within the upstream.
     pub priority: Rank,
     /// Gives the leading blocks that the upstream is thought to hold.
@@ -77,6 +78,14 @@
     pub tokens: u64,
     /// Gives the expected work, in tokens of prompt.
     pub work: u64,
+    /// Gives the time that bringing in and computing the prompt takes, in microseconds.
+    pub work_us: u64,
+}
+
+/// Sums the work of waiting requests that would rather wait for an upstream than go elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Promised {
+    us: Vec<u64>,
 }
 
 /// Holds the upstreams of a broker.
@@ -86,15 +95,19 @@
     upstreams: Vec<Upstream>,
 }
 
-impl Proposal {
-    /// Takes the request if its best upstream is open, and moves the proposal to `chosen`.
-    pub fn judge(self, chosen: &mut Option<Self>) -> Verdict {
-        if !self.open {
-            return Verdict::Pass;
+impl Promised {
+    /// Adds the work of a request that waits for the upstream.
+    pub fn add(&mut self, slot: Slot, us: u64) {
+        let at = usize::from(slot.0);
+        if self.us.len() <= at {
+            self.us.resize(at + 1, 0);
         }
-        let work = self.work;
-        *chosen = Some(self);
-        Verdict::Take(work)
+        self.us[at] += us;
+    }
+
+    /// Returns the time that the upstream will take for what waits for it, in microseconds.
+    pub fn at(&self, slot: Slot) -> u64 {
+        self.us.get(usize::from(slot.0)).copied().unwrap_or(0)
     }
 }
 
@@ -108,6 +121,10 @@
             && (version.is_none() || version == self.capacity.version())
     }
 
+    fn takes_work(&self) -> bool {
+        self.role == Role::Engine && self.usable()
+    }
+
     fn usable(&self) -> bool {
         self.listed && self.serving && self.standing == Standing::Usable
     }
@@ -132,16 +149,23 @@
 }
 
 impl Pool {
-    /// Returns whether any upstream takes work of `rank` at once.
-    pub fn any_open(&self, rank: Rank, now: Instant) -> bool {
-        let open =
-            |u: &Upstream| u.role == Role::Engine && u.usable() && u.capacity.open(rank, now);
+    /// Returns whether any upstream takes work of the class at once.
+    pub fn any_open(&self, class: Class, now: Instant) -> bool {
+        let open = |u: &Upstream| u.takes_work() && u.capacity.open(class, now);
         self.upstreams.iter().any(open)
     }
 
-    /// Records work that was sent to an upstream.
-    pub fn begin(&mut self, slot: Slot, tokens: u64, priority: Rank, now: Instant) -> Work {
-        self.at_mut(slot).capacity.begin(tokens, priority, now)
+    /// Records work of `rank` that was sent to an upstream.
+    pub fn begin(
+        &mut self,
+        slot: Slot,
+        tokens: u64,
+        rank: Rank,
+        priority: Rank,
+        now: Instant,
+    ) -> Work {
+        let capacity = &mut self.at_mut(slot).capacity;
+        capacity.begin(tokens, rank, priority, now)
     }
 
     /// Records the end of work.
@@ -180,10 +204,23 @@
         &self.at(slot).name
     }
 
-    /// Returns whether an upstream takes work of `rank` at once.
-    pub fn open(&self, slot: Slot, rank: Rank, now: Instant) -> bool {
+    /// Returns whether an upstream takes work of the class at once.
+    pub fn open(&self, slot: Slot, class: Class, now: Instant) -> bool {
         let upstream = self.upstreams.get(usize::from(slot.0));
-        upstream.is_some_and(|upstream| upstream.capacity.open(rank, now))
+        upstream.is_some_and(|upstream| upstream.capacity.open(class, now))
+    }
+
+    /// Returns the slots that an upstream should keep for urgent work.
+    ///
+    /// Urgent work kept `busy` slots busy over all upstreams lately; background keeps `floor`
+    /// percent of the slots.
+    pub fn reserve(&self, busy: u64, floor: u64) -> u32 {
+        let engines = self.upstreams.iter().filter(|u| u.takes_work());
+        let slots: u64 = engines.map(|u| u64::from(u.capacity.slots())).sum();
+        let count = self.upstreams.iter().filter(|u| u.takes_work()).count() as u64;
+        let needed = (busy * RESERVE_PERCENT / PERCENT).max(slots * LEAST_RESERVE / PERCENT);
+        let most = slots * (PERCENT - floor.min(PERCENT)) / PERCENT;
+        needed.min(most).div_ceil(count.max(1)) as u32
     }
 
     /// Proposes the best place for a request.
@@ -193,6 +230,7 @@
         priority: Rank,
         trade: u64,
         directory: &Directory,
+        promised: &Promised,
         now: Instant,
     ) -> Proposal {
         let residency = directory.resident(&ask.blocks, now);
@@ -208,7 +246,8 @@
             .filter(|(_, upstream)| upstream.fits(ask))
             .map(|(slot, upstream)| {
                 let doubtful = directory.doubtful(slot);
-                let candidate = candidate(upstream, ask, priority, depth(slot), doubtful, now);
+                let mut candidate = candidate(upstream, ask, priority, depth(slot), doubtful, now);
+                candidate.wait_us += promised.at(slot);
                 placement::rate(demand, slot, &candidate)
             })
             .collect();
@@ -221,14 +260,13 @@
             .prompt_tokens
             .saturating_sub(demand.blocks * BLOCK_TOKENS);
         let tokens = u64::from(best.uncached * BLOCK_TOKENS + tail);
-        let import = (best.import > 0).then_some(source).flatten();
+        let import = source.filter(|source| held > 0 && *source != best.slot);
         Proposal {
             expected_us: best.expected_us,
             import: import.map(|source| Import {
-                blocks: best.import,
+                blocks: held,
                 source: self.name(source).to_owned(),
             }),
-            open: self.at(best.slot).capacity.open(priority, now),
             priority,
             resident: depth(best.slot),
             scores: ratings
@@ -239,6 +277,7 @@
             slot: best.slot,
             tokens,
             work: admission::work(tokens, ask.output_tokens),
+            work_us: best.work_us,
         }
     }
 
@@ -301,6 +340,15 @@
         }
     }
 
+    /// Returns the urgent requests in flight on all upstreams.
+    pub fn urgent(&self) -> u64 {
+        let urgent = self
+            .upstreams
+            .iter()
+            .map(|u| u64::from(u.capacity.urgent()));
+        urgent.sum()
+    }
+
     /// Returns the weights version of an upstream, where it is known.
     pub fn version(&self, slot: Slot) -> Option<&str> {
         self.at(slot).capacity.version()
