Measure the idle cost of a daemon and of each upstream it follows

Control cost is what a daemon spends without requests, and it grows with the upstreams whose load and cache events it reads. The program now measures it before any request, alone, with 4 and with 12 upstreams.

--- a/crates/hibiscushoistd/examples/entry_slope.rs
+++ b/crates/hibiscushoistd/examples/entry_slope.rs
@@ -1,5 +1,5 @@
-//! Measures what an entry costs: processor time per request, per KiB of prompt and per streamed
-//! token, and memory per open stream.
+//! Measures what a daemon costs: processor time when idle, for each upstream that it follows, per
+//! request, per KiB of prompt and per streamed token, and memory per open stream.
 //!
 //! One daemon with every role runs beside stand-in engines and callers, each on threads of their
 //! own, so that the kernel's count of each thread's processor time tells them apart.
@@ -35,10 +35,12 @@
 const IDLE: Duration = Duration::from_secs(5);
 const KEY: &str = "workspace-key";
 const KIB: usize = 1 << 10;
+const MORE_ENGINES: usize = 8;
 const NANOS_PER_MICRO: f64 = 1e3;
 const OPEN_STREAMS: usize = 400;
 const OPERATOR_KEY: &str = "operator-key";
 const REQUESTS: usize = 2000;
+const SETTLE: Duration = Duration::from_secs(1);
 const SLOTS: usize = 2000;
 const SMALL_PROMPT: usize = KIB;
 const TOKEN_TIME: Duration = Duration::from_millis(4);
@@ -56,17 +58,22 @@
     daemon: Daemon,
     _daemons: Runtime,
     engines: Vec<Engine>,
-    _stand_ins: Runtime,
+    stand_ins: Runtime,
 }
 
 fn main() {
-    let bench = Bench::start();
+    let mut bench = Bench::start();
+    let alone = bench.idle();
+    bench.follow(ENGINES);
+    let few = bench.idle();
+    bench.follow(MORE_ENGINES);
+    let many = bench.idle();
     bench.drive(Run {
         prompt_bytes: SMALL_PROMPT,
-        requests: REQUESTS / 4,
+        requests: CALLERS,
         tokens: 8,
     });
-    let idle = bench.idle();
+    let stream = bench.open_streams();
     let short = bench.drive(Run {
         prompt_bytes: SMALL_PROMPT,
         requests: REQUESTS,
@@ -82,10 +89,18 @@
         requests: REQUESTS / 4,
         tokens: 2,
     });
-    let stream = bench.open_streams();
+    let each = (many - few) / MORE_ENGINES as f64;
+    println!(
+        "idle, no upstream           {:8.3} % of a core",
+        alone * 100.0
+    );
+    println!(
+        "idle, {ENGINES} upstreams           {:8.3} % of a core",
+        few * 100.0
+    );
     println!(
-        "idle daemon                 {:8.3} % of a core",
-        idle * 100.0
+        "each upstream more          {:8.3} % of a core",
+        each * 100.0
     );
     println!("request of 1 KiB, 2 tokens  {short:8.1} us");
     println!(
@@ -97,26 +112,43 @@
         (wide - short) / 256.0
     );
     println!("each open stream            {stream:8.1} KiB, callers and stand-ins included");
-    drop(bench.engines);
+    println!("resident, all in one        {:8.0} KiB", resident_kib());
 }
 
 impl Bench {
     fn start() -> Self {
-        let stand_ins = runtime(ENGINE, 1);
         let daemons = runtime("daemon", 2);
         let callers = runtime(CALLER, 1);
-        let engines = stand_ins.block_on(engines());
         let daemon = daemons.block_on(daemon());
-        callers.block_on(fill(daemon.address(), &engines));
+        callers.block_on(fill(daemon.address()));
         Self {
             callers,
             daemon,
             _daemons: daemons,
-            engines,
-            _stand_ins: stand_ins,
+            engines: Vec::new(),
+            stand_ins: runtime(ENGINE, 1),
         }
     }
 
+    /// Starts `count` more stand-ins and adds them to the table.
+    fn follow(&mut self, count: usize) {
+        let known = self.engines.len();
+        self.engines.extend(self.stand_ins.block_on(engines(count)));
+        let address = self.daemon.address();
+        self.callers.block_on(async {
+            for (index, engine) in self.engines.iter().enumerate().skip(known) {
+                let cells = BTreeMap::from([
+                    ("address", engine.address().to_string()),
+                    ("limit", SLOTS.to_string()),
+                    ("model", "m".to_owned()),
+                    ("type", "engine".to_owned()),
+                ]);
+                add(address, "upstreams", &format!("u{index}"), json!(cells)).await;
+            }
+        });
+        std::thread::sleep(SETTLE);
+    }
+
     /// Returns the daemon's processor time per request, in microseconds.
     fn drive(&self, run: Run) -> f64 {
         let before = daemon_nanos();
@@ -176,9 +208,9 @@
         .unwrap()
 }
 
-async fn engines() -> Vec<Engine> {
+async fn engines(count: usize) -> Vec<Engine> {
     let mut engines = Vec::new();
-    for _ in 0..ENGINES {
+    for _ in 0..count {
         let options = Options {
             blocks: 100_000,
             prefill_time: Duration::ZERO,
@@ -202,24 +234,10 @@
     Daemon::start(settings, log::discard()).await.unwrap()
 }
 
-async fn fill(address: SocketAddr, engines: &[Engine]) {
-    add(
-        address,
-        "workspaces",
-        "w",
-        json!({"key_hash": auth::hash(KEY)}),
-    )
-    .await;
+async fn fill(address: SocketAddr) {
+    let workspace = json!({"key_hash": auth::hash(KEY)});
+    add(address, "workspaces", "w", workspace).await;
     add(address, "models", "m", json!({"version": "v1"})).await;
-    for (index, engine) in engines.iter().enumerate() {
-        let cells = BTreeMap::from([
-            ("address", engine.address().to_string()),
-            ("limit", SLOTS.to_string()),
-            ("model", "m".to_owned()),
-            ("type", "engine".to_owned()),
-        ]);
-        add(address, "upstreams", &format!("u{index}"), json!(cells)).await;
-    }
 }
 
 async fn add(address: SocketAddr, sheet: &str, row: &str, cells: Value) {
