--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -12,10 +12,12 @@
 use tokio::sync::watch;
 
 use crate::broker;
+use crate::health::Health;
 use crate::journal::Journal;
 use crate::member;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::voter;
 use coordination::view::View;
 use state::table::Table;
@@ -34,6 +36,8 @@
     pub drain_began: OnceLock<Instant>,
     /// Turns true when the daemon begins to drain.
     pub draining: watch::Receiver<bool>,
+    /// Knows the health of upstreams.
+    pub health: Health,
     /// Counts the requests in flight.
     pub in_flight: Arc<AtomicU64>,
     /// Keeps explanations.
@@ -48,6 +52,8 @@
     pub pool: Option<Pool>,
     /// Holds the settings.
     pub settings: Arc<Settings>,
+    /// Reaches the owners of requests that may crash upstreams.
+    pub suspects: Suspects,
     /// Reaches the voters.
     pub voter: voter::Handle,
 }
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -14,12 +14,15 @@
 use slog::Logger;
 use thiserror::Error;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::broker;
 use crate::context::Context;
 use crate::context::Shared;
+use crate::feed;
+use crate::health::Health;
 use crate::journal::Journal;
 use crate::links::Links;
 use crate::load;
@@ -28,6 +31,7 @@
 use crate::routes;
 use crate::settings::Entry;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::voter;
 use coordination::drain;
 use coordination::drain::Drain;
@@ -42,6 +46,8 @@
 
 const FAREWELL: Duration = Duration::from_millis(300);
 const HANDOVER_MS: u64 = 2_000;
+/// Bounds the upstreams whose caches are waited for at once.
+const RESYNCS: usize = 1024;
 const POLL: Duration = Duration::from_millis(20);
 const SPREAD_MS: u64 = 2_000;
 
@@ -66,6 +72,7 @@
 pub struct Daemon {
     context: Arc<Context>,
     drain: watch::Sender<bool>,
+    feeds: JoinHandle<()>,
     server: Option<JoinHandle<()>>,
     stop: watch::Sender<bool>,
 }
@@ -87,8 +94,9 @@
         let (drain, draining) = watch::channel(false);
         let (stop, stopped) = watch::channel(false);
         let clock = Clock::default();
-        let broker =
-            broker::start(clock, voter.table()).change_context(Error::Duty { duty: "broker" })?;
+        let (resync, resyncs) = mpsc::channel(RESYNCS);
+        let broker = broker::start(clock, voter.table(), resync)
+            .change_context(Error::Duty { duty: "broker" })?;
         let address = advertised(&settings, listener.as_ref());
         let mut links = Links::open(&settings).await?;
         let options = links.membership(&settings, address);
@@ -100,6 +108,7 @@
             clock,
             drain_began: OnceLock::new(),
             draining,
+            health: Health::new(clock),
             in_flight: Arc::new(AtomicU64::new(0)),
             journal: Journal::default(),
             log: log.clone(),
@@ -107,8 +116,10 @@
             metrics: metric::install(),
             pool: links.pool.clone(),
             settings: settings.clone(),
+            suspects: Suspects::new(clock),
             voter,
         });
+        let feeds = tokio::spawn(feed::run(context.clone(), resyncs));
         let server = listener
             .zip(settings.entry.as_ref())
             .map(|(listener, entry)| {
@@ -126,6 +137,7 @@
         Ok(Self {
             context,
             drain,
+            feeds,
             server,
             stop,
         })
@@ -210,6 +222,12 @@
     }
 }
 
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.feeds.abort();
+    }
+}
+
 fn advertised(settings: &Settings, listener: Option<&TcpListener>) -> SocketAddr {
     let bound = listener.and_then(|listener| listener.local_addr().ok());
     let configured = settings.entry.as_ref().and_then(|entry| entry.advertise);
--- a/crates/hibiscushoistd/src/status.rs
+++ b/crates/hibiscushoistd/src/status.rs
@@ -36,7 +36,7 @@
         revision: table.revision(),
         roles: settings.roles.iter().map(ToString::to_string).collect(),
         upstreams: upstreams
-            .map(|(name, row)| upstream(name, row, &view))
+            .map(|(name, row)| upstream(context, name, row, &view))
             .collect(),
         uptime_ms: context.clock.now().0,
         version: env!("CARGO_PKG_VERSION").to_owned(),
@@ -70,10 +70,12 @@
     }
 }
 
-fn upstream(name: &str, row: &Row, view: &View) -> operator::Upstream {
+fn upstream(context: &Context, name: &str, row: &Row, view: &View) -> operator::Upstream {
     let address = row.address(Column::Address);
+    let incarnation = context.health.incarnation(name);
     operator::Upstream {
         address: address.map(|a| a.to_string()).unwrap_or_default(),
+        incarnation: incarnation.map(|i| i.0),
         name: name.to_owned(),
         owner: ownership::owner(view, name).map(|member| member.record.host.clone()),
         standing: row.text(Column::Standing).unwrap_or("serving").to_owned(),
