Run replicated voters in the daemon, and spread the table to every host

The daemon's single voter kept edits in one file and lost its place on one crash. A voter is now three threads: one steps the log, one writes it with one sync for all writes that wait, one saves the table before it is in force. Any host takes edits, ledger entries and leases and passes them to the voter that leads; one that is not a voter long-polls a voter for the edits after its revision and keeps the last table in its folder. The first listed voter founds the group only when all listed ones answer with empty folders, learners vote once caught up, and a host that comes back with an empty disk replaces its old identity.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -261,6 +261,14 @@
         }
     }
 
+    /// Returns the index up to which each other member's log is known to match, on the leader.
+    pub fn matched(&self) -> Vec<(Identity, u64)> {
+        match &self.state {
+            State::Leader(leader) => leader.all_matched(),
+            State::Candidate(_) | State::Follower(_) | State::PreCandidate(_) => Vec::new(),
+        }
+    }
+
     /// Returns the newest snapshot.
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         self.log.snapshot()
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Returns the index up to which each other member's log is known to match.
+    pub(crate) fn all_matched(&self) -> Vec<(Identity, u64)> {
+        let matched = self.members.iter().map(|(id, p)| (*id, p.matched));
+        matched.collect()
+    }
+
     fn at(&self, now: Instant) -> u64 {
         self.base + now.since(self.since)
     }
--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -23,6 +23,20 @@
     pub to: Identity,
 }
 
+impl Envelope {
+    /// Returns the approximate size in bytes.
+    pub fn size(&self) -> usize {
+        const OVERHEAD: usize = 64;
+        match &self.body {
+            Body::Append { entries, .. } => {
+                OVERHEAD + entries.iter().map(Entry::size).sum::<usize>()
+            }
+            Body::Piece { data, .. } => OVERHEAD + data.len(),
+            _ => OVERHEAD,
+        }
+    }
+}
+
 /// Holds a message.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Body {
--- a/crates/hibiscushoist/tests/cli/operator.rs
+++ b/crates/hibiscushoist/tests/cli/operator.rs
@@ -271,6 +271,7 @@
         term: 3,
         voters: vec![Voter {
             address: "127.0.0.1:9".to_owned(),
+            identity: "00000000000000a1".to_owned(),
             matched: Some(11),
             name: "a".to_owned(),
             standing: "voter".to_owned(),
--- a/crates/hibiscushoistd/src/admin.rs
+++ b/crates/hibiscushoistd/src/admin.rs
@@ -6,6 +6,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use hyper::Response;
+use serde::de::DeserializeOwned;
 
 use crate::auth;
 use crate::context::Context;
@@ -16,6 +17,7 @@
 use protocol::operator::Failure;
 use protocol::operator::Kind;
 use protocol::operator::Listing;
+use protocol::voter::Ask;
 use state::edit::Edit;
 use state::table;
 use transport::event;
@@ -24,6 +26,7 @@
 
 const EDIT_LIMIT_BYTES: usize = 64 << 10;
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+const WATCH_LIMIT: Duration = Duration::from_secs(20);
 
 type Answer = Result<Response<Body>, Failure>;
 
@@ -51,27 +54,69 @@
     let parts: Vec<&str> = path.split('/').skip(2).collect();
     match (request.method.as_str(), parts.as_slice()) {
         ("GET", ["explain", id]) => explain(context, id),
+        ("GET", ["history"]) => history(context, after(&request)?).await,
         ("GET", ["status"]) => Ok(respond::json(200, &status::of(context))),
         ("GET", ["table"]) => Ok(respond::json(200, &Listing::of(&context.table()))),
+        ("GET", ["voters"]) => match context.voter.voters().await {
+            Err(error) => Err(refused(context, &error)),
+            Ok(voters) => Ok(respond::json(200, &voters)),
+        },
+        ("GET", ["watch"]) => watch(context, after(&request)?).await,
         ("POST", ["edits"]) => edit(context, request).await,
+        ("POST", ["voters"]) => member(context, request).await,
         _ => Err(failed(Kind::Unknown, "no such path")),
     }
 }
 
-async fn edit(context: &Context, mut request: Request) -> Answer {
-    let malformed = |message: String| failed(Kind::BadRequest, message);
-    let body = request
-        .read(EDIT_LIMIT_BYTES, READ_TIMEOUT)
-        .await
-        .map_err(|reason| malformed(format!("the edit cannot be read: {reason}")))?;
-    let edit: Edit = serde_json::from_slice(&body)
-        .map_err(|error| malformed(format!("the body is no edit: {error}")))?;
+fn after(request: &Request) -> Result<u64, Failure> {
+    let query = request.uri.query().unwrap_or_default();
+    let after = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("after="));
+    let after = after.map_or(Ok(0), str::parse);
+    after.map_err(|_| failed(Kind::BadRequest, "`after` takes a revision"))
+}
+
+async fn edit(context: &Context, request: Request) -> Answer {
+    let edit: Edit = body(request).await?;
     match context.voter.edit(edit).await {
         Err(error) => Err(refused(context, &error)),
         Ok(receipt) => Ok(respond::json(200, &receipt)),
     }
 }
 
+async fn member(context: &Context, request: Request) -> Answer {
+    let ask: Ask = body(request).await?;
+    match context.voter.member(ask).await {
+        Err(error) => Err(refused(context, &error)),
+        Ok(()) => Ok(respond::json(200, &context.voter.voters().await.ok())),
+    }
+}
+
+async fn history(context: &Context, after: u64) -> Answer {
+    match context.voter.history(after).await {
+        Err(error) => Err(refused(context, &error)),
+        Ok(history) => Ok(respond::json(200, &history)),
+    }
+}
+
+async fn watch(context: &Context, after: u64) -> Answer {
+    let mut table = context.voter.table();
+    let newer = table.wait_for(|table| table.revision() > after);
+    let _ = tokio::time::timeout(WATCH_LIMIT, newer).await;
+    history(context, after).await
+}
+
+async fn body<T: DeserializeOwned>(mut request: Request) -> Result<T, Failure> {
+    let malformed = |message: String| failed(Kind::BadRequest, message);
+    let body = request
+        .read(EDIT_LIMIT_BYTES, READ_TIMEOUT)
+        .await
+        .map_err(|reason| malformed(format!("the body cannot be read: {reason}")))?;
+    serde_json::from_slice(&body)
+        .map_err(|error| malformed(format!("the body is not what this path takes: {error}")))
+}
+
 fn failed(kind: Kind, message: impl Into<String>) -> Failure {
     Failure {
         kind,
@@ -89,10 +134,11 @@
 fn refused(context: &Context, error: &voter::Error) -> Failure {
     let kind = match error {
         voter::Error::Refused(table::Error::Conflict { .. }) => Kind::Conflict,
+        voter::Error::Refused(table::Error::Reused { .. }) => Kind::KeyReused,
         voter::Error::Refused(table::Error::Unknown { .. }) => Kind::Unknown,
         voter::Error::Refused(_) => Kind::BadRequest,
-        voter::Error::Ring(_) => Kind::QuorumAway,
-        voter::Error::Log(_) | voter::Error::Unanswered => Kind::OutcomeUnknown,
+        voter::Error::QuorumAway(_) => Kind::QuorumAway,
+        voter::Error::Answer | voter::Error::Unanswered => Kind::OutcomeUnknown,
     };
     let details = slog::o!("kind" => kind.to_string(), "error" => error.to_string());
     event::emit(&context.log, Event::EditRefused, details);
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -49,7 +49,6 @@
 /// Bounds the upstreams whose caches are waited for at once.
 const RESYNCS: usize = 1024;
 const POLL: Duration = Duration::from_millis(20);
-const SPREAD_MS: u64 = 2_000;
 
 /// Tells which part of a daemon could not start.
 #[derive(Debug, Error)]
@@ -85,8 +84,6 @@
     /// Returns an error that names the address or the duty that could not start.
     pub async fn start(settings: Settings, log: Logger) -> Result<Self, Report<Error>> {
         let settings = Arc::new(settings);
-        let voter = voter::start(settings.data.clone(), log.clone())
-            .change_context(Error::Duty { duty: "voter" })?;
         let listener = match &settings.entry {
             None => None,
             Some(entry) => Some(bind(entry.listen).await?),
@@ -94,11 +91,13 @@
         let (drain, draining) = watch::channel(false);
         let (stop, stopped) = watch::channel(false);
         let clock = Clock::default();
+        let address = advertised(&settings, listener.as_ref());
+        let mut links = Links::open(&settings).await?;
+        let voter = voter::start(&settings, links.address, links.pool.clone(), clock, &log)
+            .change_context(Error::Duty { duty: "voter" })?;
         let (resync, resyncs) = mpsc::channel(RESYNCS);
         let broker = broker::start(clock, voter.table(), resync)
             .change_context(Error::Duty { duty: "broker" })?;
-        let address = advertised(&settings, listener.as_ref());
-        let mut links = Links::open(&settings).await?;
         let options = links.membership(&settings, address);
         let member = member::start(options, links.pool.clone(), clock, log.clone())
             .change_context(Error::Duty { duty: "member" })?;
@@ -117,7 +116,7 @@
             pool: links.pool.clone(),
             settings: settings.clone(),
             suspects: Suspects::new(clock),
-            voter,
+            voter: voter.clone(),
         });
         let feeds = tokio::spawn(feed::run(context.clone(), resyncs));
         let server = listener
@@ -126,7 +125,8 @@
                 let server = server(&context, entry);
                 tokio::spawn(server.run(listener, stopped))
             });
-        links.serve(peer::Service { member }, &log);
+        voter.follow(member.view());
+        links.serve(peer::Service { member, voter }, &log);
         tokio::spawn(load::watch(context.clone()));
         let details = slog::o!(
             "host" => settings.name.clone(),
@@ -196,10 +196,6 @@
         drain::Limits {
             lifetime: entry.map_or(HANDOVER_MS, |e| millis(e.address_lifetime)),
             limit: entry.map_or(HANDOVER_MS, |e| millis(e.drain_limit)),
-            spread: match self.context.pool {
-                None => 0,
-                Some(_) => SPREAD_MS,
-            },
         }
     }
 
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -10,8 +10,18 @@
 use tokio::net::TcpListener;
 
 use crate::member;
+use crate::voter;
 use coordination::gossip::Message;
+use coordination::machine::Answer;
+use coordination::machine::Command;
+use protocol::operator::History;
+use protocol::operator::Voters;
 use protocol::peer::Peer;
+use protocol::voter::Ask;
+use protocol::voter::Folder;
+use protocol::voter::Packet;
+use protocol::voter::Rejection;
+use protocol::voter::Spread;
 use transport::event;
 use transport::event::Event;
 use transport::peer_handshake;
@@ -25,6 +35,8 @@
 pub struct Service {
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
+    /// Reaches the voters.
+    pub voter: voter::Handle,
 }
 
 impl Peer for Service {
@@ -36,6 +48,34 @@
     }
 
     async fn ping(self, _: Context) {}
+
+    async fn replicate(self, _: Context, packet: Packet) {
+        self.voter.replicate(packet);
+    }
+
+    async fn propose(self, _: Context, command: Command) -> Result<Answer, Rejection> {
+        self.voter.propose_here(command).await
+    }
+
+    async fn folder(self, _: Context) -> Option<Folder> {
+        self.voter.folder()
+    }
+
+    async fn table(self, _: Context, after: u64) -> Spread {
+        self.voter.spread(after).await
+    }
+
+    async fn member(self, _: Context, ask: Ask) -> Result<(), Rejection> {
+        self.voter.member_here(ask).await
+    }
+
+    async fn voters(self, _: Context) -> Option<Voters> {
+        self.voter.voters_here()
+    }
+
+    async fn history(self, _: Context, after: u64) -> Option<History> {
+        self.voter.history_here(after).await.ok()
+    }
 }
 
 /// Answers the calls of other daemons until the task is dropped.
--- a/crates/hibiscushoistd/src/status.rs
+++ b/crates/hibiscushoistd/src/status.rs
@@ -33,6 +33,7 @@
         failure_domain: settings.failure_domain.clone(),
         host: settings.name.clone(),
         hosts: view.hosts.iter().map(host).collect(),
+        leader: context.voter.status().and_then(|voter| voter.leader_name),
         revision: table.revision(),
         roles: settings.roles.iter().map(ToString::to_string).collect(),
         upstreams: upstreams
--- a/crates/hibiscushoistd/src/voter.rs
+++ b/crates/hibiscushoistd/src/voter.rs
@@ -1,169 +1,577 @@
-//! The duty that keeps the table: a single voter with a synced log.
+//! Reaches the voters from any daemon: the one of this host, or another host's that leads.
 
-use std::fs;
-use std::fs::File;
-use std::fs::OpenOptions;
+use std::future::Future;
 use std::io;
-use std::io::Read;
-use std::io::Write;
-use std::path::Path;
-use std::path::PathBuf;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
+use error_stack::Report;
+use error_stack::ResultExt;
 use slog::Logger;
 use thiserror::Error;
+use tokio::runtime;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::follow::Follower;
+use crate::keeper;
+use crate::pool::Pool;
+use crate::settings::Role;
+use crate::settings::Settings;
+use crate::voter_call::Call;
+use crate::voter_call::Reply;
+use crate::voter_call::Status;
+use crate::voter_disk;
+use crate::voter_duty::Duty;
+use crate::voter_duty::Parts;
+use crate::voter_route::Routes;
+use crate::voter_upkeep::Upkeep;
+use coordination::lease;
+use coordination::machine::Answer;
+use coordination::machine::Command;
+use coordination::quorum::Change;
+use coordination::quorum::Identity;
+use coordination::quorum::Member;
+use coordination::raft::Raft;
+use coordination::raft_entry::Recovered;
+use coordination::raft_settings;
+use coordination::view::View;
+use protocol::operator::History;
+use protocol::operator::Voters;
+use protocol::voter::Ask;
+use protocol::voter::Folder;
+use protocol::voter::Packet;
+use protocol::voter::Rejection;
+use protocol::voter::Spread;
 use state::edit::Edit;
 use state::edit::Receipt;
+use state::ledger;
 use state::table;
 use state::table::Table;
+use transport::clock::Clock;
+use transport::disk;
 use transport::event;
 use transport::event::Event;
 use transport::metric;
+use transport::peer;
 use transport::ring;
+use transport::store::Store;
 
-const IDLE: Duration = Duration::from_millis(200);
-const LENGTH_BYTES: usize = 4;
-const LOG_FILE: &str = "table.log";
-const RING_CALLS: usize = 1024;
+const ARRIVAL_LIMIT: Duration = Duration::from_secs(2);
+const CALL_LIMIT: Duration = Duration::from_millis(2_000);
+const LIMIT: Duration = Duration::from_secs(6);
+const PAUSE: Duration = Duration::from_millis(100);
+const RING_CALLS: usize = 4_096;
+const SPREAD_WAIT: Duration = Duration::from_secs(4);
 
-/// Tells why the voters did not take an edit.
+/// Tells why the voters did not take a command.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// Reports that the log cannot be written.
-    #[error("the log cannot be written: {0}")]
-    Log(#[from] io::Error),
+    /// Reports an answer to something else.
+    #[error("the voters answered something else")]
+    Answer,
+    /// Reports that no voter took the command; it took no effect.
+    #[error("the voters cannot agree at the moment: {0}")]
+    QuorumAway(Rejection),
     /// Reports an edit that the table refuses.
     #[error("{0}")]
     Refused(#[from] table::Error),
-    /// Reports that the duty takes no calls.
-    #[error("the voter takes no calls: {0}")]
-    Ring(#[from] ring::Error),
-    /// Reports that the duty ended before it answered.
-    #[error("the voter ended before it answered; the outcome is unknown")]
+    /// Reports that no answer came in time; the outcome is unknown.
+    #[error("no voter answered in time; the outcome is unknown")]
     Unanswered,
 }
 
-struct Call {
-    answer: oneshot::Sender<Result<Receipt, Error>>,
-    edit: Edit,
+/// Tells which part of the voter could not start.
+#[derive(Clone, Copy, Debug, Error)]
+pub enum Start {
+    /// Reports the data folder.
+    #[error("the voter's data folder cannot be used")]
+    Folder,
+    /// Reports the log's newest snapshot.
+    #[error("the voter's snapshot cannot be read")]
+    Snapshot,
+    /// Reports a thread.
+    #[error("a thread cannot be started")]
+    Thread,
 }
 
-/// Reaches the duty.
+#[derive(Clone)]
+struct Local {
+    calls: ring::Sender<Call>,
+    status: watch::Receiver<Status>,
+}
+
+/// Reaches the voters.
 #[derive(Clone)]
 pub struct Handle {
-    ring: ring::Sender<Call>,
+    local: Option<Local>,
+    name: String,
+    offers: ring::Sender<Arc<Table>>,
+    own: SocketAddr,
+    pool: Option<Pool>,
     table: watch::Receiver<Arc<Table>>,
+    voters: Vec<SocketAddr>,
 }
 
 impl Handle {
-    /// Has `edit` accepted, or learns why not.
+    /// Has `edit` accepted and in force on this host, or learns why not.
     ///
     /// # Errors
     ///
     /// Returns the table's refusal, or why the voters could not be reached.
     pub async fn edit(&self, edit: Edit) -> Result<Receipt, Error> {
-        let (answer, answered) = oneshot::channel();
-        self.ring.send(Call { answer, edit })?;
-        answered.await.map_err(|_| Error::Unanswered)?
+        let Answer::Edit(result) = self.propose(Command::Edit(edit)).await? else {
+            return Err(Error::Answer);
+        };
+        let receipt = result?;
+        let mut table = self.table.clone();
+        let arrived = table.wait_for(|table| table.revision() >= receipt.revision);
+        let _ = tokio::time::timeout(ARRIVAL_LIMIT, arrived).await;
+        Ok(receipt)
+    }
+
+    /// Has the ledger record that a call is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the voters could not be reached.
+    pub async fn begin(&self, intent: ledger::Intent) -> Result<ledger::Decision, Error> {
+        match self.propose(Command::Begin(intent)).await? {
+            Answer::Begin(decision) => Ok(decision),
+            _ => Err(Error::Answer),
+        }
+    }
+
+    /// Has the ledger record how a call ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the voters could not be reached.
+    pub async fn finish(&self, report: ledger::Report) -> Result<ledger::Settlement, Error> {
+        match self.propose(Command::Finish(report)).await? {
+            Answer::Finish(settlement) => Ok(settlement),
+            _ => Err(Error::Answer),
+        }
+    }
+
+    /// Asks for a lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the voters could not be reached.
+    pub async fn lease(&self, ask: lease::Ask) -> Result<lease::Answer, Error> {
+        match self.propose(Command::Lease(ask)).await? {
+            Answer::Lease(answer) => Ok(answer),
+            _ => Err(Error::Answer),
+        }
+    }
+
+    /// Changes the voters.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the voters did not take the change, or that the outcome is unknown.
+    pub async fn member(&self, ask: Ask) -> Result<(), Error> {
+        self.reach(|target| self.send_member(target, ask.clone()))
+            .await
+    }
+
+    /// Shows the voters, as this host's voter or another host's sees them.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no voter could be reached.
+    pub async fn voters(&self) -> Result<Voters, Error> {
+        self.reach(|target| self.send_voters(target)).await
+    }
+
+    /// Returns the edits after a revision, as this host's voter or another host's knows them.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no voter could be reached.
+    pub async fn history(&self, after: u64) -> Result<History, Error> {
+        self.reach(|target| self.send_history(target, after)).await
+    }
+
+    /// Returns the table under everything acknowledged before; only the voter that leads can.
+    ///
+    /// # Errors
+    ///
+    /// Returns why this host's voter cannot tell.
+    pub async fn read_here(&self) -> Result<Arc<Table>, Rejection> {
+        self.ask(Call::Read).await
+    }
+
+    /// Returns the edits after a revision, as this host's voter knows them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error on a host without a working voter.
+    pub async fn history_here(&self, after: u64) -> Result<History, Rejection> {
+        self.ask(|reply| Call::History(after, reply)).await
+    }
+
+    /// Has this host's voter change the voters, if it leads.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it did not.
+    pub async fn member_here(&self, ask: Ask) -> Result<(), Rejection> {
+        let status = self.status().ok_or(Rejection::Ended)?;
+        if !status.leads {
+            return Err(Rejection::NotLeader(status.leader));
+        }
+        for change in self.changes(&status, ask).await? {
+            self.ask(|reply| Call::Change(change, reply)).await?;
+        }
+        Ok(())
+    }
+
+    /// Shows the voters, as this host's voter sees them.
+    pub fn voters_here(&self) -> Option<Voters> {
+        self.status().map(|status| status.voters())
+    }
+
+    /// Has this host's voter replicate a command, if it leads.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it did not, or that the outcome is not known here.
+    pub async fn propose_here(&self, command: Command) -> Result<Answer, Rejection> {
+        self.ask(|reply| Call::Propose(command, reply)).await
+    }
+
+    /// Takes messages of other voters.
+    pub fn replicate(&self, packet: Packet) {
+        if let Some(local) = &self.local
+            && local.calls.send(Call::Packet(packet)).is_err()
+        {
+            metrics::counter!(metric::LOG_DROPS).increment(1);
+        }
+    }
+
+    /// Returns what this host's voter's data folder is.
+    pub fn folder(&self) -> Option<Folder> {
+        let status = self.status()?;
+        let group = Some(status.config.group);
+        Some(Folder {
+            group: group.filter(|group| *group != Identity::default()),
+            identity: status.identity,
+            name: self.name.clone(),
+        })
+    }
+
+    /// Returns what a daemon at revision `after` lacks, once there is something or after a while.
+    pub async fn spread(&self, after: u64) -> Spread {
+        let mut table = self.table.clone();
+        let newer = table.wait_for(|table| table.revision() > after);
+        let newer = tokio::time::timeout(SPREAD_WAIT, newer).await;
+        let Ok(Ok(newer)) = newer.map(|newer| newer.map(|table| table.clone())) else {
+            return Spread::Same;
+        };
+        match self.ask(|reply| Call::Spread(after, reply)).await {
+            Err(_) | Ok(Spread::Same) => Spread::Whole(newer),
+            Ok(spread) => spread,
+        }
+    }
+
+    /// Returns what this host's voter shows of itself, if it works.
+    pub fn status(&self) -> Option<Status> {
+        let local = self.local.as_ref()?;
+        Some(local.status.borrow().clone()).filter(|status| status.works)
     }
 
     /// Returns the table in force and its later versions.
     pub fn table(&self) -> watch::Receiver<Arc<Table>> {
         self.table.clone()
     }
-}
 
-struct Voter {
-    file: Option<File>,
-    log: Logger,
-    publish: watch::Sender<Arc<Table>>,
-    table: Table,
-}
+    /// Follows the table of other daemons from now on.
+    pub fn follow(&self, view: watch::Receiver<Arc<View>>) {
+        if let Some(pool) = &self.pool {
+            let follower = Follower {
+                offers: self.offers.clone(),
+                own: self.own,
+                pool: pool.clone(),
+                status: self.local.as_ref().map(|local| local.status.clone()),
+                table: self.table.clone(),
+                view,
+                voters: self.voters.clone(),
+            };
+            tokio::spawn(follower.run());
+        }
+    }
 
-/// Starts the duty on the log in the folder `data`, or in memory without one.
-///
-/// # Errors
-///
-/// Returns an error when the log cannot be opened or read.
-pub fn start(data: Option<PathBuf>, log: Logger) -> io::Result<Handle> {
-    let (file, table) = match data {
-        Some(folder) => open(&folder)?,
-        None => (None, Table::default()),
-    };
-    let (publish, watch) = watch::channel(Arc::new(table.clone()));
-    let (ring, calls) = ring::bounded(RING_CALLS);
-    let mut voter = Voter {
-        file,
-        log,
-        publish,
-        table,
-    };
-    thread::Builder::new()
-        .name("voter".to_owned())
-        .spawn(move || voter.run(&calls))?;
-    Ok(Handle { ring, table: watch })
-}
+    async fn ask<T>(&self, call: impl FnOnce(Reply<T>) -> Call) -> Result<T, Rejection> {
+        let local = self.local.as_ref().ok_or(Rejection::Ended)?;
+        let (reply, replied) = oneshot::channel();
+        local.calls.send(call(reply)).map_err(|error| match error {
+            ring::Error::Closed => Rejection::Ended,
+            ring::Error::Full => Rejection::Backlog,
+        })?;
+        match tokio::time::timeout(CALL_LIMIT, replied).await {
+            Ok(Ok(answer)) => answer,
+            Err(_) | Ok(Err(_)) => Err(Rejection::Unknown),
+        }
+    }
 
-impl Voter {
-    fn run(&mut self, calls: &ring::Receiver<Call>) {
+    async fn changes(&self, status: &Status, ask: Ask) -> Result<Vec<Change>, Rejection> {
+        let members = &status.config.members;
+        match ask {
+            Ask::Add { address, name } => {
+                let pool = self.pool.as_ref().ok_or(Rejection::Change)?;
+                let client = pool.client(address, None);
+                let folder = client.call(CALL_LIMIT, |peer, context| async move {
+                    peer.folder(context).await
+                });
+                let folder = folder.await.ok().flatten().ok_or(Rejection::Change)?;
+                let foreign = folder
+                    .group
+                    .is_some_and(|group| group != status.config.group);
+                if foreign || folder.name != name {
+                    return Err(Rejection::Change);
+                }
+                let member = Member {
+                    address,
+                    name,
+                    votes: false,
+                };
+                let new = !members.contains_key(&folder.identity);
+                let add = Change::Add(folder.identity, member);
+                Ok(new.then_some(add).into_iter().collect())
+            }
+            Ask::Remove { name } => {
+                let named = members.iter().filter(|(_, member)| member.name == name);
+                Ok(named.map(|(id, _)| Change::Remove(*id)).collect())
+            }
+        }
+    }
+
+    async fn propose(&self, command: Command) -> Result<Answer, Error> {
+        self.reach(|target| self.send(target, command.clone()))
+            .await
+    }
+
+    /// Sends to one voter after another until one that leads answers.
+    async fn reach<T, F>(&self, send: impl Fn(Option<SocketAddr>) -> F) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, Rejection>>,
+    {
+        let until = Instant::now() + LIMIT;
+        let mut unknown = false;
+        let mut hint = None;
+        let mut turn = 0;
         loop {
-            match calls.receive(IDLE) {
-                Err(ring::Empty::Closed) => return,
-                Err(ring::Empty::Timeout) => {}
-                Ok(call) => {
-                    let answer = self.accept(&call.edit);
-                    let _ = call.answer.send(answer);
+            let target = hint.take().or_else(|| self.target(turn));
+            turn += 1;
+            let rejection = match send(target).await {
+                Ok(answer) => return Ok(answer),
+                Err(rejection) => rejection,
+            };
+            let reason: &'static str = rejection.into();
+            match rejection {
+                Rejection::NotLeader(Some(leader)) if Some(leader) != target => {
+                    hint = Some(leader);
                 }
+                Rejection::Unknown => unknown = true,
+                _ => {}
+            }
+            if Instant::now() >= until {
+                metrics::counter!(metric::VOTER_REFUSALS, "reason" => reason).increment(1);
+                return Err(match unknown {
+                    false => Error::QuorumAway(rejection),
+                    true => Error::Unanswered,
+                });
+            }
+            metrics::counter!(metric::VOTER_RETRIES, "reason" => reason).increment(1);
+            if hint.is_none() {
+                tokio::time::sleep(PAUSE).await;
             }
         }
     }
 
-    fn accept(&mut self, edit: &Edit) -> Result<Receipt, Error> {
-        let mut next = self.table.clone();
-        let receipt = next.apply(edit)?;
-        if let Some(file) = &mut self.file {
-            append(file, edit)?;
+    async fn send(
+        &self,
+        target: Option<SocketAddr>,
+        command: Command,
+    ) -> Result<Answer, Rejection> {
+        let Some((pool, address)) = self.pool.as_ref().zip(target) else {
+            return self.propose_here(command).await;
+        };
+        let client = pool.client(address, None);
+        let call = client.call(CALL_LIMIT, |peer, context| async move {
+            peer.propose(context, command).await
+        });
+        call.await.unwrap_or_else(|error| Err(unsent(&error)))
+    }
+
+    async fn send_history(
+        &self,
+        target: Option<SocketAddr>,
+        after: u64,
+    ) -> Result<History, Rejection> {
+        let Some((pool, address)) = self.pool.as_ref().zip(target) else {
+            return self.history_here(after).await;
+        };
+        let client = pool.client(address, None);
+        let call = client.call(CALL_LIMIT, |peer, context| async move {
+            peer.history(context, after).await
+        });
+        call.await.ok().flatten().ok_or(Rejection::Ended)
+    }
+
+    async fn send_member(&self, target: Option<SocketAddr>, ask: Ask) -> Result<(), Rejection> {
+        let Some((pool, address)) = self.pool.as_ref().zip(target) else {
+            return self.member_here(ask).await;
+        };
+        let client = pool.client(address, None);
+        let call = client.call(CALL_LIMIT, |peer, context| async move {
+            peer.member(context, ask).await
+        });
+        call.await.unwrap_or_else(|error| Err(unsent(&error)))
+    }
+
+    async fn send_voters(&self, target: Option<SocketAddr>) -> Result<Voters, Rejection> {
+        let Some((pool, address)) = self.pool.as_ref().zip(target) else {
+            return self.voters_here().ok_or(Rejection::Ended);
+        };
+        let client = pool.client(address, None);
+        let call = client.call(CALL_LIMIT, |peer, context| async move {
+            peer.voters(context).await
+        });
+        call.await.ok().flatten().ok_or(Rejection::Ended)
+    }
+
+    /// Returns the address to try at a turn, or `None` for this host's voter.
+    fn target(&self, turn: usize) -> Option<SocketAddr> {
+        let status = self.status();
+        let own = status.is_some().then_some(None);
+        let others = self.voters.iter().filter(|voter| **voter != self.own);
+        let members = status.iter().flat_map(|s| s.config.members.values());
+        let members = members.map(|m| m.address).filter(|a| *a != self.own);
+        let mut targets: Vec<Option<SocketAddr>> = own.into_iter().collect();
+        targets.extend(members.map(Some));
+        for other in others {
+            if !targets.contains(&Some(*other)) {
+                targets.push(Some(*other));
+            }
+        }
+        match targets.is_empty() {
+            false => targets[turn % targets.len()],
+            true => None,
         }
-        self.table = next;
-        self.publish.send_replace(Arc::new(self.table.clone()));
-        metrics::gauge!(metric::TABLE_REVISION).set(receipt.revision as f64);
-        let details = slog::o!("revision" => receipt.revision, "author" => edit.author.clone());
-        event::emit(&self.log, Event::TableApplied, details);
-        Ok(receipt)
     }
 }
 
-fn append(file: &mut File, edit: &Edit) -> io::Result<()> {
-    let record = postcard::to_stdvec(edit).map_err(io::Error::other)?;
-    let length = u32::try_from(record.len()).map_err(io::Error::other)?;
-    file.write_all(&length.to_le_bytes())?;
-    file.write_all(&record)?;
-    file.sync_data()
+fn unsent(error: &peer::Error) -> Rejection {
+    match error.not_sent() {
+        false => Rejection::Unknown,
+        true => Rejection::Ended,
+    }
 }
 
-fn open(folder: &Path) -> io::Result<(Option<File>, Table)> {
-    fs::create_dir_all(folder)?;
-    let path = folder.join(LOG_FILE);
-    let mut options = OpenOptions::new();
-    let mut file = options.append(true).create(true).read(true).open(path)?;
-    let mut bytes = Vec::new();
-    file.read_to_end(&mut bytes)?;
-    let mut table = Table::default();
-    let mut rest = bytes.as_slice();
-    while rest.len() >= LENGTH_BYTES {
-        let (length, tail) = rest.split_at(LENGTH_BYTES);
-        let length = u32::from_le_bytes([length[0], length[1], length[2], length[3]]) as usize;
-        let Some(record) = tail.get(..length) else {
-            break;
+/// Starts the voter of this host, if it has one, and what reaches the others.
+///
+/// # Errors
+///
+/// Returns an error that names the part that could not start.
+pub fn start(
+    settings: &Settings,
+    own: SocketAddr,
+    pool: Option<Pool>,
+    clock: Clock,
+    log: &Logger,
+) -> Result<Handle, Report<Start>> {
+    let keeper = keeper::start(settings.data.as_deref(), log.clone());
+    let keeper = keeper.change_context(Start::Folder)?;
+    let alone = settings.voters.is_empty() && !settings.plays(Role::Voter);
+    let votes = alone || settings.plays(Role::Voter);
+    let mut handle = Handle {
+        local: None,
+        name: settings.name.clone(),
+        offers: keeper.offers,
+        own,
+        pool,
+        table: keeper.table,
+        voters: settings.voters.iter().map(|voter| voter.address).collect(),
+    };
+    if votes {
+        handle.local = Some(local(settings, &handle, clock, log)?);
+    }
+    Ok(handle)
+}
+
+fn local(
+    settings: &Settings,
+    handle: &Handle,
+    clock: Clock,
+    log: &Logger,
+) -> Result<Local, Report<Start>> {
+    let folder = settings.data.as_ref().map(|data| data.join("log"));
+    let store = folder.map(|folder| open(folder, log)).transpose()?;
+    let fresh = Identity(rand::random());
+    let identity = store.as_ref().map_or(fresh, Store::identity);
+    let recovered = store.as_ref().map(Store::recovered).cloned();
+    let recovered = recovered.unwrap_or_default();
+    let empty = recovered == Recovered::default();
+    let raft_settings = raft_settings::Settings::default();
+    let seed = rand::random();
+    let raft = Raft::new(identity, raft_settings, seed, clock.now(), recovered);
+    let (calls, receiver) = ring::bounded(RING_CALLS);
+    let disk = voter_disk::start(store, calls.clone(), log.clone());
+    let (publish, status) = watch::channel(Status::default());
+    let runtime = runtime::Handle::current();
+    let duty = Duty::new(Parts {
+        calls: receiver,
+        clock,
+        disk: disk.change_context(Start::Thread)?,
+        log: log.clone(),
+        raft,
+        routes: Routes::new(handle.own, handle.pool.clone(), runtime),
+        status: publish,
+        tables: handle.offers.clone(),
+    });
+    let duty = duty.change_context(Start::Snapshot)?;
+    let thread = thread::Builder::new().name("voter".to_owned());
+    let spawned: io::Result<_> = thread.spawn(move || duty.run());
+    spawned.change_context(Start::Thread)?;
+    if settings.voters.is_empty() && empty {
+        let _ = calls.send(Call::Bootstrap(Member {
+            address: handle.own,
+            name: settings.name.clone(),
+            votes: true,
+        }));
+    }
+    if let Some(pool) = &handle.pool {
+        let upkeep = Upkeep {
+            calls: calls.clone(),
+            founded: handle.table.borrow().revision() > 0,
+            log: log.clone(),
+            name: settings.name.clone(),
+            pool: pool.clone(),
+            status: status.clone(),
+            voters: settings.voters.clone(),
         };
-        let edit: Edit = postcard::from_bytes(record).map_err(io::Error::other)?;
-        table.apply(&edit).map_err(io::Error::other)?;
-        rest = &tail[length..];
+        tokio::spawn(upkeep.run());
+    }
+    Ok(Local { calls, status })
+}
+
+fn open(folder: std::path::PathBuf, log: &Logger) -> Result<Store<disk::Folder>, Report<Start>> {
+    let locked = disk::Folder::open(folder).change_context(Start::Folder)?;
+    let opened = Store::open(locked, Identity(rand::random()));
+    let (store, report) = opened.change_context(Start::Folder)?;
+    if report.torn {
+        event::emit(log, Event::LogTorn, slog::o!());
     }
-    Ok((Some(file), table))
+    let details = slog::o!(
+        "entries" => report.entries,
+        "identity" => store.identity().to_string(),
+    );
+    event::emit(log, Event::VoterStarted, details);
+    Ok(store)
 }
--- /dev/null
+++ b/crates/hibiscushoistd/src/voter_call.rs
@@ -0,0 +1,92 @@
+//! What the duty of a voter is asked, and what it shows of itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+
+use coordination::machine::Answer;
+use coordination::machine::Command;
+use coordination::quorum::Change;
+use coordination::quorum::Config;
+use coordination::quorum::Identity;
+use coordination::quorum::Member;
+use protocol::operator;
+use protocol::operator::History;
+use protocol::operator::Voters;
+use protocol::voter::Packet;
+use protocol::voter::Rejection;
+use protocol::voter::Spread;
+use state::table::Table;
+
+/// Takes the answer to a call.
+pub type Reply<T> = oneshot::Sender<Result<T, Rejection>>;
+
+/// Asks the duty for something.
+pub enum Call {
+    /// Founds a group with this voter alone.
+    Bootstrap(Member),
+    /// Changes the members by one.
+    Change(Change, Reply<()>),
+    /// Asks for the edits after a revision.
+    History(u64, Reply<History>),
+    /// Brings messages of other voters.
+    Packet(Packet),
+    /// Asks to replicate a command.
+    Propose(Command, Reply<Answer>),
+    /// Asks for the table as it is now, under everything acknowledged before.
+    Read(Reply<Arc<Table>>),
+    /// Asks for what a daemon at a revision lacks.
+    Spread(u64, Reply<Spread>),
+    /// Wakes the duty after a write.
+    Written,
+}
+
+/// Shows the voter of this host.
+#[derive(Clone, Debug, Default)]
+pub struct Status {
+    /// Gives the index of the newest committed entry known here.
+    pub committed: u64,
+    /// Holds the members, as far as this voter knows.
+    pub config: Config,
+    /// Identifies the data folder.
+    pub identity: Identity,
+    /// Holds the leader's address, when it is known and another one.
+    pub leader: Option<SocketAddr>,
+    /// Names the leader's host, when it is known.
+    pub leader_name: Option<String>,
+    /// Tells whether this voter leads.
+    pub leads: bool,
+    /// Gives the index up to which each member's log is known to match; only the leader knows.
+    pub matched: Vec<(Identity, u64)>,
+    /// Gives the newest term seen.
+    pub term: u64,
+    /// Tells whether the voter works.
+    pub works: bool,
+}
+
+impl Status {
+    /// Shows the voters to an operator.
+    pub fn voters(&self) -> Voters {
+        let matched = |id: &Identity| match self.leads && *id == self.identity {
+            false => self.matched.iter().find(|(m, _)| m == id).map(|m| m.1),
+            true => Some(self.committed),
+        };
+        let voter = |(id, member): (&Identity, &Member)| operator::Voter {
+            address: member.address.to_string(),
+            identity: id.to_string(),
+            matched: matched(id),
+            name: member.name.clone(),
+            standing: match member.votes {
+                false => "learner".to_owned(),
+                true => "voter".to_owned(),
+            },
+        };
+        Voters {
+            committed: self.committed,
+            leader: self.leader_name.clone(),
+            term: self.term,
+            voters: self.config.members.iter().map(voter).collect(),
+        }
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod peer;
 pub mod refusal;
 pub mod service;
+pub mod voter;
--- a/crates/protocol/src/operator.rs
+++ b/crates/protocol/src/operator.rs
@@ -251,6 +251,9 @@
 pub struct Voter {
     /// Gives the address for peers.
     pub address: String,
+    /// Identifies the data folder of its log.
+    #[serde(default)]
+    pub identity: String,
     /// Gives the index up to which its log is known to match; only the leader knows.
     #[serde(default)]
     pub matched: Option<u64>,
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,6 +1,15 @@
 //! The one service that daemons offer each other over an authenticated connection.
 
+use crate::operator::History;
+use crate::operator::Voters;
+use crate::voter::Ask;
+use crate::voter::Folder;
+use crate::voter::Packet;
+use crate::voter::Rejection;
+use crate::voter::Spread;
 use coordination::gossip::Message;
+use coordination::machine::Answer;
+use coordination::machine::Command;
 
 /// Numbers the form of the messages; a connection needs the same number on both ends.
 pub const VERSION: u32 = 1;
@@ -14,4 +23,18 @@
     async fn gossip(message: Message) -> Message;
     /// Returns at once, which shows that the connection works both ways.
     async fn ping();
+    /// Takes messages of the replicated log.
+    async fn replicate(packet: Packet);
+    /// Has the voter replicate a command, if it leads.
+    async fn propose(command: Command) -> Result<Answer, Rejection>;
+    /// Tells what the voter's data folder is, where the host has one that works.
+    async fn folder() -> Option<Folder>;
+    /// Waits a while for a table after that revision.
+    async fn table(after: u64) -> Spread;
+    /// Has the voter change the voters, if it leads.
+    async fn member(ask: Ask) -> Result<(), Rejection>;
+    /// Shows the voters, where the host has one that works.
+    async fn voters() -> Option<Voters>;
+    /// Shows the edits after a revision, where the host has a voter that works.
+    async fn history(after: u64) -> Option<History>;
 }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -28,6 +28,24 @@
     TableApplied = 200,
     /// Logs that an edit was refused.
     EditRefused = 201,
+    /// Logs that the table could not be saved for the next start.
+    TableNotSaved = 202,
+    /// Logs that the voter's data folder was opened.
+    VoterStarted = 210,
+    /// Logs that this voter leads from now on.
+    LeadershipGained = 211,
+    /// Logs that this voter no longer leads.
+    LeadershipLost = 212,
+    /// Logs that the voters and learners have changed.
+    VotersChanged = 213,
+    /// Logs that an unfinished write at the end of the log was dropped.
+    LogTorn = 214,
+    /// Logs that the disk is full and that the write is tried again.
+    DiskFull = 215,
+    /// Logs that the disk failed and that this voter stops until the next start.
+    DiskFailed = 216,
+    /// Logs that a host's voter belongs to another group and is left alone.
+    VoterForeign = 217,
     /// Logs that a host was seen for the first time or again.
     HostJoined = 300,
     /// Logs that a host runs a new process.
@@ -66,11 +84,15 @@
         match self {
             Self::ConnectionFailed | Self::HostLoaded | Self::RequestRefused => Level::Debug,
             Self::ConnectionLimit
+            | Self::DiskFull
             | Self::DrainLimitPassed
             | Self::HostDied
+            | Self::LeadershipLost
             | Self::LinkCut
+            | Self::LogTorn
             | Self::Paused
-            | Self::PeerRefused => Level::Warning,
+            | Self::PeerRefused
+            | Self::TableNotSaved => Level::Warning,
             Self::DrainBegun
             | Self::EditRefused
             | Self::HostCleared
@@ -79,12 +101,17 @@
             | Self::HostLeft
             | Self::HostRestarted
             | Self::HostSuspected
+            | Self::LeadershipGained
             | Self::LinkMended
             | Self::Reunited
             | Self::Started
             | Self::Stopped
-            | Self::TableApplied => Level::Info,
-            Self::Isolated | Self::NameTaken => Level::Error,
+            | Self::TableApplied
+            | Self::VoterStarted
+            | Self::VotersChanged => Level::Info,
+            Self::DiskFailed | Self::Isolated | Self::NameTaken | Self::VoterForeign => {
+                Level::Error
+            }
         }
     }
 
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -11,6 +11,14 @@
 pub const HOSTS: &str = "hibiscushoist_hosts";
 /// Counts changes in the view of the fleet.
 pub const MEMBERSHIP_CHANGES: &str = "hibiscushoist_membership_changes_total";
+/// Gives the index of the newest committed entry known here.
+pub const LOG_COMMITTED: &str = "hibiscushoist_log_committed";
+/// Counts messages of the replicated log that were dropped because their ring was full.
+pub const LOG_DROPS: &str = "hibiscushoist_log_drops_total";
+/// Counts synced writes of the replicated log.
+pub const LOG_SYNCS: &str = "hibiscushoist_log_syncs_total";
+/// Gives the newest term seen here.
+pub const LOG_TERM: &str = "hibiscushoist_log_term";
 /// Counts connections to other daemons that could not be opened.
 pub const PEER_CONNECT_FAILURES: &str = "hibiscushoist_peer_connect_failures_total";
 /// Counts connections to other daemons that were opened.
@@ -40,6 +48,11 @@
 /// Gives the revision of the table in force here.
 pub const TABLE_REVISION: &str = "hibiscushoist_table_revision";
 
+/// Counts commands that voters refused or whose outcome stayed unknown, by reason.
+pub const VOTER_REFUSALS: &str = "hibiscushoist_voter_refusals_total";
+/// Counts commands that were sent to the voters again, by reason.
+pub const VOTER_RETRIES: &str = "hibiscushoist_voter_retries_total";
+
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Installs the recorder of the process once and returns its handle.
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -19,7 +19,16 @@
 use coordination::gossip::Body;
 use coordination::gossip::Message;
 use coordination::host::Version;
+use coordination::machine::Answer;
+use coordination::machine::Command;
+use protocol::operator::History;
+use protocol::operator::Voters;
 use protocol::peer::Peer;
+use protocol::voter::Ask;
+use protocol::voter::Folder;
+use protocol::voter::Packet;
+use protocol::voter::Rejection;
+use protocol::voter::Spread;
 use transport::peer::Client;
 use transport::peer::Error;
 use transport::peer::Options;
@@ -48,6 +57,32 @@
     }
 
     async fn ping(self, _: Context) {}
+
+    async fn replicate(self, _: Context, _: Packet) {}
+
+    async fn propose(self, _: Context, _: Command) -> Result<Answer, Rejection> {
+        Err(Rejection::Ended)
+    }
+
+    async fn folder(self, _: Context) -> Option<Folder> {
+        None
+    }
+
+    async fn table(self, _: Context, _: u64) -> Spread {
+        Spread::Same
+    }
+
+    async fn member(self, _: Context, _: Ask) -> Result<(), Rejection> {
+        Err(Rejection::Ended)
+    }
+
+    async fn voters(self, _: Context) -> Option<Voters> {
+        None
+    }
+
+    async fn history(self, _: Context, _: u64) -> Option<History> {
+        None
+    }
 }
 
 fn message() -> Message {
