--- a/crates/coordination/src/drain.rs
+++ b/crates/coordination/src/drain.rs
@@ -13,6 +13,8 @@
     pub lifetime: u64,
     /// Bounds the time after that lifetime until the last request must have ended.
     pub limit: u64,
+    /// Bounds the time until every host knows of the drain and names this one no more.
+    pub spread: u64,
 }
 
 /// Tells a drain what happened.
@@ -77,7 +79,7 @@
     pub fn step(&mut self, now: Instant, event: Event) -> Option<Effect> {
         match (self.phase, event) {
             (Phase::Serving, Event::Signal) => {
-                let until = now + self.limits.lifetime;
+                let until = now + self.limits.spread + self.limits.lifetime;
                 self.phase = Phase::Listed { until };
                 Some(Effect::Announce)
             }
--- a/crates/coordination/tests/drain.rs
+++ b/crates/coordination/tests/drain.rs
@@ -9,11 +9,14 @@
 
 const LIFETIME: u64 = 10_000;
 const LIMIT: u64 = 60_000;
+const SPREAD: u64 = 500;
+const CLOSE: u64 = SPREAD + LIFETIME;
 
 fn drain() -> Drain {
     Drain::new(Limits {
         lifetime: LIFETIME,
         limit: LIMIT,
+        spread: SPREAD,
     })
 }
 
@@ -33,20 +36,20 @@
 }
 
 #[test]
-fn the_listener_stays_open_for_the_lifetime_of_addresses() {
+fn the_listener_stays_open_until_no_caller_holds_the_address() {
     let steps = [
         (0, Event::Signal),
         (1, tick(0)),
-        (LIFETIME - 1, tick(0)),
-        (LIFETIME, tick(2)),
-        (LIFETIME + 1, tick(1)),
-        (LIFETIME + 2, tick(0)),
-        (LIFETIME + 3, tick(0)),
+        (CLOSE - 1, tick(0)),
+        (CLOSE, tick(2)),
+        (CLOSE + 1, tick(1)),
+        (CLOSE + 2, tick(0)),
+        (CLOSE + 3, tick(0)),
     ];
     let expected = [
         (0, Effect::Announce),
-        (LIFETIME, Effect::Close),
-        (LIFETIME + 2, Effect::End(Outcome::Clean)),
+        (CLOSE, Effect::Close),
+        (CLOSE + 2, Effect::End(Outcome::Clean)),
     ];
     assert_eq!(effects(&steps), expected);
 }
@@ -55,15 +58,15 @@
 fn the_limit_ends_a_drain_that_does_not_finish() {
     let steps = [
         (0, Event::Signal),
-        (LIFETIME, tick(1)),
-        (LIFETIME + LIMIT - 1, tick(1)),
-        (LIFETIME + LIMIT, tick(1)),
-        (LIFETIME + LIMIT + 1, Event::Signal),
+        (CLOSE, tick(1)),
+        (CLOSE + LIMIT - 1, tick(1)),
+        (CLOSE + LIMIT, tick(1)),
+        (CLOSE + LIMIT + 1, Event::Signal),
     ];
     let expected = [
         (0, Effect::Announce),
-        (LIFETIME, Effect::Close),
-        (LIFETIME + LIMIT, Effect::End(Outcome::LimitPassed)),
+        (CLOSE, Effect::Close),
+        (CLOSE + LIMIT, Effect::End(Outcome::LimitPassed)),
     ];
     assert_eq!(effects(&steps), expected);
 }
@@ -73,8 +76,8 @@
     let early = [(0, Event::Signal), (5, Event::Signal)];
     let late = [
         (0, Event::Signal),
-        (LIFETIME, tick(1)),
-        (LIFETIME + 5, Event::Signal),
+        (CLOSE, tick(1)),
+        (CLOSE + 5, Event::Signal),
     ];
     let forced = Effect::End(Outcome::Forced);
     assert_eq!(effects(&early), [(0, Effect::Announce), (5, forced)]);
@@ -82,8 +85,8 @@
         effects(&late),
         [
             (0, Effect::Announce),
-            (LIFETIME, Effect::Close),
-            (LIFETIME + 5, forced)
+            (CLOSE, Effect::Close),
+            (CLOSE + 5, forced)
         ]
     );
 }
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -49,6 +49,7 @@
 /// Bounds the upstreams whose caches are waited for at once.
 const RESYNCS: usize = 1024;
 const POLL: Duration = Duration::from_millis(20);
+const SPREAD_MS: u64 = 2_000;
 
 /// Tells which part of a daemon could not start.
 #[derive(Debug, Error)]
@@ -196,6 +197,10 @@
         drain::Limits {
             lifetime: entry.map_or(HANDOVER_MS, |e| millis(e.address_lifetime)),
             limit: entry.map_or(HANDOVER_MS, |e| millis(e.drain_limit)),
+            spread: match self.context.pool {
+                None => 0,
+                Some(_) => SPREAD_MS,
+            },
         }
     }
 
--- a/crates/hibiscushoistd/tests/pages.rs
+++ b/crates/hibiscushoistd/tests/pages.rs
@@ -8,6 +8,7 @@
 
 use strum::IntoEnumIterator;
 
+use coordination::retry;
 use hibiscushoistd::settings::Role;
 use hibiscushoistd::settings::SECTIONS;
 use protocol::operator::Kind;
@@ -73,15 +74,20 @@
     }
 }
 
-/// Returns the names of metrics that stand in the sources.
-fn metrics() -> BTreeSet<String> {
+/// Returns the text of every source file.
+fn texts() -> Vec<String> {
     let mut files = Vec::new();
     for package in fs::read_dir(root().join("crates")).unwrap() {
         sources(&package.unwrap().path().join("src"), &mut files);
     }
+    let read = |file| fs::read_to_string(file).unwrap();
+    files.into_iter().map(read).collect()
+}
+
+/// Returns the names of metrics that stand in the sources.
+fn metrics() -> BTreeSet<String> {
     let mut names = BTreeSet::new();
-    for file in files {
-        let text = fs::read_to_string(file).unwrap();
+    for text in texts() {
         for rest in text.split(METRIC_PREFIX).skip(1) {
             let name = rest.split('"').next().unwrap();
             names.insert(format!("hibiscushoist_{name}"));
@@ -114,6 +120,16 @@
     );
 }
 
+#[test]
+fn every_metric_is_named_by_a_constant() {
+    for text in texts() {
+        for macro_name in ["counter!(", "gauge!(", "histogram!("] {
+            let named = |rest: &str| rest.trim_start().starts_with('"');
+            assert!(!text.split(macro_name).skip(1).any(named), "{macro_name}");
+        }
+    }
+}
+
 #[test]
 fn every_refusal_reason_stands_on_its_page_with_its_status() {
     let listed = rows(&part(&page("METRICS.md"), "Refusal reasons"));
@@ -122,6 +138,24 @@
     assert_eq!(found.collect::<BTreeSet<_>>(), expected.collect());
 }
 
+#[test]
+fn every_retry_reason_stands_on_its_page() {
+    let listed = keys(&rows(&part(&page("METRICS.md"), "Retry reasons")));
+    assert_eq!(
+        listed,
+        retry::Reason::iter().map(|r| r.to_string()).collect()
+    );
+}
+
+#[test]
+fn every_retry_denial_stands_on_its_page() {
+    let listed = keys(&rows(&part(&page("METRICS.md"), "Retry denials")));
+    assert_eq!(
+        listed,
+        retry::Denial::iter().map(|d| d.to_string()).collect()
+    );
+}
+
 #[test]
 fn every_kind_of_failure_stands_on_its_page_with_its_status() {
     let listed = rows(&part(&page("METRICS.md"), "Operators' failures"));
