--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Keeps a request that crashes upstreams from crashing more than two of the fleet.
 //!
-//! Each digest has one owner among the daemons, the first of [`owners`], which is asked before any run.
-//! Without a success, runs and crashes of a digest together never exceed [`CRASHES`]. A digest
+//! Each digest has one owner among the daemons, the first of [`owners`], which is asked before any
+//! run. Without a success, runs and crashes of a digest together never exceed [`CRASHES`]. A digest
 //! that was in flight at a crash is a suspect: it runs again with no other suspect on its
 //! upstream, is cleared by its first success and is held back after its second crash.
 
@@ -346,7 +346,7 @@
     }
 }
 
-/// Ranks the hosts that may own `digest`, the owner first, the same wherever the views are the same.
+/// Ranks the hosts that may own `digest`, the owner first; equal views give equal ranks.
 pub fn owners(view: &View, digest: Digest) -> Vec<&Member> {
     let mut hosts: Vec<&Member> = ownership::brokers(view).collect();
     let score = |member: &&Member| Reverse(rendezvous::score(&digest.0, &member.record.host));
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -11,9 +11,19 @@
 
 use crate::member;
 use crate::suspects::Suspects;
+use crate::voter;
 use coordination::gossip::Message;
+use coordination::machine::Answer;
+use coordination::machine::Command;
 use coordination::quarantine;
+use protocol::operator::History;
+use protocol::operator::Voters;
 use protocol::peer::Peer;
+use protocol::voter::Ask;
+use protocol::voter::Folder;
+use protocol::voter::Packet;
+use protocol::voter::Rejection;
+use protocol::voter::Spread;
 use transport::event;
 use transport::event::Event;
 use transport::peer_handshake;
@@ -29,6 +39,8 @@
     pub member: member::Handle,
     /// Answers for the requests that may crash upstreams.
     pub suspects: Suspects,
+    /// Reaches the voters.
+    pub voter: voter::Handle,
 }
 
 impl Peer for Service {
@@ -41,6 +53,34 @@
 
     async fn ping(self, _: Context) {}
 
+    async fn replicate(self, _: Context, packet: Packet) {
+        self.voter.replicate(packet);
+    }
+
+    async fn propose(self, _: Context, command: Command) -> Result<Answer, Rejection> {
+        self.voter.propose_here(command).await
+    }
+
+    async fn folder(self, _: Context) -> Option<Folder> {
+        self.voter.folder()
+    }
+
+    async fn table(self, _: Context, after: u64) -> Spread {
+        self.voter.spread(after).await
+    }
+
+    async fn member(self, _: Context, ask: Ask) -> Result<(), Rejection> {
+        self.voter.member_here(ask).await
+    }
+
+    async fn voters(self, _: Context) -> Option<Voters> {
+        self.voter.voters_here()
+    }
+
+    async fn history(self, _: Context, after: u64) -> Option<History> {
+        self.voter.history_here(after).await.ok()
+    }
+
     async fn suspect(self, _: Context, call: quarantine::Call) -> quarantine::Answer {
         self.suspects.answer(call)
     }
