Import only blocks of the weights version in force, and count places that others took

Directories now hold blocks without a version, so the deepest cache of a prompt could be one of other weights: a grant could have named it to import from. The source is now sought by version, and a store by the names that its blocks have under that version. A broker also counted its own requests alone; what two load reports in a row show beyond them was sent by others (an earlier owner, or entries on their local share) and takes places too. The tokens of a block come with the ask, as the table sets the size of a block.

--- a/crates/coordination/examples/measure/engine.rs
+++ b/crates/coordination/examples/measure/engine.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::cache::Cache;
-use coordination::pool::BLOCK_TOKENS;
+use crate::work::BLOCK_TOKENS;
 use coordination::report::Sample;
 use state::ident::Block;
 use state::ident::Incarnation;
--- a/crates/coordination/examples/measure/figures.rs
+++ b/crates/coordination/examples/measure/figures.rs
@@ -3,10 +3,10 @@
 use crate::run::Record;
 use crate::run::Run;
 use crate::work;
+use crate::work::BLOCK_TOKENS;
 use crate::work::Request;
 use crate::work::Scene;
 use coordination::admission;
-use coordination::pool::BLOCK_TOKENS;
 use state::rank::Rank;
 
 /// Gives the time to the first token that urgent work should keep, in microseconds.
--- a/crates/coordination/examples/measure/main.rs
+++ b/crates/coordination/examples/measure/main.rs
@@ -14,9 +14,9 @@
 use crate::figures::Figures;
 use crate::router::Policy;
 use crate::run::Run;
+use crate::work::BLOCK_TOKENS;
 use crate::work::Deployment;
 use crate::work::Scene;
-use coordination::pool::BLOCK_TOKENS;
 use state::rank::Rank;
 
 const DEFAULT_SEED: u64 = 1;
--- a/crates/coordination/examples/measure/router.rs
+++ b/crates/coordination/examples/measure/router.rs
@@ -97,8 +97,9 @@
 
 /// Returns the ask for a request.
 pub fn ask(request: &Request, ticket: Ticket, deadline_ms: u64, excluded: Vec<String>) -> Ask {
-    let whole = request.blocks.len() as u32 * coordination::pool::BLOCK_TOKENS;
+    let whole = request.blocks.len() as u32 * work::BLOCK_TOKENS;
     Ask {
+        block_tokens: work::BLOCK_TOKENS,
         blocks: request.blocks.to_vec(),
         caller: format!("c{}", request.caller),
         deadline_ms,
--- a/crates/coordination/examples/measure/run.rs
+++ b/crates/coordination/examples/measure/run.rs
@@ -29,6 +29,7 @@
 use coordination::report::Progress;
 use coordination::report::Report;
 use state::directory::Batch;
+use state::directory::Change;
 use state::directory::Snapshot;
 use state::ident::Block;
 use state::ident::Incarnation;
@@ -425,8 +426,13 @@
                 self.after(lag, What::Cache(engine, batch));
             }
         }
+        let named = |change| match change {
+            Change::Cleared => Change::Cleared,
+            Change::Removed(block) => Change::Removed(block.under("v1")),
+            Change::Stored(block) => Change::Stored(block.under("v1")),
+        };
         let batch = Batch {
-            changes: self.store.publish(),
+            changes: self.store.publish().into_iter().map(named).collect(),
             incarnation: Incarnation(1),
             sequence: self.store_sequence,
             version: String::new(),
--- a/crates/coordination/examples/measure/work.rs
+++ b/crates/coordination/examples/measure/work.rs
@@ -6,10 +6,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use coordination::pool::BLOCK_TOKENS;
 use state::ident::Block;
 use state::rank::Rank;
 
+/// Gives the tokens of one cached block.
+pub const BLOCK_TOKENS: u32 = 4_096;
 /// Gives the length of a run, in microseconds.
 pub const LENGTH_US: u64 = 70 * SECOND_US;
 /// Gives one second.
--- a/crates/coordination/src/ask.rs
+++ b/crates/coordination/src/ask.rs
@@ -15,6 +15,8 @@
 /// Asks for an upstream and a place on it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ask {
+    /// Gives the tokens of one block.
+    pub block_tokens: u32,
     /// Lists the whole blocks of the prompt, from its start.
     pub blocks: Vec<Block>,
     /// Names the caller within its workspace.
@@ -42,3 +44,11 @@
     /// Names the workspace.
     pub workspace: String,
 }
+
+impl Ask {
+    /// Returns the tokens of the prompt after its last whole block.
+    pub fn tail_tokens(&self) -> u32 {
+        let whole = (self.blocks.len() as u32).saturating_mul(self.block_tokens);
+        self.prompt_tokens.saturating_sub(whole)
+    }
+}
--- a/crates/coordination/src/broker.rs
+++ b/crates/coordination/src/broker.rs
@@ -392,7 +392,7 @@
             Progress::FirstToken => {
                 if let Some(held) = self.held.get_mut(&report.ticket) {
                     self.pool.start(held.slot, &mut held.work, now);
-                    let store = self.pool.store(&held.ask, &self.directory, now);
+                    let store = self.pool.store(&held.ask, held.slot, &self.directory, now);
                     effects.extend(store.map(|store| Effect::Export {
                         source: self.pool.name(held.slot).to_owned(),
                         store,
--- a/crates/coordination/src/capacity.rs
+++ b/crates/coordination/src/capacity.rs
@@ -1,6 +1,7 @@
 //! What a broker knows of the load of one upstream.
 //!
 //! Reported load lags, so the work that the broker itself sent since the report is added to it.
+//! Requests that two reports in a row show beyond the broker's own were sent by others.
 
 use crate::report::Sample;
 use state::ident::Incarnation;
@@ -87,6 +88,8 @@
 pub struct Capacity {
     loads: [Load; 2],
     epoch: u64,
+    excess: u32,
+    foreign: u32,
     limit: Option<u32>,
     measured: Instant,
     progress: Instant,
@@ -133,9 +136,9 @@
         self.loads[Rank::Urgent.index()].inflight
     }
 
-    /// Returns the requests in flight, of both ranks.
+    /// Returns the requests in flight, of both ranks, with those that others sent.
     pub fn inflight(&self) -> u32 {
-        self.loads.iter().map(|load| load.inflight).sum()
+        self.own() + self.foreign
     }
 
     /// Sets the bound on requests in flight that the table gives.
@@ -153,6 +156,9 @@
         for load in &mut self.loads {
             load.recent = 0;
         }
+        let excess = sample.running.saturating_sub(self.own());
+        self.foreign = excess.min(self.excess);
+        self.excess = excess;
         self.sample = Some(sample);
     }
 
@@ -190,6 +196,8 @@
     pub fn reset(&mut self, now: Instant) {
         self.loads = [Load::default(); 2];
         self.epoch += 1;
+        self.excess = 0;
+        self.foreign = 0;
         self.measured = now;
         self.progress = now;
         self.sample = None;
@@ -255,6 +263,10 @@
         millis.saturating_mul(self.rate()) / MILLIS_PER_SECOND
     }
 
+    fn own(&self) -> u32 {
+        self.loads.iter().map(|load| load.inflight).sum()
+    }
+
     fn pending(&self) -> u32 {
         self.loads.iter().map(|load| load.pending).sum()
     }
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -29,10 +29,6 @@
 use state::table::Table;
 use state::time::Instant;
 
-/// Gives the tokens of one cached block.
-pub const BLOCK_TOKENS: u32 = 4_096;
-
-const KEEP_BLOCKS: usize = 1;
 const LEAST_RESERVE: u64 = 25;
 const PERCENT: u64 = 100;
 const RESERVE_PERCENT: u64 = 130;
@@ -44,6 +40,12 @@
     Store,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Source {
+    blocks: u32,
+    slot: Option<Slot>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Upstream {
     capacity: Capacity,
@@ -121,6 +123,14 @@
             && (version.is_none() || version == self.capacity.version())
     }
 
+    fn lends(&self, model: &str) -> bool {
+        self.listed && self.standing != Standing::Dead && self.holds_model(model)
+    }
+
+    fn holds_model(&self, model: &str) -> bool {
+        self.model == model || (self.role == Role::Store && self.model.is_empty())
+    }
+
     fn takes_work(&self) -> bool {
         self.role == Role::Engine && self.usable()
     }
@@ -235,37 +245,43 @@
     ) -> Proposal {
         let residency = directory.resident(&ask.blocks, now);
         let depth = |slot: Slot| residency.soon(slot);
-        let (held, source) = self.deepest(&ask.model, directory, &residency);
-        let demand = Demand {
-            blocks: ask.blocks.len() as u32,
-            held,
-            trade,
-        };
-        let mut ratings: Vec<Rating> = self
-            .iter()
-            .filter(|(_, upstream)| upstream.fits(ask))
-            .map(|(slot, upstream)| {
-                let doubtful = directory.doubtful(slot);
-                let mut candidate = candidate(upstream, ask, priority, depth(slot), doubtful, now);
-                candidate.wait_us += promised.at(slot);
-                placement::rate(demand, slot, &candidate)
-            })
-            .collect();
+        let mut deepest: Vec<(Option<&str>, Source)> = Vec::new();
+        let mut ratings = Vec::new();
+        for (slot, upstream) in self.iter().filter(|(_, upstream)| upstream.fits(ask)) {
+            let version = upstream.capacity.version();
+            let known = deepest.iter().find(|(found, _)| *found == version);
+            let source = known.map(|(_, source)| *source).unwrap_or_else(|| {
+                let source = self.deepest(ask, version, directory, &residency, now);
+                deepest.push((version, source));
+                source
+            });
+            let demand = Demand {
+                blocks: ask.blocks.len() as u32,
+                held: source.blocks,
+                trade,
+            };
+            let doubtful = directory.doubtful(slot);
+            let mut candidate = candidate(upstream, ask, priority, depth(slot), doubtful, now);
+            candidate.wait_us += promised.at(slot);
+            ratings.push(placement::rate(demand, slot, &candidate));
+        }
         let root = ask.blocks.first().copied().unwrap_or_default();
         placement::sort(&mut ratings, |slot| tie(root, self.at(slot).seed));
         let Some(best) = ratings.first() else {
             return Proposal::default();
         };
-        let tail = ask
-            .prompt_tokens
-            .saturating_sub(demand.blocks * BLOCK_TOKENS);
-        let tokens = u64::from(best.uncached * BLOCK_TOKENS + tail);
-        let import = source.filter(|source| held > 0 && *source != best.slot);
+        let tokens = u64::from(best.uncached * ask.block_tokens + ask.tail_tokens());
+        let version = self.at(best.slot).capacity.version();
+        let source = deepest.into_iter().find(|(found, _)| *found == version);
+        let source = source.map(|(_, source)| source).unwrap_or_default();
+        let import = source
+            .slot
+            .filter(|slot| source.blocks > 0 && *slot != best.slot);
         Proposal {
             expected_us: best.expected_us,
-            import: import.map(|source| Import {
-                blocks: held,
-                source: self.name(source).to_owned(),
+            import: import.map(|slot| Import {
+                blocks: source.blocks,
+                source: self.name(slot).to_owned(),
             }),
             priority,
             resident: depth(best.slot),
@@ -314,15 +330,19 @@
         self.at_mut(slot).capacity.start(work, now);
     }
 
-    /// Returns the kept-KV store that should get a copy of the prompt's blocks, if one lacks them.
-    pub fn store(&self, ask: &Ask, directory: &Directory, now: Instant) -> Option<String> {
-        if ask.blocks.len() < KEEP_BLOCKS {
-            return None;
-        }
-        let (slot, store) = self
-            .iter()
-            .find(|(_, u)| u.role == Role::Store && u.usable() && serves_model(u, &ask.model))?;
-        let held = directory.resident(&ask.blocks, now).held(slot);
+    /// Returns the kept-KV store that should get a copy of the prompt's blocks from the upstream
+    /// at `source`, if one lacks them.
+    pub fn store(
+        &self,
+        ask: &Ask,
+        source: Slot,
+        directory: &Directory,
+        now: Instant,
+    ) -> Option<String> {
+        let version = self.at(source).capacity.version()?;
+        let wants = |u: &Upstream| u.role == Role::Store && u.usable() && u.holds_model(&ask.model);
+        let (slot, store) = self.iter().find(|(_, u)| wants(u))?;
+        let held = stored(ask, version, slot, directory, now);
         ((held as usize) < ask.blocks.len()).then(|| store.name.clone())
     }
 
@@ -377,23 +397,37 @@
         &mut self.upstreams[usize::from(slot.0)]
     }
 
-    /// Returns the most leading blocks that a live cache surely holds, and which one.
+    /// Returns the cache of one weights version that surely holds the most leading blocks.
+    ///
+    /// Engines are listed by blocks without a version, as each serves one; a store holds blocks of
+    /// all versions and so lists them by their names under a version.
     fn deepest(
         &self,
-        model: &str,
+        ask: &Ask,
+        version: Option<&str>,
         directory: &Directory,
         residency: &Residency,
-    ) -> (u32, Option<Slot>) {
-        self.iter()
-            .filter(|(slot, u)| {
-                serves_model(u, model)
-                    && u.listed
-                    && u.standing != Standing::Dead
-                    && !directory.doubtful(*slot)
-            })
-            .map(|(slot, _)| (residency.held(slot), Some(slot)))
-            .max_by_key(|(held, slot)| (*held, *slot))
-            .unwrap_or((0, None))
+        now: Instant,
+    ) -> Source {
+        let Some(version) = version else {
+            return Source::default();
+        };
+        let mut best = Source::default();
+        for (slot, upstream) in self.iter() {
+            if !upstream.lends(&ask.model) || directory.doubtful(slot) {
+                continue;
+            }
+            let blocks = match upstream.role {
+                Role::Engine if directory.version(slot) != Some(version) => 0,
+                Role::Engine => residency.held(slot),
+                Role::Store => stored(ask, version, slot, directory, now),
+            };
+            if blocks >= best.blocks {
+                let slot = Some(slot);
+                best = Source { blocks, slot };
+            }
+        }
+        best
     }
 
     fn iter(&self) -> impl Iterator<Item = (Slot, &Upstream)> {
@@ -419,21 +453,20 @@
     doubtful: bool,
     now: Instant,
 ) -> Candidate {
-    let whole = ask.blocks.len() as u32 * BLOCK_TOKENS;
-    let tail = ask.prompt_tokens.saturating_sub(whole);
     Candidate {
-        block_us: upstream.capacity.prefill_us(u64::from(BLOCK_TOKENS)),
+        block_us: upstream.capacity.prefill_us(u64::from(ask.block_tokens)),
         doubtful,
         remote: upstream.domain != ask.domain,
         resident,
-        tail_us: upstream.capacity.prefill_us(u64::from(tail)),
+        tail_us: upstream.capacity.prefill_us(u64::from(ask.tail_tokens())),
         wait_us: upstream.capacity.wait_us(priority, now),
         weight: upstream.weight,
     }
 }
 
-fn serves_model(upstream: &Upstream, model: &str) -> bool {
-    upstream.model == model || (upstream.role == Role::Store && upstream.model.is_empty())
+fn stored(ask: &Ask, version: &str, slot: Slot, directory: &Directory, now: Instant) -> u32 {
+    let named: Vec<Block> = ask.blocks.iter().map(|b| b.under(version)).collect();
+    directory.resident(&named, now).held(slot)
 }
 
 /// Orders even upstreams by rendezvous hashing of the prompt's first block.
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -145,3 +145,46 @@
     }
     assert_eq!(on_a, 40);
 }
+
+#[test]
+fn import_never_crosses_weights_versions() {
+    let mut desk = Desk::new(&["a", "b"]);
+    let holder = warm(&mut desk, 6);
+    let other = if holder == "a" { "b" } else { "a" };
+    desk.serve(other, 1, "v2");
+    let mut ask = ask(1, Rank::Urgent, "maps", "c", 6);
+    ask.version = Some("v2".to_owned());
+    let grant = grants(&desk.ask(ask)).remove(0);
+    assert_eq!((grant.upstream.as_str(), grant.import), (other, None));
+}
+
+#[test]
+fn store_lends_blocks_of_the_version_that_the_upstream_serves() {
+    for (version, import) in [("v1", 6), ("v2", 0)] {
+        let mut desk = Desk::new(&["a"]);
+        let cells = [(Column::Address, "127.0.0.1:2"), (Column::Type, "kv_store")];
+        desk.row(Sheet::Upstreams, "kept", &cells);
+        let named: Vec<_> = prompt("maps", 6).iter().map(|b| b.under("v1")).collect();
+        desk.cached("kept", 1, 0, &named);
+        desk.serve("a", 1, version);
+        let grant = grants(&desk.ask(ask(1, Rank::Urgent, "maps", "c", 6))).remove(0);
+        assert_eq!(
+            grant.import.map_or(0, |import| import.blocks),
+            import,
+            "{version}"
+        );
+    }
+}
+
+#[test]
+fn places_taken_by_others_count_once_two_reports_show_them() {
+    let mut desk = Desk::new(&["a"]);
+    for _ in 0..2 {
+        desk.busy("a", support::SLOTS);
+    }
+    assert_eq!(
+        upstreams(&desk.ask(ask(1, Rank::Urgent, "maps", "c", 0))),
+        [""; 0]
+    );
+    assert_eq!(upstreams(&desk.busy("a", 0)), ["a"]);
+}
--- a/crates/coordination/tests/support/mod.rs
+++ b/crates/coordination/tests/support/mod.rs
@@ -102,16 +102,34 @@
     }
 
     pub fn load(&mut self, upstream: &str, incarnation: u64) -> Vec<Effect> {
+        self.sample(upstream, incarnation, "v1", 0)
+    }
+
+    pub fn serve(&mut self, upstream: &str, incarnation: u64, version: &str) {
+        self.sample(upstream, incarnation, version, 0);
+    }
+
+    pub fn busy(&mut self, upstream: &str, running: u32) -> Vec<Effect> {
+        self.sample(upstream, 1, "v1", running)
+    }
+
+    fn sample(
+        &mut self,
+        upstream: &str,
+        incarnation: u64,
+        version: &str,
+        running: u32,
+    ) -> Vec<Effect> {
         self.step(Event::Load {
             sample: Sample {
                 age_ms: 0,
                 background_tokens: 0,
                 incarnation: Incarnation(incarnation),
                 prefill_rate: RATE,
-                running: 0,
+                running,
                 slots: SLOTS,
                 urgent_tokens: 0,
-                version: "v1".to_owned(),
+                version: version.to_owned(),
             },
             upstream: upstream.to_owned(),
         })
@@ -156,6 +174,7 @@
 
 pub fn ask(serial: u128, rank: Rank, workspace: &str, caller: &str, blocks: usize) -> Ask {
     Ask {
+        block_tokens: 4_096,
         blocks: prompt(workspace, blocks),
         caller: caller.to_owned(),
         deadline_ms: 10_000,
--- a/crates/hibiscushoistd/src/job.rs
+++ b/crates/hibiscushoistd/src/job.rs
@@ -101,6 +101,7 @@
         let block_bytes = block_bytes.unwrap_or(DEFAULT_BLOCK_BYTES) as usize;
         let root = Block::root(setting.workspace, &asked.model, NO_VERSION);
         let ask = Ask {
+            block_tokens: (block_bytes / BYTES_PER_TOKEN) as u32,
             blocks: root.chain(prompt.as_bytes(), block_bytes),
             caller: asked.user.clone().unwrap_or_default(),
             deadline_ms,
