Count the breaks that each caller sees when a host is killed

Cause: the test asked that nothing on the killed host fail after the kill, and so refused the connections that callers rightly try within an address's lifetime.

--- a/crates/hibiscushoistd/tests/processes/load.rs
+++ b/crates/hibiscushoistd/tests/processes/load.rs
@@ -49,6 +49,7 @@
 #[derive(Clone, Debug)]
 pub struct Record {
     pub address: SocketAddr,
+    pub caller: usize,
     pub ended: Instant,
     pub outcome: Outcome,
     pub started: Instant,
@@ -171,6 +172,7 @@
             let unreachable = outcome == Outcome::Unreachable;
             self.records.lock().unwrap().push(Record {
                 address,
+                caller: self.number,
                 ended: Instant::now(),
                 outcome,
                 started,
