Let a host that keeps its table alone lead at once and follow nobody

A host without listed voters waited one to two seconds for an election that nobody else could win, and in that time took the table of any other host it knew, whose revisions are not its own. The only voter of a group now stands at once, and without listed voters a host neither follows other tables nor looks after a group.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -191,6 +191,7 @@
             voted: 0,
         };
         raft.defer_election();
+        raft.hurry_alone();
         raft
     }
 
@@ -331,6 +332,14 @@
         });
         self.log.push(entry.clone());
         self.records.push(Record::Entries(vec![entry]));
+        self.hurry_alone();
+    }
+
+    /// Lets the only voter stand for election at once, since nobody else can lead.
+    fn hurry_alone(&mut self) {
+        if self.log.config().voters().eq([self.identity]) {
+            self.election_due = self.now;
+        }
     }
 
     fn compact(&mut self, index: u64, data: Arc<[u8]>) {
--- a/crates/hibiscushoistd/src/voter.rs
+++ b/crates/hibiscushoistd/src/voter.rs
@@ -290,9 +290,9 @@
         self.table.clone()
     }
 
-    /// Follows the table of other daemons from now on.
+    /// Follows the table of other daemons from now on, unless this host keeps its own alone.
     pub fn follow(&self, view: watch::Receiver<Arc<View>>) {
-        if let Some(pool) = &self.pool {
+        if let Some(pool) = self.pool.as_ref().filter(|_| !self.voters.is_empty()) {
             let follower = Follower {
                 offers: self.offers.clone(),
                 own: self.own,
@@ -546,7 +546,7 @@
             votes: true,
         }));
     }
-    if let Some(pool) = &handle.pool {
+    if let Some(pool) = handle.pool.as_ref().filter(|_| !settings.voters.is_empty()) {
         let upkeep = Upkeep {
             calls: calls.clone(),
             founded: handle.table.borrow().revision() > 0,
