Bound stalled writes and the bytes of all bodies held at once

A caller that stops reading kept its connection for good: the answer was given up, but its last bytes were never taken, so the place among `connections` stayed taken (seen in a test with three places, which hung for 60 s). Many callers could also fill the memory, as only each body was bounded. And a header limit below 8192 bytes passed the check and then panicked inside the HTTP library at the first connection. Writes now have write_timeout_ms, bodies bodies_limit_bytes with an overloaded refusal, and the header limit its true least value.

--- /dev/null
+++ b/crates/hibiscushoistd/src/budget.rs
@@ -0,0 +1,50 @@
+//! A common bound on the bytes of request bodies that a daemon holds at once.
+
+use std::sync::Arc;
+
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+
+/// Hands out bytes until all are taken.
+#[derive(Clone, Debug)]
+pub struct Budget(Arc<Semaphore>);
+
+/// Holds bytes of a budget and gives them back when dropped.
+#[derive(Debug)]
+pub struct Share {
+    budget: Budget,
+    held: Option<OwnedSemaphorePermit>,
+}
+
+impl Budget {
+    /// Returns a budget of `bytes`.
+    pub fn new(bytes: usize) -> Self {
+        Self(Arc::new(Semaphore::new(bytes)))
+    }
+
+    /// Returns a share that holds nothing yet.
+    pub fn share(&self) -> Share {
+        Share {
+            budget: self.clone(),
+            held: None,
+        }
+    }
+}
+
+impl Share {
+    /// Takes `bytes` more and returns whether there were as many.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let Ok(count) = u32::try_from(bytes) else {
+            return false;
+        };
+        let semaphore = Arc::clone(&self.budget.0);
+        let Ok(permit) = semaphore.try_acquire_many_owned(count) else {
+            return false;
+        };
+        match &mut self.held {
+            None => self.held = Some(permit),
+            Some(held) => held.merge(permit),
+        }
+        true
+    }
+}
--- a/crates/hibiscushoistd/src/completions.rs
+++ b/crates/hibiscushoistd/src/completions.rs
@@ -57,11 +57,12 @@
 }
 
 async fn complete(context: Arc<Context>, mut request: Request, shape: Shape) -> Response<Body> {
-    let guard = context.enter();
+    let mut guard = context.enter();
     let job = match read(&context, &mut request, shape).await {
         Err(reason) => return caller::refuse(&request.id, reason),
         Ok(job) => job,
     };
+    guard.hold(request.share);
     let form = Form::of(&job);
     let streamed = job.request.stream;
     let mut parts = relay::start(context, job);
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -12,6 +12,8 @@
 use tokio::sync::watch;
 
 use crate::broker;
+use crate::budget::Budget;
+use crate::budget::Share;
 use crate::health::Health;
 use crate::journal::Journal;
 use crate::member;
@@ -28,6 +30,8 @@
 pub struct Context {
     /// Holds the address that callers are told.
     pub address: SocketAddr,
+    /// Bounds the bytes of request bodies held at once.
+    pub bodies: Budget,
     /// Places requests on upstreams.
     pub broker: broker::Handle,
     /// Reads the clock.
@@ -72,17 +76,30 @@
     /// Counts a request in flight until the returned guard is dropped.
     pub fn enter(&self) -> Guard {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        Guard(self.in_flight.clone())
+        Guard {
+            in_flight: self.in_flight.clone(),
+            share: None,
+        }
     }
 }
 
 /// Counts one request in flight while it lives.
 #[derive(Debug)]
-pub struct Guard(Arc<AtomicU64>);
+pub struct Guard {
+    in_flight: Arc<AtomicU64>,
+    share: Option<Share>,
+}
+
+impl Guard {
+    /// Holds the bytes of the request's body as well.
+    pub fn hold(&mut self, share: Share) {
+        self.share = Some(share);
+    }
+}
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 
 use crate::broker;
+use crate::budget::Budget;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::feed;
@@ -104,6 +105,7 @@
             .change_context(Error::Duty { duty: "member" })?;
         let context = Arc::new(Context {
             address,
+            bodies: Budget::new(settings.entry.as_ref().map_or(0, |e| e.bodies_limit)),
             broker,
             clock,
             drain_began: OnceLock::new(),
@@ -254,6 +256,7 @@
             connections: entry.connections,
             header_bytes: entry.header_limit,
             header_timeout: entry.header_timeout,
+            write_timeout: entry.write_timeout,
         },
         log: context.log.clone(),
         prepare: Arc::new(move |state: &mut State| state.put(shared.clone())),
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt;
 pub mod auth;
 pub mod broker;
+pub mod budget;
 pub mod caller;
 pub mod completions;
 pub mod context;
--- a/crates/hibiscushoistd/src/request.rs
+++ b/crates/hibiscushoistd/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use gotham::state::FromState;
 use gotham::state::State;
 use http_body_util::BodyExt;
@@ -11,6 +12,8 @@
 use hyper::Method;
 use hyper::Uri;
 
+use crate::budget::Share;
+use crate::context::Shared;
 use protocol::refusal::Reason;
 use transport::http::Body;
 
@@ -24,6 +27,8 @@
     pub id: String,
     /// Holds the method.
     pub method: Method,
+    /// Holds the bytes of the body within what the daemon may hold.
+    pub share: Share,
     /// Holds the path and the query.
     pub uri: Uri,
 }
@@ -31,11 +36,14 @@
 impl Request {
     /// Takes the request out of gotham's state and gives it an identifier.
     pub fn take(state: &mut State) -> Self {
+        let Shared(context) = Shared::borrow_from(state);
+        let share = context.bodies.share();
         Self {
             body: Body::try_take_from(state).unwrap_or_default(),
             headers: HeaderMap::take_from(state),
             id: format!("{:016x}", rand::random::<u64>()),
             method: Method::borrow_from(state).clone(),
+            share,
             uri: Uri::borrow_from(state).clone(),
         }
     }
@@ -67,18 +75,33 @@
     ///
     /// # Errors
     ///
-    /// Returns `BodyTooLarge` past the limit and `BadRequest` for a body that breaks off or is
-    /// late.
+    /// Returns `BodyTooLarge` past the limit, `Overloaded` when the daemon holds too many bytes of
+    /// bodies, and `BadRequest` for a body that breaks off or is late.
     pub async fn read(&mut self, limit: usize, timeout: Duration) -> Result<Bytes, Reason> {
         let body = std::mem::take(&mut self.body);
-        let reading = Limited::new(body, limit).collect();
-        match tokio::time::timeout(timeout, reading).await {
-            Err(_) => Err(Reason::BadRequest),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(Reason::BodyTooLarge)
+        let reading = self.collect(Limited::new(body, limit));
+        let read = tokio::time::timeout(timeout, reading).await;
+        read.unwrap_or(Err(Reason::BadRequest))
+    }
+
+    async fn collect(&mut self, mut body: Limited<Body>) -> Result<Bytes, Reason> {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame =
+                frame.map_err(
+                    |error| match error.is::<http_body_util::LengthLimitError>() {
+                        false => Reason::BadRequest,
+                        true => Reason::BodyTooLarge,
+                    },
+                )?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if !self.share.grow(data.len()) {
+                return Err(Reason::Overloaded);
             }
-            Ok(Err(_)) => Err(Reason::BadRequest),
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            bytes.extend_from_slice(&data);
         }
+        Ok(bytes.freeze())
     }
 }
--- a/crates/hibiscushoistd/src/settings.rs
+++ b/crates/hibiscushoistd/src/settings.rs
@@ -20,6 +20,9 @@
 
 const ADDRESS: &str = "an IP address and port such as 192.0.2.1:8000";
 const HASH: &str = "64 hexadecimal digits";
+const LEAST_BODY_BYTES: u64 = 1 << 10;
+const LEAST_HEADER_BYTES: u64 = 8 << 10;
+const MOST_BYTES: u64 = 1 << 30;
 const NAME: &str = "a name of 1 to 64 letters, digits, dots, dashes and underscores";
 
 /// Lists every section and key that a settings file may hold.
@@ -32,6 +35,7 @@
         keys: &[
             "address_lifetime_ms",
             "advertise",
+            "bodies_limit_bytes",
             "body_limit_bytes",
             "body_timeout_ms",
             "connections",
@@ -39,6 +43,7 @@
             "header_limit_bytes",
             "header_timeout_ms",
             "listen",
+            "write_timeout_ms",
         ],
         name: "entry",
     },
@@ -112,6 +117,8 @@
     pub address_lifetime: Duration,
     /// Holds the address that callers are told, if not the one bound.
     pub advertise: Option<SocketAddr>,
+    /// Bounds the bodies of all requests held at once, in bytes.
+    pub bodies_limit: usize,
     /// Bounds the body of a request, in bytes.
     pub body_limit: usize,
     /// Bounds the time in which a request's body must arrive.
@@ -126,6 +133,8 @@
     pub header_timeout: Duration,
     /// Holds the address to bind.
     pub listen: SocketAddr,
+    /// Bounds the time for which a caller may take nothing of an answer.
+    pub write_timeout: Duration,
 }
 
 /// Holds the settings of the log.
@@ -280,15 +289,16 @@
         let value = file.optional("entry", key, default, accepted, number(1, 86_400_000))?;
         Ok(Duration::from_millis(value))
     };
-    let size = |key, default| {
-        let accepted = "a whole number from 1024 to 1073741824";
-        let parse = number(1024, 1 << 30);
-        Ok(file.optional("entry", key, default, accepted, parse)? as usize)
+    let size = |key, default, least| {
+        let accepted = format!("a whole number from {least} to {MOST_BYTES}");
+        let parse = number(least, MOST_BYTES);
+        Ok(file.optional("entry", key, default, &accepted, parse)? as usize)
     };
     Ok(Some(Entry {
         address_lifetime: millis("address_lifetime_ms", 10_000)?,
         advertise: file.optional("entry", "advertise", None, ADDRESS, some_address)?,
-        body_limit: size("body_limit_bytes", 16 << 20)?,
+        bodies_limit: size("bodies_limit_bytes", 256 << 20, LEAST_BODY_BYTES)?,
+        body_limit: size("body_limit_bytes", 16 << 20, LEAST_BODY_BYTES)?,
         body_timeout: millis("body_timeout_ms", 30_000)?,
         connections: file.optional(
             "entry",
@@ -298,9 +308,10 @@
             number(1, 1_000_000),
         )? as usize,
         drain_limit: millis("drain_limit_ms", 600_000)?,
-        header_limit: size("header_limit_bytes", 64 << 10)?,
+        header_limit: size("header_limit_bytes", 64 << 10, LEAST_HEADER_BYTES)?,
         header_timeout: millis("header_timeout_ms", 10_000)?,
         listen: file.required("entry", "listen", ADDRESS, |text| text.parse().ok())?,
+        write_timeout: millis("write_timeout_ms", 30_000)?,
     }))
 }
 
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -28,6 +28,7 @@
 
 use crate::event;
 use crate::event::Event;
+use crate::stall;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -43,6 +44,8 @@
     pub header_bytes: usize,
     /// Bounds the time in which a request's header must arrive.
     pub header_timeout: Duration,
+    /// Bounds the time for which a caller may take nothing of an answer.
+    pub write_timeout: Duration,
 }
 
 /// Puts what handlers share into the state of each request.
@@ -111,6 +114,7 @@
             .half_close(false);
         let server = self.clone();
         let service = service_fn(move |request| server.clone().handle(request, peer));
+        let stream = stall::Stream::new(stream, self.limits.write_timeout);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection.into_owned());
         tokio::spawn(async move {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod ring;
 pub mod service;
 pub mod sse;
+pub mod stall;
 pub mod store;
 pub mod upstream;
--- /dev/null
+++ b/crates/transport/src/stall.rs
@@ -0,0 +1,96 @@
+//! A connection that breaks when the other end takes nothing for too long.
+
+use std::future::Future;
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio::time::sleep;
+
+/// Carries bytes and bounds the time for which a write may make no progress.
+#[derive(Debug)]
+pub struct Stream {
+    limit: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+    stream: TcpStream,
+}
+
+impl Stream {
+    /// Returns `stream` with a bound on stalled writes.
+    pub fn new(stream: TcpStream, limit: Duration) -> Self {
+        Self {
+            limit,
+            stalled: None,
+            stream,
+        }
+    }
+
+    fn bound<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let limit = self.limit;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
+        match stalled.as_mut().poll(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        self.bound(context, flushed)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shut = Pin::new(&mut self.stream).poll_shutdown(context);
+        self.bound(context, shut)
+    }
+
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.bound(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.bound(context, written)
+    }
+}
