--- a/crates/hibiscushoist/src/arguments.rs
+++ b/crates/hibiscushoist/src/arguments.rs
@@ -153,7 +153,12 @@
     }
 }
 
-fn server(text: &str) -> Result<SocketAddr, Report<Error>> {
+/// Reads an address.
+///
+/// # Errors
+///
+/// Returns an error that repeats a text that is no IP number and port.
+pub fn server(text: &str) -> Result<SocketAddr, Report<Error>> {
     let wrong = || Error::Server {
         text: text.to_owned(),
     };
--- a/crates/hibiscushoist/src/help.rs
+++ b/crates/hibiscushoist/src/help.rs
@@ -143,11 +143,17 @@
 /// Explains `voters`.
 pub const VOTERS: &str = "\
 Usage: hibiscushoist voters [--server ADDRESS] [--key-file FILE] [--json]
+       hibiscushoist voters add HOST ADDRESS
+       hibiscushoist voters remove HOST
 
-Prints the voters and learners, who leads, and how far each log is known to match.
+Prints the voters and learners, who leads, and how far each log is known to match. `add` has a
+running host with the role voter learn the log; it votes once it has caught up. ADDRESS is the
+host's address for peers. `remove` takes a voter out for good.
 
 Examples:
   hibiscushoist voters --server 127.0.0.1:8080 --key-file operator.key
+  hibiscushoist voters add h9 192.0.2.9:7000
+  hibiscushoist voters remove h1
 ";
 
 /// Returns the page that lists the commands.
--- a/crates/hibiscushoist/tests/cli/operator.rs
+++ b/crates/hibiscushoist/tests/cli/operator.rs
@@ -286,6 +286,23 @@
     );
 }
 
+#[test]
+fn voters_are_added_and_removed_by_name() {
+    let daemon = Daemon::new("voters-add").reply("/admin/voters", 200, &Voters::default());
+    daemon.run(&["voters", "add", "h9", "192.0.2.9:7000"]);
+    daemon.run(&["voters", "remove", "h1"]);
+    let bodies = daemon.seen().into_iter().map(|request| request.body);
+    assert_eq!(
+        bodies.collect::<Vec<_>>(),
+        [
+            r#"{"add":{"address":"192.0.2.9:7000","name":"h9"}}"#,
+            r#"{"remove":{"name":"h1"}}"#
+        ]
+    );
+    let wrong = daemon.run(&["voters", "drop", "h1"]);
+    assert_eq!(wrong.status.code(), Some(2));
+}
+
 #[test]
 fn every_command_has_help_with_an_example() {
     let overview = stdout(&run(&["help"]));
