--- a/crates/coordination/tests/rollout.rs
+++ b/crates/coordination/tests/rollout.rs
@@ -85,7 +85,7 @@
 impl World {
     fn new(seed: u64, count: usize, minimum: u64) -> Self {
         let engine = |place: usize| Engine {
-            checks_fence: place % 2 == 0,
+            checks_fence: place.is_multiple_of(2),
             fence: 0,
             loads: BTreeMap::new(),
             model: "m".to_owned(),
