Drive the load command at three daemons in a test

The report was tested against scripted answers only. Three daemons, all voters, with three stand-in engines now serve 60 requests of two workspaces with nested prefixes, and each answer must come whole; the voters and the status are read through the command line as well.

--- a/crates/hibiscushoist/tests/cli/main.rs
+++ b/crates/hibiscushoist/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! The command line against scripted answers.
 
 mod daemon;
+mod fleet;
 mod load;
 mod operator;
