--- a/crates/hibiscushoist/tests/cli/fleet.rs
+++ b/crates/hibiscushoist/tests/cli/fleet.rs
@@ -10,6 +10,9 @@
 use serde_json::Value;
 use tokio::runtime::Runtime;
 
+use crate::daemon::run;
+use crate::daemon::stderr;
+use crate::daemon::stdout;
 use fakes::engine::Engine;
 use fakes::engine::Options;
 use hibiscushoistd::auth;
@@ -17,10 +20,6 @@
 use hibiscushoistd::settings::Settings;
 use transport::log;
 
-use crate::daemon::run;
-use crate::daemon::stderr;
-use crate::daemon::stdout;
-
 const ENGINES: usize = 3;
 const FLEET_KEY: &str = "00000000000000000000000000000000000000000000000000000000000000aa";
 const HANG: Duration = Duration::from_secs(60);
