--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -26,6 +26,7 @@
 use crate::context::Context;
 use crate::context::Shared;
 use crate::request::Request;
+use crate::service;
 use protocol::refusal::Reason;
 use transport::http::Body;
 
@@ -44,6 +45,16 @@
         route
             .request(vec![Method::GET, Method::POST], "/admin/*")
             .to(to(admin::answer));
+        let methods = vec![
+            Method::DELETE,
+            Method::GET,
+            Method::PATCH,
+            Method::POST,
+            Method::PUT,
+        ];
+        route
+            .request(methods, "/v1/services/*")
+            .to(to(service::answer));
         route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, Unknown);
         route.add_response_extender(StatusCode::NOT_FOUND, Unknown);
     })
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -19,6 +19,8 @@
 pub const LOG_SYNCS: &str = "hibiscushoist_log_syncs_total";
 /// Gives the newest term seen here.
 pub const LOG_TERM: &str = "hibiscushoist_log_term";
+/// Counts orders to plain services by how they ended.
+pub const ORDERS: &str = "hibiscushoist_orders_total";
 /// Counts connections to other daemons that could not be opened.
 pub const PEER_CONNECT_FAILURES: &str = "hibiscushoist_peer_connect_failures_total";
 /// Counts connections to other daemons that were opened.
