Prove orders under kills of real hosts with three voters

24 orders are each sent through four real daemons at once while one of them is killed and started again and every third order's answer is lost. All settle, none ran twice, and each that is told as done ran once.

--- a/crates/hibiscushoistd/tests/restart.rs
+++ b/crates/hibiscushoistd/tests/restart.rs
@@ -21,6 +21,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use fakes::service::Fault;
+use fakes::service::Service;
 use hibiscushoistd::auth;
 
 const ADDRESS: &str = "127.0.7.1";
@@ -156,6 +158,31 @@
             .ok()?
     }
 
+    /// Sends an order and returns the status and, of a refusal, the reason.
+    async fn order(&self, host: usize, name: &str) -> Option<(u16, String)> {
+        let uri = format!(
+            "http://{}/v1/services/booking/spots",
+            self.hosts[host].entry
+        );
+        let request = Request::post(uri)
+            .header("authorization", format!("Bearer {KEY}"))
+            .header("idempotency-key", name)
+            .header("x-deadline-ms", "2000")
+            .body(Full::from(name.to_owned()))
+            .expect("the request is good");
+        let call = async {
+            let response = self.client.request(request).await.ok()?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            let body: Value = serde_json::from_slice(&body).ok()?;
+            let reason = body["error"]["reason"].as_str().unwrap_or_default();
+            Some((status, reason.to_owned()))
+        };
+        tokio::time::timeout(Duration::from_secs(10), call)
+            .await
+            .ok()?
+    }
+
     /// Sends an edit to one host after another until one says that it is accepted.
     async fn edit(&self, first: usize, edit: &Value) -> u64 {
         let end = Instant::now() + LIMIT;
@@ -321,3 +348,77 @@
     assert_eq!(revision, 30);
     fleet.agree(revision, &rows).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_sent_through_all_hosts_while_hosts_are_killed_run_at_most_once() {
+    const ORDERS: u64 = 24;
+    let mut fleet = Fleet::start("orders", 3, 1);
+    let service = Service::start(([127, 0, 7, 1], 0).into()).await.unwrap();
+    let rows = [
+        ("workspaces", json!({"key_hash": auth::hash(KEY)})),
+        (
+            "upstreams",
+            json!({
+                "address": service.address().to_string(),
+                "service": "booking",
+                "type": "service",
+            }),
+        ),
+    ];
+    let mut revision = 0;
+    for (sheet, cells) in rows {
+        let edit = json!({
+            "action": {"add": cells},
+            "author": "test",
+            "if_revision": 0,
+            "key": format!("add-{sheet}"),
+            "name": {"row": "a", "sheet": sheet},
+        });
+        revision = fleet.edit(0, &edit).await;
+    }
+    for host in 0..4 {
+        let newest = |body: &Value| body["revision"].as_u64() >= Some(revision);
+        fleet.wait(host, "/admin/table", newest).await;
+    }
+    for round in 0..ORDERS {
+        service.fault(match round % 3 {
+            0 => Fault::LosesAnswer,
+            _ => Fault::None,
+        });
+        let name = format!("o{round}");
+        let victim = round as usize % 4;
+        let sent = futures::future::join_all((0..4).map(|host| fleet.order(host, &name)));
+        let killed = tokio::time::sleep(Duration::from_millis(round));
+        tokio::select! {
+            _ = sent => {}
+            () = killed => {}
+        }
+        fleet.kill(victim);
+        fleet.launch(victim);
+        fleet.leader().await;
+    }
+    service.fault(Fault::None);
+    let mut unknown = 0;
+    let end = Instant::now() + LIMIT;
+    for round in 0..ORDERS {
+        let name = format!("o{round}");
+        loop {
+            assert!(Instant::now() < end, "{name} is not settled");
+            match fleet.order(round as usize % 4, &name).await {
+                Some((200, _)) => {
+                    let runs = service.runs();
+                    assert_eq!(runs.get(&format!("booking/{name}")), Some(&1));
+                    break;
+                }
+                Some((_, reason)) if reason == "outcome_unknown" => {
+                    unknown += 1;
+                    break;
+                }
+                _ => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+    println!("orders: {ORDERS}, of which the outcome of {unknown} is unknown");
+    let runs = service.runs();
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+}
