--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -22,6 +22,7 @@
 use crate::budget::Budget;
 use crate::context::Context;
 use crate::context::Shared;
+use crate::controller;
 use crate::feed;
 use crate::health::Health;
 use crate::journal::Journal;
@@ -131,6 +132,7 @@
         voter.follow(member.view());
         links.serve(peer::Service { member, voter }, &log);
         tokio::spawn(load::watch(context.clone()));
+        tokio::spawn(controller::run(context.clone()));
         let details = slog::o!(
             "host" => settings.name.clone(),
             "entry" => context.address.to_string(),
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod completions;
 pub mod context;
+pub mod controller;
 pub mod daemon;
 pub mod feed;
 pub mod follow;
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -76,6 +76,18 @@
     NameTaken = 315,
     /// Logs that a daemon was refused.
     PeerRefused = 316,
+    /// Logs that an engine was given an order.
+    RolloutOrdered = 320,
+    /// Logs that an engine serves what the table asks for.
+    RolloutDone = 321,
+    /// Logs that an engine cannot be moved without leaving too few that serve its model.
+    RolloutBlocked = 322,
+    /// Logs that an engine refused an order several times.
+    RolloutRefused = 323,
+    /// Logs that an engine loads for far too long.
+    RolloutStuck = 324,
+    /// Logs that this host no longer controls roll-outs.
+    RolloutLost = 325,
 }
 
 impl Event {
@@ -92,6 +104,10 @@
             | Self::LogTorn
             | Self::Paused
             | Self::PeerRefused
+            | Self::RolloutBlocked
+            | Self::RolloutLost
+            | Self::RolloutRefused
+            | Self::RolloutStuck
             | Self::TableNotSaved => Level::Warning,
             Self::DrainBegun
             | Self::EditRefused
@@ -104,6 +120,8 @@
             | Self::LeadershipGained
             | Self::LinkMended
             | Self::Reunited
+            | Self::RolloutDone
+            | Self::RolloutOrdered
             | Self::Started
             | Self::Stopped
             | Self::TableApplied
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -45,6 +45,8 @@
 pub const RUNS: &str = "hibiscushoist_runs_total";
 /// Counts callers that were given up because they read too slowly.
 pub const SLOW_CALLERS: &str = "hibiscushoist_slow_callers_total";
+/// Counts steps of roll-outs, by step.
+pub const ROLLOUT_STEPS: &str = "hibiscushoist_rollout_steps_total";
 /// Gives the revision of the table in force here.
 pub const TABLE_REVISION: &str = "hibiscushoist_table_revision";
 
