Give no new work to upstreams that the platform lists as leaving

The platform's list was a setting that nothing read. It is now read every 500 ms; feeds step the liveness tracker with answers, failures and listings in place of a count of their own, and tell the broker; calls to services pass over leaving addresses. A new test with a list that lags by 300 ms lets one of two engines leave: its 8 streams end whole, 20 rounds of 8 requests pass it by, and it is used again when the list takes it back.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 mod engine_stream;
 mod line;
+pub mod platform;
 pub mod server;
 pub mod service;
 mod slot;
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -22,6 +22,7 @@
 use crate::suspects::Suspects;
 use crate::voter;
 use coordination::view::View;
+use protocol::platform::Listing;
 use state::table::Table;
 use state::time::Instant;
 use transport::clock::Clock;
@@ -54,6 +55,8 @@
     pub metrics: PrometheusHandle,
     /// Holds the connections to other daemons, in a fleet of several hosts.
     pub pool: Option<Pool>,
+    /// Shows the platform's list of upstream hosts.
+    pub platform: watch::Receiver<Arc<Listing>>,
     /// Holds the settings.
     pub settings: Arc<Settings>,
     /// Reaches the owners of requests that may crash upstreams.
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::load;
 use crate::member;
 use crate::peer;
+use crate::platform;
 use crate::routes;
 use crate::settings::Entry;
 use crate::settings::Settings;
@@ -120,6 +121,7 @@
             member: member.clone(),
             metrics: metric::install(),
             pool: links.pool.clone(),
+            platform: platform::start(settings.platform),
             settings: settings.clone(),
             suspects: suspects.clone(),
             voter: voter.clone(),
--- a/crates/hibiscushoistd/src/feed.rs
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -1,6 +1,7 @@
 //! Reads cache events and load reports of the engines and feeds them to the broker.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,9 +12,15 @@
 
 use crate::context::Context;
 use coordination::broker::Event;
-use coordination::capacity::Standing;
+use coordination::capacity;
+use coordination::liveness::Change as Move;
+use coordination::liveness::Listed;
+use coordination::liveness::Signal;
+use coordination::liveness::Standing;
+use coordination::liveness::Tracker;
 use coordination::report::Sample;
 use protocol::engine;
+use protocol::platform;
 use state::column::Column;
 use state::directory::Batch;
 use state::directory::Change;
@@ -30,8 +37,6 @@
 const ENGINE: &str = "engine";
 /// Gives the time between two readings of one engine.
 const INTERVAL: Duration = Duration::from_millis(50);
-/// Bounds the failures in a row before an engine counts as gone or cut off.
-const FAILURES: u32 = 2;
 const LIMITS: Limits = Limits {
     body: 64 << 20,
     connect: Duration::from_millis(500),
@@ -103,13 +108,14 @@
     fn start(&mut self, name: &str, address: SocketAddr) -> Entry {
         let resync = Arc::new(Notify::new());
         let feed = Feed {
+            address: address.ip(),
             after: 0,
             context: self.context.clone(),
-            failures: 0,
             incarnation: None,
+            listed: false,
             resync: resync.clone(),
             session: Session::new(Client::new(address, LIMITS)),
-            standing: Standing::Usable,
+            tracker: Tracker::default(),
             upstream: name.to_owned(),
         };
         let task = self.tasks.spawn(feed.run());
@@ -122,13 +128,14 @@
 }
 
 struct Feed {
+    address: IpAddr,
     after: u64,
     context: Arc<Context>,
-    failures: u32,
     incarnation: Option<Incarnation>,
+    listed: bool,
     resync: Arc<Notify>,
     session: Session,
-    standing: Standing,
+    tracker: Tracker,
     upstream: String,
 }
 
@@ -140,10 +147,10 @@
                 false => self.read().await,
                 true => self.read_whole().await,
             };
-            match read {
-                Err(error) => self.failed(&error),
-                Ok(()) => self.succeeded(),
+            if read.is_err() {
+                self.hear(Signal::Failed);
             }
+            self.read_listing();
             let resync = self.resync.clone();
             whole = tokio::select! {
                 () = resync.notified() => true,
@@ -155,6 +162,10 @@
     async fn read(&mut self) -> Result<(), Error> {
         let load = self.session.load().await?;
         let incarnation = load.incarnation;
+        self.hear(Signal::Answered {
+            incarnation,
+            leaving: false,
+        });
         self.tell(Event::Load {
             sample: sample(load),
             upstream: self.upstream.clone(),
@@ -206,33 +217,36 @@
         self.after = events.newest.max(self.after);
     }
 
-    fn failed(&mut self, error: &Error) {
-        self.failures = self.failures.saturating_add(1);
-        if self.failures < FAILURES {
-            return;
+    fn hear(&mut self, signal: Signal) {
+        for change in self.tracker.step(signal) {
+            let Move::Moved { to, .. } = change else {
+                continue;
+            };
+            if to == Standing::Down {
+                self.incarnation = None;
+            }
+            if let Some(standing) = standing(to) {
+                self.tell(Event::Standing {
+                    standing,
+                    upstream: self.upstream.clone(),
+                });
+            }
         }
-        self.stand(match error {
-            Error::Connect { .. } => Standing::Dead,
-            _ => Standing::Ejected,
-        });
-    }
-
-    fn succeeded(&mut self) {
-        self.failures = 0;
-        self.stand(Standing::Usable);
     }
 
-    fn stand(&mut self, standing: Standing) {
-        if self.standing == standing {
-            return;
-        }
-        self.standing = standing;
-        if standing == Standing::Dead {
-            self.incarnation = None;
-        }
-        self.tell(Event::Standing {
-            standing,
-            upstream: self.upstream.clone(),
+    /// Hears what the platform says. A host that it never named may be new to a list that lags.
+    fn read_listing(&mut self) {
+        let listing = self.context.platform.borrow().clone();
+        let listed = match listing.standing(self.address) {
+            None if !self.listed => return,
+            None => Listed::Gone,
+            Some(platform::Standing::Leaving) => Listed::Leaving,
+            Some(platform::Standing::Live) => Listed::Live,
+        };
+        self.listed = true;
+        self.hear(Signal::Listed {
+            edition: listing.edition,
+            listed,
         });
     }
 
@@ -268,3 +282,14 @@
         version: load.version,
     }
 }
+
+/// Returns the broker's word for a standing, where the broker is to be told of it.
+fn standing(standing: Standing) -> Option<capacity::Standing> {
+    match standing {
+        Standing::Down => Some(capacity::Standing::Dead),
+        Standing::Leaving => Some(capacity::Standing::Leaving),
+        Standing::Serving => Some(capacity::Standing::Usable),
+        Standing::Suspect => Some(capacity::Standing::Ejected),
+        Standing::Unknown => None,
+    }
+}
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod options;
 pub mod order;
 pub mod peer;
+pub mod platform;
 pub mod pool;
 pub mod request;
 pub mod respond;
--- /dev/null
+++ b/crates/hibiscushoistd/src/platform.rs
@@ -0,0 +1,44 @@
+//! Reads the platform's list of upstream hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use protocol::platform::Listing;
+use transport::platform;
+use transport::upstream::Limits;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+const LIMITS: Limits = Limits {
+    body: 16 << 20,
+    connect: Duration::from_millis(1_000),
+    head: Duration::from_millis(2_000),
+    idle: Duration::from_millis(2_000),
+};
+
+/// Reads the list at `address` for as long as somebody looks at it; without an address the list
+/// stays empty.
+pub fn start(address: Option<SocketAddr>) -> watch::Receiver<Arc<Listing>> {
+    let (publish, listing) = watch::channel(Arc::new(Listing::default()));
+    if let Some(address) = address {
+        tokio::spawn(read(address, publish));
+    }
+    listing
+}
+
+async fn read(address: SocketAddr, publish: watch::Sender<Arc<Listing>>) {
+    while !publish.is_closed() {
+        if let Ok(listing) = platform::hosts(address, LIMITS).await {
+            publish.send_if_modified(|shown| {
+                let newer = listing.edition > shown.edition;
+                if newer {
+                    *shown = Arc::new(listing);
+                }
+                newer
+            });
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
--- a/crates/hibiscushoistd/src/service.rs
+++ b/crates/hibiscushoistd/src/service.rs
@@ -29,6 +29,8 @@
 use coordination::order::Reply;
 use coordination::retry;
 use protocol::header;
+use protocol::platform::Listing;
+use protocol::platform::Standing;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
 use state::column::Column;
@@ -99,7 +101,8 @@
     let now = context.clock.now();
     let whole = request.uri.path_and_query().map_or("", |p| p.as_str());
     let (name, path) = split(whole).ok_or(Reason::UnknownPath)?;
-    let upstreams = upstreams(&table, &name)?;
+    let listing = context.platform.borrow().clone();
+    let upstreams = upstreams(&table, &listing, &name)?;
     let deadline = now + deadline(&table, request)?;
     let repeatable = is_repeatable(&table, request)?;
     let key = match request.header(header::IDEMPOTENCY_KEY) {
@@ -311,7 +314,7 @@
 }
 
 /// Lists the upstreams of the service that take work, from a random one on.
-fn upstreams(table: &Table, name: &str) -> Result<Vec<Upstream>, Reason> {
+fn upstreams(table: &Table, listing: &Listing, name: &str) -> Result<Vec<Upstream>, Reason> {
     let rows = table.sheet(Sheet::Upstreams).filter(|(_, row)| {
         row.text(Column::Type) == Some(SERVICE) && row.text(Column::Service) == Some(name)
     });
@@ -322,6 +325,10 @@
     let serving = rows.into_iter().filter_map(|(name, row)| {
         let serves = row.text(Column::Standing).unwrap_or(SERVING) == SERVING;
         let address = row.address(Column::Address).filter(|_| serves)?;
+        let leaves = listing.standing(address.ip()) == Some(Standing::Leaving);
+        if leaves {
+            return None;
+        }
         let name = name.to_owned();
         Some(Upstream { address, name })
     });
--- /dev/null
+++ b/crates/hibiscushoistd/tests/leaving.rs
@@ -0,0 +1,120 @@
+//! Checks that an upstream which the platform lists as leaving gets no new work.
+
+mod support;
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::timeout;
+
+use fakes::engine::Options;
+use fakes::platform::Platform;
+use fakes::service::Service;
+use protocol::platform::Standing;
+use support::Bench;
+use support::MAPS_KEY;
+use support::Response;
+use support::Test;
+
+const OUTER_LIMIT: Duration = Duration::from_secs(60);
+const PATH: &str = "/v1/completions";
+const TOKENS: u64 = 400;
+
+fn host(last: u8) -> IpAddr {
+    [127, 0, 8, last].into()
+}
+
+async fn bench() -> (Bench, Platform) {
+    let platform = Platform::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    platform.lag(Duration::from_millis(300));
+    let mut test = Test::new().platform(platform.address());
+    for last in [1, 2] {
+        platform.list(host(last), Some(Standing::Live));
+        test = test.engine(Options {
+            address: (host(last), 0).into(),
+            ..Options::default()
+        });
+    }
+    let bench = test.start().await;
+    timeout(OUTER_LIMIT, bench.ready())
+        .await
+        .expect("the engines are known");
+    (bench, platform)
+}
+
+async fn post(bench: &Bench, number: u64, tokens: u64) -> Response {
+    let prompt = format!("cove {number}");
+    let ask = json!({"max_tokens": tokens, "model": "m", "prompt": prompt, "stream": true});
+    bench.post(PATH, MAPS_KEY, &[], &ask).await
+}
+
+/// Sends requests until `calm` in a row left the first engine alone.
+async fn until_unused(bench: &Bench, calm: usize) {
+    let mut row = 0;
+    while row < calm {
+        let before = bench.engines[0].counts().started;
+        let posts = (0..8).map(|number| post(bench, number, 2));
+        futures::future::join_all(posts).await;
+        let unused = bench.engines[0].counts().started == before;
+        row = if unused { row + 1 } else { 0 };
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_engine_ends_its_streams_and_gets_no_new_ones() {
+    let (bench, platform) = bench().await;
+    let streams = (0..8).map(|number| post(&bench, number, TOKENS));
+    let leave = async {
+        while bench.engines[0].counts().started == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        platform.list(host(1), Some(Standing::Leaving));
+        until_unused(&bench, 20).await;
+    };
+    let both = async { tokio::join!(futures::future::join_all(streams), leave) };
+    let (streams, ()) = timeout(OUTER_LIMIT, both)
+        .await
+        .expect("the engine is left alone");
+    for (number, response) in streams.iter().enumerate() {
+        let whole = bench.engines[0].text(&format!("cove {number}"), 0, TOKENS);
+        assert_eq!(response.streamed(), (whole, true));
+    }
+    platform.list(host(1), Some(Standing::Live));
+    let used = bench.engines[0].counts().started;
+    let back = async {
+        while bench.engines[0].counts().started == used {
+            futures::future::join_all((0..8).map(|number| post(&bench, number, 2))).await;
+        }
+    };
+    timeout(OUTER_LIMIT, back)
+        .await
+        .expect("the engine is used again");
+}
+
+#[tokio::test]
+async fn a_leaving_service_gets_no_new_calls() {
+    let (bench, platform) = bench().await;
+    let service = Service::start((host(3), 0).into()).await.unwrap();
+    let cells = json!({
+        "address": service.address().to_string(),
+        "service": "booking",
+        "type": "service",
+    });
+    bench.add("upstreams", "s1", cells).await;
+    platform.list(host(3), Some(Standing::Leaving));
+    let refused = async {
+        loop {
+            let response = bench.get("/v1/services/booking/free", MAPS_KEY).await;
+            if response.status != 200 {
+                break response;
+            }
+        }
+    };
+    let refused = timeout(OUTER_LIMIT, refused)
+        .await
+        .expect("it gets no calls");
+    assert_eq!(refused.json()["error"]["reason"], "no_upstream");
+    assert_eq!(refused.json()["error"]["not_run"], "true");
+}
--- a/crates/hibiscushoistd/tests/support/mod.rs
+++ b/crates/hibiscushoistd/tests/support/mod.rs
@@ -61,6 +61,13 @@
         self
     }
 
+    /// Lets the daemon read the platform's list at `address`.
+    pub fn platform(mut self, address: SocketAddr) -> Self {
+        self.peer
+            .push_str(&format!("[platform]\naddress = {address}\n"));
+        self
+    }
+
     /// Adds a row for an engine that runs already, named `u1` and on.
     pub fn upstream(mut self, address: SocketAddr) -> Self {
         self.upstreams.push(address);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod header;
 pub mod operator;
 pub mod peer;
+pub mod platform;
 pub mod refusal;
 pub mod service;
 pub mod voter;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer_handshake;
 pub mod peer_key;
 pub mod peer_server;
+pub mod platform;
 pub mod ring;
 pub mod service;
 pub mod sse;
--- /dev/null
+++ b/crates/transport/src/platform.rs
@@ -0,0 +1,33 @@
+//! Speaks the contract of the platform's list; the only module that does.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+
+use crate::upstream::Connection;
+use crate::upstream::Error;
+use crate::upstream::Format;
+use crate::upstream::Limits;
+use protocol::platform::HOSTS;
+use protocol::platform::Listing;
+
+/// Reads the list at `address`.
+///
+/// # Errors
+///
+/// Returns the error of the exchange.
+pub async fn hosts(address: SocketAddr, limits: Limits) -> Result<Listing, Error> {
+    let format = |source: Format| Error::Format { address, source };
+    let request = Request::get(HOSTS).body(Full::<Bytes>::default());
+    let request = request.map_err(|e| format(e.into()))?;
+    let mut connection = Connection::open(address, limits).await?;
+    let response = connection.send(request).await?;
+    let status = response.status().as_u16();
+    if status != 200 {
+        return Err(Error::Status { address, status });
+    }
+    let bytes = connection.whole(response.into_body()).await?;
+    serde_json::from_slice(&bytes).map_err(|e| format(e.into()))
+}
