--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -74,6 +74,7 @@
     context: Arc<Context>,
     drain: watch::Sender<bool>,
     feeds: JoinHandle<()>,
+    peer: SocketAddr,
     server: Option<JoinHandle<()>>,
     stop: watch::Sender<bool>,
 }
@@ -103,6 +104,7 @@
         let options = links.membership(&settings, address);
         let member = member::start(options, links.pool.clone(), clock, log.clone())
             .change_context(Error::Duty { duty: "member" })?;
+        let suspects = Suspects::new(clock, member.clone(), links.pool.clone());
         let context = Arc::new(Context {
             address,
             bodies: Budget::new(settings.entry.as_ref().map_or(0, |e| e.bodies_limit)),
@@ -118,7 +120,7 @@
             metrics: metric::install(),
             pool: links.pool.clone(),
             settings: settings.clone(),
-            suspects: Suspects::new(clock),
+            suspects: suspects.clone(),
             voter: voter.clone(),
         });
         let feeds = tokio::spawn(feed::run(context.clone(), resyncs));
@@ -129,7 +131,12 @@
                 tokio::spawn(server.run(listener, stopped))
             });
         voter.follow(member.view());
-        links.serve(peer::Service { member, voter }, &log);
+        let service = peer::Service {
+            member,
+            suspects,
+            voter,
+        };
+        links.serve(service, &log);
         tokio::spawn(load::watch(context.clone()));
         let details = slog::o!(
             "host" => settings.name.clone(),
@@ -141,6 +148,7 @@
             context,
             drain,
             feeds,
+            peer: links.address,
             server,
             stop,
         })
@@ -151,6 +159,11 @@
         self.context.address
     }
 
+    /// Returns the address that other daemons are told.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer
+    }
+
     /// Takes the host off the list, serves on for the lifetime of addresses, ends the last request
     /// and returns how that went; `again` ends the rest at once.
     pub async fn drain(&mut self, again: impl Future<Output = ()>) -> Outcome {
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -10,6 +10,7 @@
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
+use coordination::quarantine;
 
 /// Numbers the form of the messages; a connection needs the same number on both ends.
 pub const VERSION: u32 = 1;
@@ -37,4 +38,6 @@
     async fn voters() -> Option<Voters>;
     /// Shows the edits after a revision, where the host has a voter that works.
     async fn history(after: u64) -> Option<History>;
+    /// Answers for the requests that may crash upstreams.
+    async fn suspect(call: quarantine::Call) -> quarantine::Answer;
 }
