--- a/crates/hibiscushoistd/examples/role_slopes.rs
+++ b/crates/hibiscushoistd/examples/role_slopes.rs
@@ -1,4 +1,4 @@
-//! Measures what a broker's and a voter's state and messages cost at the size of one daemon's share.
+//! Measures what the state and messages of a broker and of a voter cost at the target's size.
 //!
 //! Everything measured stays alive, so that later parts do not reuse its memory.
 //!
