Let a host without a disk wait for its first table

Ruled out: the hosts with a disk refused none. Change: such a host accepts callers once a peer gave it a table, or after 2 s; the test now allows no refusal on any host.

--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -52,6 +52,7 @@
 const RESYNCS: usize = 1024;
 const POLL: Duration = Duration::from_millis(20);
 const SPREAD_MS: u64 = 2_000;
+const TABLE_WAIT: Duration = Duration::from_secs(2);
 
 /// Tells which part of a daemon could not start.
 #[derive(Debug, Error)]
@@ -129,7 +130,11 @@
             .zip(settings.entry.as_ref())
             .map(|(listener, entry)| {
                 let server = server(&context, entry);
-                tokio::spawn(server.run(listener, stopped))
+                let table = first_table(&settings, &context.voter);
+                tokio::spawn(async move {
+                    table.await;
+                    server.run(listener, stopped).await;
+                })
             });
         voter.follow(member.view());
         let service = peer::Service {
@@ -264,6 +269,19 @@
     bound.change_context(Error::Bind { address })
 }
 
+/// Waits a while for a table where the host has no disk that could hold one, so that the first
+/// callers after a restart are not refused for want of it.
+fn first_table(settings: &Settings, voter: &voter::Handle) -> impl Future<Output = ()> + use<> {
+    let waits = settings.data.is_none() && settings.peer.is_some();
+    let mut table = voter.table();
+    async move {
+        if waits {
+            let filled = table.wait_for(|table| table.revision() > 0);
+            let _ = tokio::time::timeout(TABLE_WAIT, filled).await;
+        }
+    }
+}
+
 fn server(context: &Arc<Context>, entry: &Entry) -> Server {
     let shared = Shared(context.clone());
     Server {
--- a/crates/hibiscushoistd/tests/fleet.rs
+++ b/crates/hibiscushoistd/tests/fleet.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use processes::DISKLESS;
 use processes::Fleet;
 use processes::LIMIT;
 use processes::POLL;
@@ -220,7 +219,7 @@
         bench.fleet.spawn(place);
     }
     let started = Instant::now();
-    let mut load = Load::start(bench.entries()[VOTERS..].to_vec());
+    let load = Load::start(bench.entries()[VOTERS..].to_vec());
     load.more(1).await;
     println!("herd: first answer after {:?}", started.elapsed());
     bench.fleet.settle().await;
@@ -233,16 +232,6 @@
     let mut records = load.stop().await;
     records.retain(|record| record.outcome != Outcome::Unreachable);
     report("herd", &records, &[]);
-    let early = bad(&records, &[]);
-    let diskless: Vec<SocketAddr> = bench.entries()[HOSTS - DISKLESS..].to_vec();
-    assert!(
-        early.iter().all(|r| diskless.contains(&r.address)),
-        "{early:?}"
-    );
-    load = Load::start(bench.entries()[VOTERS..].to_vec());
-    load.more(200).await;
-    let records = load.stop().await;
-    report("after the herd", &records, &[]);
     assert_eq!(bad(&records, &[]).len(), 0, "{:?}", bad(&records, &[]));
 }
 
--- a/crates/hibiscushoistd/tests/processes/mod.rs
+++ b/crates/hibiscushoistd/tests/processes/mod.rs
@@ -46,7 +46,7 @@
 const DOMAINS: usize = 3;
 pub const POLL: Duration = Duration::from_millis(20);
 /// Counts the hosts without a disk, the last ones.
-pub const DISKLESS: usize = 2;
+const DISKLESS: usize = 2;
 /// Counts the voters, the first hosts.
 pub const VOTERS: usize = 3;
 
