Give no new work to an engine that loads weights

Cause: one run of the roll-out test refused 724 requests with a spent retry budget: brokers went on choosing engines whose load report said that they take none, and every choice cost a retry. Ruled out: the lost controller; runs with it lost and an idle machine passed. Conclusion: engines in a load no longer use up the retry budget.

--- a/crates/hibiscushoistd/src/feed.rs
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -114,7 +114,9 @@
             incarnation: None,
             listed: false,
             resync: resync.clone(),
+            serving: true,
             session: Session::new(Client::new(address, LIMITS)),
+            told: None,
             tracker: Tracker::default(),
             upstream: name.to_owned(),
         };
@@ -134,7 +136,9 @@
     incarnation: Option<Incarnation>,
     listed: bool,
     resync: Arc<Notify>,
+    serving: bool,
     session: Session,
+    told: Option<capacity::Standing>,
     tracker: Tracker,
     upstream: String,
 }
@@ -162,6 +166,7 @@
     async fn read(&mut self) -> Result<(), Error> {
         let load = self.session.load().await?;
         let incarnation = load.incarnation;
+        self.serving = load.serving;
         self.hear(Signal::Answered {
             incarnation,
             leaving: false,
@@ -225,12 +230,23 @@
             if to == Standing::Down {
                 self.incarnation = None;
             }
-            if let Some(standing) = standing(to) {
-                self.tell(Event::Standing {
-                    standing,
-                    upstream: self.upstream.clone(),
-                });
-            }
+        }
+        self.stand();
+    }
+
+    /// Tells the broker whether the engine may get new work, where that changed; an engine that
+    /// loads weights gets none.
+    fn stand(&mut self) {
+        let standing = match standing(self.tracker.standing()) {
+            Some(capacity::Standing::Usable) if !self.serving => capacity::Standing::Leaving,
+            Some(standing) => standing,
+            None => return,
+        };
+        if self.told.replace(standing) != Some(standing) {
+            self.tell(Event::Standing {
+                standing,
+                upstream: self.upstream.clone(),
+            });
         }
     }
 
--- a/crates/hibiscushoistd/tests/processes/mod.rs
+++ b/crates/hibiscushoistd/tests/processes/mod.rs
@@ -4,8 +4,8 @@
 
 pub mod load;
 
+use std::collections::BTreeSet;
 use std::fs;
-use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -85,15 +85,18 @@
         let network = FLEETS.fetch_add(1, Ordering::SeqCst);
         let [high, low] = (process::id() as u16).to_be_bytes();
         let low = low.wrapping_add(network.wrapping_mul(16));
-        let address = |place: usize| {
+        let bind = |place: usize| {
             let ip = Ipv4Addr::new(127, high | 128, low, place as u8 + 1);
-            free_address(ip.into())
+            TcpListener::bind((ip, 0)).expect("a port is free")
         };
+        let entries: Vec<TcpListener> = (0..count).map(bind).collect();
+        let peers: Vec<TcpListener> = (0..count).map(bind).collect();
+        let address = |listener: &TcpListener| listener.local_addr().expect("it is bound");
         let hosts = (0..count).map(|place| Host {
             child: None,
-            entry: address(place),
+            entry: address(&entries[place]),
             name: format!("h{place}"),
-            peer: address(place),
+            peer: address(&peers[place]),
             settings: folder.path().join(format!("h{place}.ini")),
         });
         let hosts: Vec<Host> = hosts.collect();
@@ -147,7 +150,7 @@
         let host = &mut self.hosts[place];
         let log = self.folder.path().join(format!("{}.log", host.name));
         let log = fs::OpenOptions::new().append(true).create(true).open(log);
-        let child = Command::new(env!("CARGO_BIN_EXE_hibiscushoistd"))
+        let child = Command::new(program())
             .arg("--settings")
             .arg(&host.settings)
             .stdout(Stdio::null())
@@ -202,14 +205,15 @@
     /// Waits until every running host holds all running hosts to be live, and none other.
     pub async fn settle(&self) {
         let running = self.running();
-        let expected: Vec<&str> = running.iter().map(|p| &*self.hosts[*p].name).collect();
+        let names = running.iter().map(|p| self.hosts[*p].name.as_str());
+        let expected: BTreeSet<&str> = names.collect();
         for place in &running {
             self.until(*place, |hosts| {
                 let present = hosts
                     .iter()
                     .filter(|(_, s)| !["dead", "left"].contains(&&**s));
                 let live = hosts.iter().filter(|(_, standing)| standing == "live");
-                let live: Vec<&str> = live.map(|(name, _)| name.as_str()).collect();
+                let live: BTreeSet<&str> = live.map(|(name, _)| name.as_str()).collect();
                 live == expected && present.count() == expected.len()
             })
             .await;
@@ -231,7 +235,8 @@
             }
             tokio::time::sleep(POLL).await;
         }
-        panic!("host {place} still sees {seen:?}\n{}", self.log(place));
+        let logs: Vec<String> = (0..self.hosts.len()).map(|p| self.log(p)).collect();
+        panic!("host {place} still sees {seen:?}\n{}", logs.join("\n"));
     }
 
     /// Waits until every running host but `place` holds it to be of one of `standings`.
@@ -391,7 +396,15 @@
     }
 }
 
-fn free_address(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+/// Returns the daemon's program: the one that cargo built for a test, or the neighbour of an
+/// example.
+fn program() -> PathBuf {
+    match option_env!("CARGO_BIN_EXE_hibiscushoistd") {
+        None => {
+            let example = std::env::current_exe().expect("the program has a path");
+            let folder = example.ancestors().nth(2).expect("examples have a folder");
+            folder.join("hibiscushoistd")
+        }
+        Some(path) => PathBuf::from(path),
+    }
 }
