Count engines as serving only by fresh readings and a serving row

Cause: a roll-out counted an engine as serving by a reading of up to 10 s ago, so one that had died since could stand in for the last living one; and an engine whose row says leaving or off still counted and still got orders.

Change: engines of a model that moves are read every 0.5 s and count only by a reading of the last 1.5 s; rows that leave or are off have no goal.

Ruled out: making the first order of a controller wait for every engine. It costs each change of controller 5 s, and orders already end before a lease does.

--- a/crates/coordination/src/desired.rs
+++ b/crates/coordination/src/desired.rs
@@ -12,6 +12,7 @@
 const DEFAULT_LOAD_LIMIT: u64 = 2;
 const DEFAULT_MINIMUM_SERVING: u64 = 1;
 const ENGINE: &str = "engine";
+const SERVING: &str = "serving";
 
 /// Describes what one engine should serve.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -58,7 +59,8 @@
 }
 
 impl Desired {
-    /// Reads the goals from the table; an engine without a model in the table has none.
+    /// Reads the goals from the table; an engine that leaves, is off or has no
+    /// model in the table has none.
     pub fn of(table: &Table) -> Self {
         let minimum = |(name, row): (&str, &Row)| {
             let minimum = row.number(Column::MinimumServing);
@@ -90,7 +92,8 @@
 }
 
 fn goal(table: &Table, row: &Row) -> Option<Goal> {
-    if row.text(Column::Type) != Some(ENGINE) {
+    let standing = row.text(Column::Standing).unwrap_or(SERVING);
+    if row.text(Column::Type) != Some(ENGINE) || standing != SERVING {
         return None;
     }
     let name = row.text(Column::Model)?;
--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -7,6 +7,7 @@
 //! earlier controller can still arrive.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use strum::Display;
 use strum::EnumIter;
@@ -21,6 +22,8 @@
 
 const BACKOFF_MS: u64 = 1_000;
 const BACKOFF_LIMIT_MS: u64 = 30_000;
+/// Bounds the age of a reading by which an engine counts as serving.
+const FRESH_MS: u64 = 1_500;
 const READ_PERIOD_MS: u64 = 500;
 const SETTLED_READ_PERIOD_MS: u64 = 10_000;
 const START_PERIOD_MS: u64 = 250;
@@ -303,9 +306,10 @@
             return;
         }
         let names: Vec<String> = self.desired.goals.keys().cloned().collect();
+        let moving = self.moving();
         for name in &names {
             self.engines.entry(name.clone()).or_default();
-            self.watch(name);
+            self.watch(name, &moving);
         }
         for name in &names {
             self.advance(name, lease);
@@ -313,11 +317,30 @@
     }
 
     /// Reads an engine whose state is unknown, changing or old.
-    fn watch(&mut self, name: &str) {
+    /// Returns the models that engines are to leave, whose others must be known afresh.
+    fn moving(&self) -> BTreeSet<String> {
+        let mut models = BTreeSet::new();
+        for (name, goal) in &self.desired.goals {
+            let engine = self.engines.get(name);
+            let Some(standing) = engine.and_then(|engine| engine.standing.as_ref()) else {
+                continue;
+            };
+            if goal.step(standing).is_some() {
+                models.insert(standing.model.clone());
+            }
+        }
+        models
+    }
+
+    fn watch(&mut self, name: &str, moving: &BTreeSet<String>) {
         let now = self.now;
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
+        let moves = |standing: &Standing| moving.contains(&standing.model);
+        if engine.standing.as_ref().is_some_and(moves) {
+            engine.next = engine.next.min(engine.at + READ_PERIOD_MS);
+        }
         let loads = engine
             .busy_since
             .is_some_and(|since| now.since(since) >= STUCK_MS);
@@ -407,8 +430,9 @@
             return true;
         };
         let least = self.desired.minimum_serving(&present);
+        let fresh = |engine: &Engine| self.now.since(engine.at) <= FRESH_MS;
         let serves = |engine: &&Engine| {
-            engine.busy_since.is_none() && model(engine).as_ref() == Some(&present)
+            engine.busy_since.is_none() && fresh(engine) && model(engine).as_ref() == Some(&present)
         };
         let serving = self.engines.values().filter(serves).count() as u64;
         least > 0 && serving <= least
--- a/crates/coordination/tests/rollout.rs
+++ b/crates/coordination/tests/rollout.rs
@@ -16,6 +16,12 @@
 use coordination::rollout::Rollout;
 use coordination::rollout::Standing;
 use coordination::rollout::Step;
+use state::column::Column;
+use state::edit;
+use state::edit::Edit;
+use state::row;
+use state::sheet::Sheet;
+use state::table::Table;
 use state::time::Instant;
 
 const ENGINES: usize = 6;
@@ -29,6 +35,7 @@
 #[derive(Clone, Debug)]
 struct Engine {
     checks_fence: bool,
+    dead: bool,
     fence: u64,
     loads: BTreeMap<String, u64>,
     model: String,
@@ -86,6 +93,7 @@
     fn new(seed: u64, count: usize, minimum: u64) -> Self {
         let engine = |place: usize| Engine {
             checks_fence: place.is_multiple_of(2),
+            dead: false,
             fence: 0,
             loads: BTreeMap::new(),
             model: "m".to_owned(),
@@ -273,7 +281,7 @@
                     version: state.version.clone(),
                     ..Standing::default()
                 };
-                let standing = (!lost).then_some(standing);
+                let standing = (!lost && !state.dead).then_some(standing);
                 let upstream = name(engine);
                 let event = Event::Read { standing, upstream };
                 self.schedule(1, Delivery::Reply(place, event));
@@ -313,6 +321,21 @@
     }
 }
 
+fn add(table: &mut Table, sheet: Sheet, row: &str, cells: &[(Column, &str)]) {
+    let cells = cells.iter().map(|(c, text)| (*c, (*text).to_owned()));
+    let edit = Edit {
+        action: edit::Action::Add(cells.collect()),
+        author: "test".to_owned(),
+        if_revision: 0,
+        key: row.to_owned(),
+        name: row::Name {
+            row: row.to_owned(),
+            sheet,
+        },
+    };
+    table.apply(&edit).expect("the edit is good");
+}
+
 #[test]
 fn all_engines_reach_a_new_version_one_load_each() {
     for seed in SEEDS {
@@ -415,6 +438,36 @@
     assert!(world.run_until_done("v2", 30_000).is_some());
 }
 
+#[test]
+fn an_engine_that_died_after_its_move_does_not_count_as_serving() {
+    let mut world = World::new(1, 2, 1);
+    world.engines[0].ready = Some((world.now + 8_000, "v1".to_owned()));
+    world.engines[1].version = "v2".to_owned();
+    world.want("v2");
+    world.run(3_000);
+    world.engines[1].dead = true;
+    world.run(60_000);
+    assert!(world.engines[0].loads.is_empty());
+}
+
+#[test]
+fn an_engine_that_leaves_has_no_goal_and_does_not_count_as_serving() {
+    let mut table = Table::default();
+    add(&mut table, Sheet::Models, "m", &[(Column::Version, "v2")]);
+    for (row, standing) in [("u0", "serving"), ("u1", "leaving"), ("u2", "off")] {
+        let cells = [
+            (Column::Address, "127.0.0.1:9000"),
+            (Column::Model, "m"),
+            (Column::Standing, standing),
+            (Column::Type, "engine"),
+        ];
+        add(&mut table, Sheet::Upstreams, row, &cells);
+    }
+    let desired = Desired::of(&table);
+    let names: Vec<&String> = desired.goals.keys().collect();
+    assert_eq!(names, ["u0"]);
+}
+
 #[test]
 fn an_order_that_is_refused_is_retried_and_reported() {
     let mut world = World::new(1, ENGINES, MINIMUM);
