--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -10,10 +10,12 @@
 use tokio::net::TcpListener;
 
 use crate::member;
+use crate::suspects::Suspects;
 use crate::voter;
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
+use coordination::quarantine;
 use protocol::operator::History;
 use protocol::operator::Voters;
 use protocol::peer::Peer;
@@ -35,6 +37,8 @@
 pub struct Service {
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
+    /// Answers for the requests that may crash upstreams.
+    pub suspects: Suspects,
     /// Reaches the voters.
     pub voter: voter::Handle,
 }
@@ -76,6 +80,10 @@
     async fn history(self, _: Context, after: u64) -> Option<History> {
         self.voter.history_here(after).await.ok()
     }
+
+    async fn suspect(self, _: Context, call: quarantine::Call) -> quarantine::Answer {
+        self.suspects.answer(call)
+    }
 }
 
 /// Answers the calls of other daemons until the task is dropped.
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -21,6 +21,7 @@
 use coordination::host::Version;
 use coordination::machine::Answer;
 use coordination::machine::Command;
+use coordination::quarantine;
 use protocol::operator::History;
 use protocol::operator::Voters;
 use protocol::peer::Peer;
@@ -83,6 +84,10 @@
     async fn history(self, _: Context, _: u64) -> Option<History> {
         None
     }
+
+    async fn suspect(self, _: Context, _: quarantine::Call) -> quarantine::Answer {
+        quarantine::Answer::Done
+    }
 }
 
 fn message() -> Message {
