--- a/crates/hibiscushoist/src/demo.rs
+++ b/crates/hibiscushoist/src/demo.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::io::Write;
+use std::time::Duration;
 
 use error_stack::Report;
 
@@ -11,6 +12,8 @@
 
 const BLOCK: usize = 64;
 const ENGINES: usize = 3;
+const EVENT_PAUSE: Duration = Duration::from_millis(200);
+const EVENT_TRIES: usize = 100;
 const MAPS: &str = "maps";
 const PROBES: usize = 12;
 const STORES: &str = "stores";
@@ -53,8 +56,7 @@
         let prompt = text("dossier", 8);
         let cold = self.computed(MAPS, &prompt).await?;
         self.expect("maps computes its whole dossier", 8, cold)?;
-        self.bench.settle().await?;
-        let warm = self.computed(MAPS, &prompt).await?;
+        let warm = self.computed_soon(0, |_| prompt.clone()).await?;
         self.expect("maps asks again and computes nothing", 0, warm)?;
         let other = self.computed(STORES, &prompt).await?;
         self.expect("stores sends the same text and hits nothing", 8, other)
@@ -67,8 +69,8 @@
             .computed(MAPS, &(coast.clone() + &text("cove", 2)))
             .await?;
         self.expect("the coast and the cove are new below the dossier", 6, first)?;
-        self.bench.settle().await?;
-        let second = self.computed(MAPS, &(coast + &text("reef", 2))).await?;
+        let reef = |index| coast.clone() + &text(&format!("reef {index}"), 2);
+        let second = self.computed_soon(2, reef).await?;
         self.expect("the reef is new below the coast", 2, second)
     }
 
@@ -119,6 +121,26 @@
         Ok(computed)
     }
 
+    /// Asks until the cache events of the stand-ins have arrived and `expected` blocks are computed.
+    async fn computed_soon(
+        &mut self,
+        expected: u64,
+        prompt: impl Fn(usize) -> String,
+    ) -> Result<u64, Report<Error>> {
+        let mut computed = 0;
+        for index in 0..EVENT_TRIES {
+            tokio::time::sleep(EVENT_PAUSE).await;
+            let before = self.bench.prefilled();
+            let reply = self.bench.complete(MAPS, &prompt(index), 4).await?;
+            computed = self.bench.prefilled() - before;
+            if computed == expected {
+                self.explain(&reply).await?;
+                break;
+            }
+        }
+        Ok(computed)
+    }
+
     async fn explain(&mut self, reply: &Reply) -> Result<(), Report<Error>> {
         let explanation = self.bench.explain(&reply.id).await?;
         for candidate in &explanation.candidates {
--- a/crates/hibiscushoist/src/demo_bench.rs
+++ b/crates/hibiscushoist/src/demo_bench.rs
@@ -31,6 +31,7 @@
 use hibiscushoistd::settings::Settings;
 use protocol::header;
 use protocol::operator::Explanation;
+use protocol::operator::Status;
 use state::column::Column;
 use state::edit::Action;
 use state::edit::Edit;
@@ -41,8 +42,7 @@
 
 const MODEL: &str = "m";
 const OPERATOR_KEY: &str = "operator-key";
-/// Gives the lagging reports and cache events of the stand-ins time to arrive.
-const SETTLE_TIME: Duration = Duration::from_millis(300);
+const STATUS_PAUSE: Duration = Duration::from_millis(20);
 const VERSION: &str = "v1";
 
 /// Holds a whole response of the daemon.
@@ -103,7 +103,7 @@
         for index in 1..=engines {
             bench.start_engine(index, block).await?;
         }
-        bench.settle().await?;
+        bench.hear_engines().await?;
         Ok(bench)
     }
 
@@ -176,16 +176,6 @@
         counts.map(|counts| counts.prefilled).sum()
     }
 
-    /// Waits until reports and cache events have arrived.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the daemon no longer answers.
-    pub async fn settle(&self) -> Result<(), Report<Error>> {
-        tokio::time::sleep(SETTLE_TIME).await;
-        Ok(())
-    }
-
     async fn add(
         &self,
         sheet: Sheet,
@@ -235,6 +225,18 @@
         self.add(Sheet::Upstreams, "bookings-1", &service).await
     }
 
+    /// Waits until the daemon has heard from each engine.
+    async fn hear_engines(&self) -> Result<(), Report<Error>> {
+        loop {
+            let status: Status = self.admin.get("/admin/status").await?;
+            let heard = status.upstreams.iter().filter(|u| u.incarnation.is_some());
+            if heard.count() == self.engines.len() {
+                return Ok(());
+            }
+            tokio::time::sleep(STATUS_PAUSE).await;
+        }
+    }
+
     fn request(&self, path: &str, key: &str) -> hyper::http::request::Builder {
         let uri = format!("http://{}{path}", self.daemon.address());
         Request::post(uri).header("authorization", format!("Bearer {key}"))
