Add stand-ins for the kept-KV store and the weight store, with their contracts

The engine contract named export, import and weight loads that the stand-in could not do. Engines now move blocks through a store under their own content keys, so a foreign workspace gains nothing and other weights are refused, and load weights from a store that slows down; a failed load leaves the old weights in service.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -21,7 +21,9 @@
 use tokio::time::Instant;
 
 use crate::cache::Cache;
+use crate::engine_kv;
 use crate::engine_stream;
+use crate::fetch::fetch;
 use crate::server;
 use crate::server::Body;
 use crate::server::Cut;
@@ -30,6 +32,7 @@
 use protocol::engine;
 use protocol::engine::Action;
 use protocol::engine::Code;
+use protocol::weights;
 use state::ident::Block;
 use state::ident::Digest;
 use state::ident::Incarnation;
@@ -75,6 +78,8 @@
     pub token_time: Duration,
     /// Names the weights version.
     pub version: String,
+    /// Gives the address of the weight store, where loads come from one.
+    pub weight_store: Option<SocketAddr>,
 }
 
 impl Default for Options {
@@ -95,6 +100,7 @@
             slots: 8,
             token_time: Duration::from_millis(1),
             version: "v1".to_owned(),
+            weight_store: None,
         }
     }
 }
@@ -436,21 +442,34 @@
             while self.slots.running() > 0 || self.slots.waiting() > 0 {
                 tokio::time::sleep(EVENTS_WAIT).await;
             }
-            tokio::time::sleep(self.options.load_time).await;
+            let fetched = self.fetch_weights(&model, &version).await;
             self.thaw().await;
             let mut inner = self.lock();
             if inner.standing.incarnation != incarnation {
                 return Err(refusal(Code::Unavailable));
             }
+            inner.standing.loading = None;
+            fetched?;
             inner.cache.clear();
             inner.standing.adapter = adapter;
-            inner.standing.loading = None;
             inner.standing.model = model;
             inner.standing.version = version;
         }
         Ok(self.lock().standing.clone())
     }
 
+    async fn fetch_weights(&self, model: &str, version: &str) -> Result<(), engine::Refusal> {
+        let Some(store) = self.options.weight_store else {
+            tokio::time::sleep(self.options.load_time).await;
+            return Ok(());
+        };
+        let path = format!("{}{model}/{version}", weights::WEIGHTS);
+        match fetch(store, Method::GET, path, Vec::new()).await {
+            Ok((200, _)) => Ok(()),
+            _ => Err(refusal(Code::Unavailable)),
+        }
+    }
+
     fn accept(&self, order: &engine::Order) -> Result<Incarnation, engine::Refusal> {
         let mut inner = self.lock();
         let standing = &mut inner.standing;
@@ -505,6 +524,14 @@
             },
             None => refuse(refusal(Code::BadRequest)),
         },
+        (&Method::POST, engine::EXPORT) => match read(request).await? {
+            Some(transfer) => moved(engine_kv::export(&shared, transfer).await),
+            None => refuse(refusal(Code::BadRequest)),
+        },
+        (&Method::POST, engine::IMPORT) => match read(request).await? {
+            Some(transfer) => moved(engine_kv::import(&shared, transfer).await),
+            None => refuse(refusal(Code::BadRequest)),
+        },
         (&Method::POST, engine::ORDERS) => match read(request).await? {
             Some(order) => match tokio::spawn(Arc::clone(&shared).order(order)).await {
                 Ok(Ok(standing)) => server::json(200, &standing),
@@ -519,6 +546,13 @@
     Ok(shared.sign(response))
 }
 
+fn moved(result: Result<engine::Transferred, Code>) -> Response<Body> {
+    match result {
+        Err(code) => refuse(refusal(code)),
+        Ok(transferred) => server::json(200, &transferred),
+    }
+}
+
 fn refusal(code: Code) -> engine::Refusal {
     engine::Refusal { code, fence: None }
 }
--- /dev/null
+++ b/crates/fakes/src/engine_kv.rs
@@ -0,0 +1,56 @@
+//! How the stand-in engine moves blocks to and from the kept-KV store.
+
+use hyper::Method;
+
+use crate::cache::Named;
+use crate::engine::Shared;
+use crate::fetch::fetch;
+use protocol::block;
+use protocol::engine::Code;
+use protocol::engine::Transfer;
+use protocol::engine::Transferred;
+use protocol::kv::BLOCKS;
+use protocol::kv::Stored;
+
+/// Writes the blocks that the engine holds.
+pub(crate) async fn export(shared: &Shared, asked: Transfer) -> Result<Transferred, Code> {
+    let mut blocks = Vec::new();
+    for name in asked.blocks {
+        let stored = {
+            let inner = shared.lock();
+            let version = inner.standing.version.clone();
+            let content = inner.cache.content(name);
+            content.map(|content| Stored { content, version })
+        };
+        let Some(stored) = stored else { break };
+        let body = serde_json::to_vec(&stored).map_err(|_| Code::BadRequest)?;
+        let path = format!("{BLOCKS}{}", block::format(name));
+        match fetch(asked.store, Method::PUT, path, body).await {
+            Ok((200, _)) => blocks.push(name),
+            _ => return Err(Code::Unavailable),
+        }
+    }
+    Ok(Transferred { blocks })
+}
+
+/// Reads leading blocks until the store lacks one.
+pub(crate) async fn import(shared: &Shared, asked: Transfer) -> Result<Transferred, Code> {
+    let mut chain: Vec<Named> = Vec::new();
+    for name in asked.blocks {
+        let path = format!("{BLOCKS}{}", block::format(name));
+        let stored: Stored = match fetch(asked.store, Method::GET, path, Vec::new()).await {
+            Err(_) => return Err(Code::Unavailable),
+            Ok((200, body)) => serde_json::from_slice(&body).map_err(|_| Code::Unavailable)?,
+            Ok(_) => break,
+        };
+        let mut inner = shared.lock();
+        if stored.version != inner.standing.version {
+            return Err(Code::VersionMismatch);
+        }
+        let content = stored.content;
+        chain.push(Named { content, name });
+        inner.cache.store(&chain);
+    }
+    let blocks = chain.iter().map(|named| named.name).collect();
+    Ok(Transferred { blocks })
+}
--- /dev/null
+++ b/crates/fakes/src/fetch.rs
@@ -0,0 +1,39 @@
+//! One small HTTP exchange of a stand-in with another.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Sends a request and returns status and body.
+pub(crate) async fn fetch(
+    address: SocketAddr,
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+) -> io::Result<(u16, Bytes)> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    let connection = tokio::spawn(connection);
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .map_err(io::Error::other)?;
+    let response = sender.send_request(request).await;
+    let response = response.map_err(io::Error::other)?;
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await;
+    connection.abort();
+    Ok((status, body.map_err(io::Error::other)?.to_bytes()))
+}
--- /dev/null
+++ b/crates/fakes/src/kv.rs
@@ -0,0 +1,86 @@
+//! A stand-in for the kept-KV store.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::Weak;
+
+use futures::FutureExt;
+use http_body_util::BodyExt;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::server;
+use crate::server::Body;
+use crate::server::Cut;
+use crate::server::Server;
+use crate::server::lock;
+use protocol::block;
+use protocol::kv::BLOCKS;
+use protocol::kv::Stored;
+use state::ident::Block;
+
+type Blocks = Mutex<BTreeMap<Block, Stored>>;
+
+/// Runs a stand-in store until it is dropped.
+pub struct Store {
+    blocks: Arc<Blocks>,
+    server: Server,
+}
+
+impl Store {
+    /// Starts an empty store on `address`; port 0 picks a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let blocks = Arc::new(Blocks::default());
+        let weak = Arc::downgrade(&blocks);
+        let respond = Arc::new(move |request| respond(Weak::clone(&weak), request).boxed());
+        let server = Server::start(address, respond).await?;
+        Ok(Self { blocks, server })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Drops a block, as a store does that runs out of room.
+    pub fn lose(&self, name: Block) {
+        lock(&self.blocks).remove(&name);
+    }
+
+    /// Lists the names of the blocks.
+    pub fn names(&self) -> Vec<Block> {
+        lock(&self.blocks).keys().copied().collect()
+    }
+
+    /// Cuts every connection and refuses new ones.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+}
+
+async fn respond(blocks: Weak<Blocks>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    let blocks = blocks.upgrade().ok_or(Cut)?;
+    let name = request.uri().path().strip_prefix(BLOCKS);
+    let Some(name) = name.and_then(block::parse) else {
+        return Ok(server::json(404, &"no such path"));
+    };
+    if request.method() == Method::PUT {
+        let body = request.into_body().collect().await.map_err(|_| Cut)?;
+        let stored = serde_json::from_slice(&body.to_bytes()).map_err(|_| Cut)?;
+        lock(&blocks).insert(name, stored);
+        return Ok(server::json(200, &()));
+    }
+    match lock(&blocks).get(&name) {
+        None => Ok(server::json(404, &"no such block")),
+        Some(stored) => Ok(server::json(200, stored)),
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,9 +5,13 @@
 
 pub mod cache;
 pub mod engine;
+mod engine_kv;
 mod engine_stream;
+mod fetch;
+pub mod kv;
 mod line;
 pub mod platform;
 pub mod server;
 pub mod service;
 mod slot;
+pub mod weights;
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -66,13 +66,17 @@
     /// Lists a host, or takes it off the list.
     pub fn list(&self, address: IpAddr, standing: Option<Standing>) {
         let mut inner = lock(&self.shared.inner);
+        let now = Instant::now();
+        if inner.listings.is_empty() {
+            inner.listings.push_back((now, Listing::default()));
+        }
         let newest = inner.listings.back().map(|(_, listing)| listing.clone());
         let mut listing = newest.unwrap_or_default();
         listing.edition += 1;
         listing.hosts.retain(|host| host.address != address);
         let host = standing.map(|standing| Host { address, standing });
         listing.hosts.extend(host);
-        inner.listings.push_back((Instant::now(), listing));
+        inner.listings.push_back((now, listing));
     }
 
     /// Cuts every connection and refuses new ones.
@@ -88,8 +92,6 @@
     while inner.listings.len() > 1 && inner.listings[1].0.elapsed() >= lag {
         inner.listings.pop_front();
     }
-    let first = inner.listings.front();
-    let shown = first.filter(|(at, listing)| listing.edition > 1 || at.elapsed() >= lag);
-    let listing = shown.map(|(_, listing)| listing.clone());
+    let listing = inner.listings.front().map(|(_, listing)| listing.clone());
     Ok(server::json(200, &listing.unwrap_or_default()))
 }
--- /dev/null
+++ b/crates/fakes/src/weights.rs
@@ -0,0 +1,68 @@
+//! A stand-in for the weight store, which slows down when many load at once.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use futures::FutureExt;
+use hyper::Response;
+use tokio::time::Duration;
+
+use crate::server;
+use crate::server::Body;
+use crate::server::Cut;
+use crate::server::Server;
+
+#[derive(Default)]
+struct Loads {
+    most: AtomicU32,
+    now: AtomicU32,
+}
+
+/// Runs a stand-in store until it is dropped.
+pub struct Weights {
+    loads: Arc<Loads>,
+    server: Server,
+}
+
+impl Weights {
+    /// Starts a store on `address` that takes `time` for each load while at most `limit` run, and
+    /// longer in proportion when more do.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(address: SocketAddr, time: Duration, limit: u32) -> io::Result<Self> {
+        let loads = Arc::new(Loads::default());
+        let counted = Arc::clone(&loads);
+        let respond = Arc::new(move |_| load(Arc::clone(&counted), time, limit).boxed());
+        let server = Server::start(address, respond).await?;
+        Ok(Self { loads, server })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns how many loads ran at once at most.
+    pub fn most(&self) -> u32 {
+        self.loads.most.load(Ordering::SeqCst)
+    }
+
+    /// Cuts every connection and refuses new ones.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+}
+
+async fn load(loads: Arc<Loads>, time: Duration, limit: u32) -> Result<Response<Body>, Cut> {
+    let running = loads.now.fetch_add(1, Ordering::SeqCst) + 1;
+    loads.most.fetch_max(running, Ordering::SeqCst);
+    let slowed = time * running.max(limit) / limit.max(1);
+    tokio::time::sleep(slowed).await;
+    loads.now.fetch_sub(1, Ordering::SeqCst);
+    Ok(server::json(200, &"weights"))
+}
--- /dev/null
+++ b/crates/fakes/tests/common/mod.rs
@@ -0,0 +1,107 @@
+//! A stand-in engine with a client, and what the tests send to it.
+
+#![allow(dead_code)]
+
+use tokio::time::Duration;
+
+use fakes::engine::Engine;
+use fakes::engine::Options;
+use protocol::engine;
+use protocol::engine::Code;
+use protocol::engine::Finish;
+use state::ident::Block;
+use transport::engine::Client;
+use transport::engine::Item;
+use transport::upstream::Error;
+use transport::upstream::Limits;
+
+pub const BLOCK_BYTES: u64 = 16;
+pub const PROMPT: &str = "0123456789abcdef0123456789ABCDEF and a tail";
+
+pub fn limits() -> Limits {
+    Limits {
+        idle: Duration::from_millis(300),
+        ..Limits::default()
+    }
+}
+
+pub async fn engine(change: impl FnOnce(&mut Options)) -> (Engine, Client) {
+    let mut options = Options {
+        block_bytes: BLOCK_BYTES,
+        ..Options::default()
+    };
+    change(&mut options);
+    let engine = Engine::start(options).await.unwrap();
+    let client = Client::new(engine.address(), limits());
+    (engine, client)
+}
+
+pub fn request(workspace: &str, prompt: &str) -> engine::Request {
+    let blocks = Block::root(workspace, "m", "v1").chain(prompt.as_bytes(), BLOCK_BYTES as usize);
+    engine::Request {
+        cache: engine::Cache {
+            block_bytes: BLOCK_BYTES,
+            blocks,
+            salt: workspace.to_owned(),
+        },
+        id: "a-1".to_owned(),
+        max_tokens: 8,
+        model: "m".to_owned(),
+        priority: 0,
+        prompt: prompt.to_owned(),
+        resume: None,
+        rest: serde_json::Map::new(),
+    }
+}
+
+#[derive(Debug, Default, PartialEq)]
+pub struct Read {
+    pub ended: bool,
+    pub finish: Option<Finish>,
+    pub ids: Vec<String>,
+    pub offsets: Vec<u64>,
+    pub text: String,
+    pub usage: Option<engine::Usage>,
+}
+
+pub async fn read(client: &Client, request: &engine::Request) -> (Read, Option<Error>) {
+    let mut read = Read::default();
+    let mut stream = match client.complete(request, None).await {
+        Ok(stream) => stream,
+        Err(error) => return (read, Some(error)),
+    };
+    loop {
+        match stream.next().await {
+            Err(error) => return (read, Some(error)),
+            Ok(None) => return (read, None),
+            Ok(Some(Item::End)) => read.ended = true,
+            Ok(Some(Item::Heartbeat)) => {}
+            Ok(Some(Item::Piece(piece))) => {
+                read.finish = read.finish.or(piece.finish);
+                read.ids.push(piece.id);
+                read.offsets.push(piece.offset);
+                read.text.push_str(&piece.text);
+                read.usage = read.usage.or(piece.usage);
+            }
+        }
+    }
+}
+
+pub fn load(fence: u64, version: &str) -> engine::Order {
+    engine::Order {
+        action: engine::Action::Load {
+            adapter: None,
+            model: "m".to_owned(),
+            version: version.to_owned(),
+        },
+        fence,
+        id: format!("load-{version}"),
+    }
+}
+
+pub fn code<T: std::fmt::Debug>(result: Result<T, Error>) -> Code {
+    match result {
+        Err(Error::Refused { refusal, .. }) => refusal.code,
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/fakes/tests/contract.rs
+++ b/crates/fakes/tests/contract.rs
@@ -1,11 +1,17 @@
 //! Checks that the stand-ins meet their contracts, and that each fault shows as what it is.
 
+mod common;
+
 use assert_matches::assert_matches;
+use common::PROMPT;
+use common::engine;
+use common::limits;
+use common::load;
+use common::read;
+use common::request;
 use tokio::time::Duration;
 
-use fakes::engine::Engine;
 use fakes::engine::Faults;
-use fakes::engine::Options;
 use fakes::service::Fault;
 use fakes::service::Service;
 use protocol::engine;
@@ -13,7 +19,6 @@
 use protocol::engine::Code;
 use protocol::engine::Finish;
 use protocol::refusal::NotRun;
-use state::ident::Block;
 use state::ident::Incarnation;
 use transport::engine::Client;
 use transport::engine::Item;
@@ -23,78 +28,6 @@
 use transport::upstream::Limits;
 use transport::upstream::Signature;
 
-const BLOCK_BYTES: u64 = 16;
-const PROMPT: &str = "0123456789abcdef0123456789ABCDEF and a tail";
-
-fn limits() -> Limits {
-    Limits {
-        idle: Duration::from_millis(300),
-        ..Limits::default()
-    }
-}
-
-async fn engine(change: impl FnOnce(&mut Options)) -> (Engine, Client) {
-    let mut options = Options {
-        block_bytes: BLOCK_BYTES,
-        ..Options::default()
-    };
-    change(&mut options);
-    let engine = Engine::start(options).await.unwrap();
-    let client = Client::new(engine.address(), limits());
-    (engine, client)
-}
-
-fn request(workspace: &str, prompt: &str) -> engine::Request {
-    let blocks = Block::root(workspace, "m", "v1").chain(prompt.as_bytes(), BLOCK_BYTES as usize);
-    engine::Request {
-        cache: engine::Cache {
-            block_bytes: BLOCK_BYTES,
-            blocks,
-            salt: workspace.to_owned(),
-        },
-        id: "a-1".to_owned(),
-        max_tokens: 8,
-        model: "m".to_owned(),
-        priority: 0,
-        prompt: prompt.to_owned(),
-        resume: None,
-        rest: serde_json::Map::new(),
-    }
-}
-
-#[derive(Debug, Default, PartialEq)]
-struct Read {
-    ended: bool,
-    finish: Option<Finish>,
-    ids: Vec<String>,
-    offsets: Vec<u64>,
-    text: String,
-    usage: Option<engine::Usage>,
-}
-
-async fn read(client: &Client, request: &engine::Request) -> (Read, Option<Error>) {
-    let mut read = Read::default();
-    let mut stream = match client.complete(request, None).await {
-        Ok(stream) => stream,
-        Err(error) => return (read, Some(error)),
-    };
-    loop {
-        match stream.next().await {
-            Err(error) => return (read, Some(error)),
-            Ok(None) => return (read, None),
-            Ok(Some(Item::End)) => read.ended = true,
-            Ok(Some(Item::Heartbeat)) => {}
-            Ok(Some(Item::Piece(piece))) => {
-                read.finish = read.finish.or(piece.finish);
-                read.ids.push(piece.id);
-                read.offsets.push(piece.offset);
-                read.text.push_str(&piece.text);
-                read.usage = read.usage.or(piece.usage);
-            }
-        }
-    }
-}
-
 #[tokio::test]
 async fn an_answer_has_every_offset_a_finish_and_an_end_mark() {
     let (engine, client) = engine(|_| {}).await;
@@ -325,18 +258,6 @@
     }
 }
 
-fn load(fence: u64, version: &str) -> engine::Order {
-    engine::Order {
-        action: engine::Action::Load {
-            adapter: None,
-            model: "m".to_owned(),
-            version: version.to_owned(),
-        },
-        fence,
-        id: format!("load-{version}"),
-    }
-}
-
 #[tokio::test]
 async fn a_load_report_lags() {
     let (engine, client) = engine(|o| o.token_time = Duration::from_millis(200)).await;
--- /dev/null
+++ b/crates/fakes/tests/stores.rs
@@ -0,0 +1,130 @@
+//! Checks the contracts of the stores and of the platform's list, with their faults.
+
+mod common;
+
+use common::PROMPT;
+use common::code;
+use common::engine;
+use common::limits;
+use common::load;
+use common::read;
+use common::request;
+use tokio::time::Duration;
+
+use fakes::kv::Store;
+use fakes::platform::Platform;
+use fakes::weights::Weights;
+use protocol::engine;
+use protocol::engine::Code;
+use protocol::platform;
+
+#[tokio::test]
+async fn blocks_move_through_the_store_to_an_engine_of_the_same_weights() {
+    let store = Store::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let (_first, source) = engine(|_| {}).await;
+    let (second, target) = engine(|_| {}).await;
+    let request = request("w", PROMPT);
+    read(&source, &request).await;
+    let transfer = engine::Transfer {
+        blocks: request.cache.blocks.clone(),
+        salt: "w".to_owned(),
+        store: store.address(),
+    };
+    let moved = engine::Transferred {
+        blocks: transfer.blocks.clone(),
+    };
+    assert_eq!(source.export(&transfer).await.unwrap(), moved);
+    assert_eq!(target.import(&transfer).await.unwrap(), moved);
+    read(&target, &request).await;
+    assert_eq!(second.counts().prefilled, 0);
+}
+
+#[tokio::test]
+async fn each_store_fault_leaves_the_engine_with_what_it_had() {
+    let store = Store::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let (_first, source) = engine(|_| {}).await;
+    let request = request("w", PROMPT);
+    read(&source, &request).await;
+    let blocks = request.cache.blocks.clone();
+    let transfer = engine::Transfer {
+        blocks: blocks.clone(),
+        salt: "w".to_owned(),
+        store: store.address(),
+    };
+    source.export(&transfer).await.unwrap();
+    let (_other, other) = engine(|o| o.version = "v2".to_owned()).await;
+    assert_eq!(code(other.import(&transfer).await), Code::VersionMismatch);
+    store.lose(blocks[1]);
+    let (_second, target) = engine(|_| {}).await;
+    let moved = target.import(&transfer).await.unwrap();
+    assert_eq!(moved.blocks, blocks[..1]);
+    store.stop();
+    while tokio::net::TcpStream::connect(store.address())
+        .await
+        .is_ok()
+    {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(code(target.import(&transfer).await), Code::Unavailable);
+    assert_eq!(code(source.export(&transfer).await), Code::Unavailable);
+}
+
+#[tokio::test]
+async fn a_foreign_workspace_gains_nothing_from_an_imported_block() {
+    let store = Store::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let (engine, client) = engine(|_| {}).await;
+    let own = request("w", PROMPT);
+    read(&client, &own).await;
+    let transfer = engine::Transfer {
+        blocks: own.cache.blocks.clone(),
+        salt: "w".to_owned(),
+        store: store.address(),
+    };
+    client.export(&transfer).await.unwrap();
+    client.import(&transfer).await.unwrap();
+    let mut foreign = own.clone();
+    foreign.cache.salt = "x".to_owned();
+    read(&client, &foreign).await;
+    assert_eq!(engine.counts().prefilled, 4);
+}
+
+#[tokio::test]
+async fn a_failed_load_leaves_the_old_weights_in_service() {
+    let time = Duration::from_millis(20);
+    let weights = Weights::start(([127, 0, 0, 1], 0).into(), time, 2)
+        .await
+        .unwrap();
+    let address = weights.address();
+    let (_engine, client) = engine(|o| o.weight_store = Some(address)).await;
+    assert_eq!(client.order(&load(1, "v2")).await.unwrap().version, "v2");
+    assert_eq!(weights.most(), 1);
+    weights.stop();
+    while tokio::net::TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(code(client.order(&load(2, "v3")).await), Code::Unavailable);
+    let standing = client.standing().await.unwrap();
+    assert_eq!((standing.version.as_str(), standing.loading), ("v2", None));
+}
+
+#[tokio::test]
+async fn the_list_of_hosts_lags_and_numbers_its_editions() {
+    let platform = Platform::start(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let host = [127, 0, 0, 9].into();
+    let hosts = || transport::platform::hosts(platform.address(), limits());
+    platform.list(host, Some(platform::Standing::Live));
+    assert_eq!(hosts().await.unwrap().edition, 1);
+    platform.lag(Duration::from_secs(60));
+    platform.list(host, Some(platform::Standing::Leaving));
+    let late = hosts().await.unwrap();
+    assert_eq!(
+        (late.edition, late.standing(host)),
+        (1, Some(platform::Standing::Live))
+    );
+    platform.lag(Duration::ZERO);
+    let now = hosts().await.unwrap();
+    assert_eq!(
+        (now.edition, now.standing(host)),
+        (2, Some(platform::Standing::Leaving))
+    );
+}
