Import cached blocks to the engine that a grant names, within two seconds

Grants named where missing blocks are held, and nobody moved them. An attempt now has its engine import them from the store, or from another engine by way of the store, and goes on without after 2 s or a failure; the counter tells which. Three tests check both ways and a store that is gone. Copies that the broker asks for ahead of need (its export effect) are still not made.

--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::answer::Part;
 use crate::context::Context;
+use crate::import;
 use crate::job::Job;
 use crate::suspects::Pass;
 use coordination::broker::Grant;
@@ -117,7 +118,7 @@
             .renew(&self.grant.upstream, self.pass, self.alone);
         let parts = self.parts.clone();
         let ended = tokio::select! {
-            ended = self.exchange(Client::new(address, LIMITS)) => ended,
+            ended = self.exchange(address) => ended,
             () = parts.closed() => Ended::Left,
             () = renewal => Ended::Left,
         };
@@ -157,7 +158,10 @@
         format!("{}-{}", self.job.id, self.number)
     }
 
-    async fn exchange(&mut self, client: Client) -> Ended {
+    async fn exchange(&mut self, address: SocketAddr) -> Ended {
+        let table = self.context.table();
+        import::run(&table, &self.job.ask, self.grant, address).await;
+        let client = Client::new(address, LIMITS);
         let upstream = &self.grant.upstream;
         let known = self.grant.incarnation;
         self.incarnation = known.or_else(|| self.context.health.incarnation(upstream));
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod feed;
 pub mod follow;
 pub mod health;
+pub mod import;
 pub mod ini;
 pub mod job;
 pub mod journal;
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -9,6 +9,8 @@
 pub const EJECTIONS: &str = "hibiscushoist_ejections_total";
 /// Gives how many hosts are present, this one included.
 pub const HOSTS: &str = "hibiscushoist_hosts";
+/// Counts imports of cached blocks by how they ended.
+pub const IMPORTS: &str = "hibiscushoist_imports_total";
 /// Counts changes in the view of the fleet.
 pub const MEMBERSHIP_CHANGES: &str = "hibiscushoist_membership_changes_total";
 /// Gives the index of the newest committed entry known here.
