--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -151,6 +151,11 @@
         self.context.address
     }
 
+    /// Returns what reaches the voters.
+    pub fn voter(&self) -> &voter::Handle {
+        &self.context.voter
+    }
+
     /// Takes the host off the list, serves on for the lifetime of addresses, ends the last request
     /// and returns how that went; `again` ends the rest at once.
     pub async fn drain(&mut self, again: impl Future<Output = ()>) -> Outcome {
--- /dev/null
+++ b/crates/transport/examples/durability.rs
@@ -0,0 +1,215 @@
+//! Measures the disk, the recovery and the size of durable state.
+//!
+//! Run with `cargo run --release -p transport --example durability [FOLDER]`; the folder stands on
+//! the disk that is measured and is removed afterwards.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Instant;
+
+use coordination::machine::Command;
+use coordination::machine::Machine;
+use coordination::quorum::Identity;
+use coordination::raft_entry::Entry;
+use coordination::raft_entry::Payload;
+use coordination::raft_entry::Position;
+use coordination::raft_entry::Record;
+use state::column::Column;
+use state::edit::Action;
+use state::edit::Edit;
+use state::ident::Digest;
+use state::ledger::Attempt;
+use state::ledger::Intent;
+use state::ledger::Key;
+use state::ledger::Limits;
+use state::ledger::Outcome;
+use state::ledger::Report;
+use state::ledger::Response;
+use state::row::Name;
+use state::sheet::Sheet;
+use transport::disk::Folder;
+use transport::store::Store;
+
+const BATCHES: [u64; 4] = [1, 16, 128, 1_024];
+const CALLS: u64 = 200_000;
+const LENGTHS: [u64; 4] = [100, 1_000, 10_000, 100_000];
+const ROWS: u64 = 2_340;
+const WRITES: u64 = 300;
+
+fn main() {
+    let folder = std::env::args().nth(1).map(PathBuf::from);
+    let folder = folder.unwrap_or_else(|| std::env::temp_dir().join("durability"));
+    ledger();
+    table();
+    syncs(&folder);
+    recovery(&folder);
+    fs::remove_dir_all(&folder).expect("the folder goes");
+}
+
+fn fresh(folder: &Path, name: &str) -> Store<Folder> {
+    let path = folder.join(name);
+    let _ = fs::remove_dir_all(&path);
+    let disk = Folder::open(path).expect("the folder opens");
+    Store::open(disk, Identity(1))
+        .expect("the folder is empty")
+        .0
+}
+
+fn syncs(folder: &Path) {
+    for batch in BATCHES {
+        let mut store = fresh(folder, "syncs");
+        let mut index = 0;
+        let mut times = Vec::new();
+        let start = Instant::now();
+        for _ in 0..WRITES {
+            let entries = (0..batch).map(|offset| entry(index + offset + 1));
+            let records = vec![Record::Entries(entries.collect())];
+            let began = Instant::now();
+            store.write(records).expect("the disk takes it");
+            times.push(began.elapsed().as_micros());
+            index += batch;
+        }
+        let rate = index as f64 / start.elapsed().as_secs_f64();
+        times.sort_unstable();
+        let (half, most) = (times[times.len() / 2], times[times.len() * 99 / 100]);
+        println!("sync: batch {batch}: {rate:.0} entries/s, p50 {half} us, p99 {most} us");
+    }
+}
+
+fn recovery(folder: &Path) {
+    for length in LENGTHS {
+        let mut store = fresh(folder, "recovery");
+        let entries = (1..=length).map(entry).collect();
+        store
+            .write(vec![Record::Entries(entries)])
+            .expect("the disk takes it");
+        drop(store);
+        let began = Instant::now();
+        let disk = Folder::open(folder.join("recovery")).expect("the folder opens");
+        let (store, report) = Store::open(disk, Identity(1)).expect("the log is whole");
+        let read = began.elapsed();
+        let mut machine = Machine::default();
+        for entry in &store.recovered().entries {
+            if let Payload::Command(bytes) = &entry.payload {
+                let command = Command::decode(bytes).expect("command decodes");
+                machine.apply(entry.at, &command);
+            }
+        }
+        let whole = began.elapsed();
+        assert_eq!(report.entries as u64, length);
+        println!("recovery: {length} entries: read {read:?}, read and applied {whole:?}");
+    }
+}
+
+fn table() {
+    let mut machine = Machine::default();
+    for number in 0..ROWS {
+        machine.apply(number, &edit(number));
+    }
+    let table = postcard::to_stdvec(&**machine.table()).expect("the table encodes");
+    let all = machine.snapshot().expect("the state encodes");
+    let (row, edit) = (table.len() as u64 / ROWS, all.len() as u64 / ROWS);
+    println!("table: {ROWS} rows: {row} bytes a row, {edit} with its edit in the history");
+}
+
+fn ledger() {
+    let limits = Limits {
+        answers: CALLS as usize,
+        ..Limits::default()
+    };
+    let mut machine = Machine::new(limits.clone());
+    let before = resident();
+    for number in 0..CALLS {
+        machine.apply(0, &begin(number));
+        machine.apply(0, &finish(number));
+    }
+    let held = (resident() - before) / CALLS;
+    let began = Instant::now();
+    let data = machine.snapshot().expect("the state encodes");
+    let encode = began.elapsed();
+    let began = Instant::now();
+    drop(Machine::restore(&data).expect("the snapshot decodes"));
+    let decode = began.elapsed();
+    let bytes = data.len() as u64 / CALLS;
+    println!("ledger: {CALLS} answered calls of 128 bytes: {held} bytes each in memory");
+    println!("ledger: {bytes} bytes each in a snapshot, written in {encode:?}, read in {decode:?}");
+    machine.apply(limits.answer_window, &begin(CALLS));
+    let data = machine.snapshot().expect("the state encodes");
+    println!(
+        "ledger: {} bytes each once the answer is gone",
+        data.len() as u64 / CALLS
+    );
+}
+
+fn begin(number: u64) -> Command {
+    Command::Begin(Intent {
+        digest: Digest::of(&[&number.to_le_bytes()]),
+        hold: 60_000,
+        key: key(number),
+        owner: u128::from(number),
+    })
+}
+
+fn finish(number: u64) -> Command {
+    Command::Finish(Report {
+        attempt: Attempt(number + 1),
+        key: key(number),
+        outcome: Outcome::Done(Response {
+            body: vec![b'x'; 112],
+            content_type: "application/json".to_owned(),
+            status: 201,
+        }),
+    })
+}
+
+fn key(number: u64) -> Key {
+    Key {
+        idempotency: format!("{number:032x}"),
+        workspace: "workspace".to_owned(),
+    }
+}
+
+fn edit(number: u64) -> Command {
+    let text = |text: &str| text.to_owned();
+    let cells = BTreeMap::from([
+        (Column::Address, text("192.0.2.1:8000")),
+        (Column::Domain, text("harbour")),
+        (Column::Limit, text("64")),
+        (Column::Model, text("m")),
+        (Column::Standing, text("serving")),
+        (Column::Type, text("engine")),
+        (Column::Weight, text("100")),
+    ]);
+    Command::Edit(Edit {
+        action: Action::Add(cells),
+        author: text("operator"),
+        if_revision: 0,
+        key: format!("{number:032x}"),
+        name: Name {
+            row: format!("upstream-{number}"),
+            sheet: Sheet::Upstreams,
+        },
+    })
+}
+
+fn entry(index: u64) -> Entry {
+    let command = begin(index).encode().expect("command encodes");
+    Entry {
+        at: index,
+        payload: Payload::Command(command.into()),
+        position: Position { term: 1, index },
+    }
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn resident() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let text = fs::read_to_string("/proc/self/statm").expect("the system tells");
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.expect("a number") * PAGE_BYTES
+}
