--- a/crates/hibiscushoistd/examples/commits.rs
+++ b/crates/hibiscushoistd/examples/commits.rs
@@ -1,7 +1,7 @@
 //! Measures commits by three voters of one process over loopback, each with its own folder.
 //!
-//! Run with `cargo run --release -p hibiscushoistd --example commits [FOLDER]`; the folder stands on
-//! the disk that is measured and is removed afterwards.
+//! Run with `cargo run --release -p hibiscushoistd --example commits [FOLDER]`; the folder stands
+//! on the disk that is measured and is removed afterwards.
 
 use std::fs;
 use std::net::SocketAddr;
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -19,6 +19,8 @@
 pub const LOG_SYNCS: &str = "hibiscushoist_log_syncs_total";
 /// Gives the newest term seen here.
 pub const LOG_TERM: &str = "hibiscushoist_log_term";
+/// Counts orders to plain services by how they ended.
+pub const ORDERS: &str = "hibiscushoist_orders_total";
 /// Counts connections to other daemons that could not be opened.
 pub const PEER_CONNECT_FAILURES: &str = "hibiscushoist_peer_connect_failures_total";
 /// Counts connections to other daemons that were opened.
@@ -45,6 +47,8 @@
 pub const RUNS: &str = "hibiscushoist_runs_total";
 /// Counts callers that were given up because they read too slowly.
 pub const SLOW_CALLERS: &str = "hibiscushoist_slow_callers_total";
+/// Counts steps of roll-outs, by step.
+pub const ROLLOUT_STEPS: &str = "hibiscushoist_rollout_steps_total";
 /// Gives the revision of the table in force here.
 pub const TABLE_REVISION: &str = "hibiscushoist_table_revision";
 
