--- a/crates/hibiscushoist/src/demo.rs
+++ b/crates/hibiscushoist/src/demo.rs
@@ -121,7 +121,7 @@
         Ok(computed)
     }
 
-    /// Asks until the cache events of the stand-ins have arrived and `expected` blocks are computed.
+    /// Asks until the cache events have arrived and `expected` blocks are computed.
     async fn computed_soon(
         &mut self,
         expected: u64,
