--- a/crates/coordination/examples/measure/main.rs
+++ b/crates/coordination/examples/measure/main.rs
@@ -7,6 +7,7 @@
 mod figures;
 mod router;
 mod run;
+mod size;
 mod work;
 
 use strum::IntoEnumIterator;
@@ -54,7 +55,9 @@
     let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
     let seed = seed.unwrap_or(DEFAULT_SEED);
     let only = std::env::args().nth(2);
-    println!("Seed {seed}, blocks of {BLOCK_TOKENS} tokens.");
+    size::directory();
+    size::decisions(&DEPLOYMENTS[0]);
+    println!("\nSeed {seed}, blocks of {BLOCK_TOKENS} tokens.");
     for deployment in &DEPLOYMENTS {
         let alone = alone(deployment, seed);
         for scene in [Scene::Steady, Scene::BackgroundFlood, Scene::UrgentFlood] {
--- /dev/null
+++ b/crates/coordination/examples/measure/size.rs
@@ -0,0 +1,126 @@
+//! What a broker's directory and decisions cost at the target size.
+
+use std::time::Instant;
+
+use crate::engine::Engine;
+use crate::router;
+use crate::router::Policy;
+use crate::router::Router;
+use crate::work::Deployment;
+use coordination::ask::Ask;
+use coordination::ask::Ticket;
+use coordination::broker::Event;
+use coordination::report::Progress;
+use coordination::report::Report;
+use state::directory::Batch;
+use state::directory::Change;
+use state::directory::Directory;
+use state::directory::Slot;
+use state::ident::Block;
+use state::ident::Incarnation;
+use state::rank::Rank;
+use state::time;
+
+const ASKS: u128 = 20_000;
+const BATCH: u64 = 100;
+const CHURN: u64 = 2_000_000;
+const DEPTH: usize = 16;
+const ENTRIES: u64 = 150_000_000 / 11;
+const UPSTREAMS: u64 = 1_500 / 11;
+
+/// Fills a directory to the target size, replaces a part of it, and prints what that took.
+pub fn directory() {
+    let mut directory = Directory::default();
+    let mut sequences = vec![0; UPSTREAMS as usize];
+    let start = Instant::now();
+    for at in (0..ENTRIES).step_by(BATCH as usize) {
+        let changes = (at..at + BATCH).map(|n| Change::Stored(block(n)));
+        apply(&mut directory, &mut sequences, at, changes.collect());
+    }
+    let filled = start.elapsed();
+    let entries = directory.len();
+    let bytes = directory.bytes();
+    let mut slowest = 0;
+    let start = Instant::now();
+    for at in (0..CHURN).step_by(BATCH as usize) {
+        let pairs = (at..at + BATCH).flat_map(|n| {
+            let removed = Change::Removed(block(n));
+            [removed, Change::Stored(block(ENTRIES + BATCH + n))]
+        });
+        let one = Instant::now();
+        apply(&mut directory, &mut sequences, at, pairs.collect());
+        slowest = slowest.max(one.elapsed().as_micros());
+    }
+    let churned = start.elapsed();
+    println!("\n### Directory of one broker at the target\n");
+    println!(
+        "| entries | bytes per entry | MB | ns per insertion | ns per event | slowest batch µs |"
+    );
+    println!("|--:|--:|--:|--:|--:|--:|");
+    println!(
+        "| {entries} | {:.2} | {:.0} | {:.0} | {:.0} | {slowest} |",
+        bytes as f64 / entries as f64,
+        bytes as f64 / 1e6,
+        filled.as_nanos() as f64 / entries as f64,
+        churned.as_nanos() as f64 / (2 * CHURN) as f64,
+    );
+}
+
+/// Places requests over as many upstreams as a broker owns at the target, and prints the cost.
+pub fn decisions(small: &Deployment) {
+    let deployment = Deployment {
+        engines: UPSTREAMS as usize,
+        ..*small
+    };
+    let mut router = Router::new(Policy::Broker, &deployment);
+    for index in 0..deployment.engines {
+        let sample = Engine::new(1).sample(0);
+        let upstream = router::engine(index);
+        router.step(0, Event::Load { sample, upstream });
+    }
+    let root = Block::root("w0", "m", "v1");
+    let start = Instant::now();
+    for serial in 0..ASKS {
+        let now = serial as u64 * 1_000;
+        let prompt = root.child(&(serial % 500).to_le_bytes());
+        let ask = Ask {
+            block_tokens: 4_096,
+            blocks: prompt.chain(&[7; DEPTH], 1),
+            deadline_ms: 10_000,
+            model: "m".to_owned(),
+            output_tokens: 30,
+            prompt_tokens: 4_096 * DEPTH as u32 + 100,
+            rank: Rank::Urgent,
+            ticket: Ticket(serial),
+            workspace: "w0".to_owned(),
+            ..Ask::default()
+        };
+        router.step(now, Event::Ask(ask));
+        let ticket = Ticket(serial);
+        for progress in [Progress::FirstToken, Progress::Finished] {
+            router.step(now, Event::Report(Report { progress, ticket }));
+        }
+    }
+    let each = start.elapsed().as_nanos() as f64 / ASKS as f64 / 1_000.0;
+    println!("\nOne request over {UPSTREAMS} upstreams and {DEPTH} blocks: {each:.1} µs for its");
+    println!("placement, first token and end, with the hashing of its blocks.");
+}
+
+fn apply(directory: &mut Directory, sequences: &mut [u64], at: u64, changes: Vec<Change>) {
+    let upstream = (at / BATCH % UPSTREAMS) as usize;
+    let batch = Batch {
+        incarnation: Incarnation(1),
+        sequence: sequences[upstream],
+        version: "v1".to_owned(),
+        changes,
+    };
+    sequences[upstream] += batch.changes.len() as u64;
+    directory.apply(Slot(upstream as u16), batch, time::Instant(0));
+}
+
+/// Returns a block whose bits are spread like those of a hash.
+fn block(number: u64) -> Block {
+    const ODD: u128 = 0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835;
+    let mixed = u128::from(number + 1).wrapping_mul(ODD);
+    Block((mixed ^ (mixed >> 61)).wrapping_mul(ODD))
+}
--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -73,6 +73,8 @@
     KindLimit,
     /// Means that no upstream can take the request.
     NoUpstream,
+    /// Means that the broker owns no upstream of the model.
+    NotOwner,
     /// Means that the queue is full.
     Overloaded,
     /// Means that the workspace used its tokens for now.
--- a/crates/coordination/src/broker.rs
+++ b/crates/coordination/src/broker.rs
@@ -16,6 +16,7 @@
 use crate::admission::Rules;
 pub use crate::ask::Ask;
 pub use crate::ask::Ticket;
+use crate::capacity::Bound;
 use crate::capacity::Class;
 use crate::capacity::Standing;
 use crate::capacity::Turn;
@@ -24,6 +25,7 @@
 use crate::pool::Pool;
 use crate::pool::Promised;
 use crate::pool::Proposal;
+pub use crate::report::Held;
 use crate::report::Progress;
 pub use crate::report::Report;
 use crate::report::Sample;
@@ -47,6 +49,8 @@
 pub enum Event {
     /// Asks for a place.
     Ask(Ask),
+    /// Bounds the requests in flight on each upstream, for a broker that stands in for an owner.
+    Bound(Bound),
     /// Brings changes of an upstream's cache.
     Cache {
         /// Holds the changes.
@@ -57,14 +61,7 @@
     /// Means that the caller of a request left before it was placed.
     Cancel(Ticket),
     /// Reports a request again that an earlier owner placed.
-    Held {
-        /// Holds the ask.
-        ask: Ask,
-        /// Tells whether its first token arrived.
-        started: bool,
-        /// Names the upstream.
-        upstream: String,
-    },
+    Held(Held),
     /// Brings a load report.
     Load {
         /// Holds the report.
@@ -125,7 +122,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct Held {
+struct Placed {
     ask: Ask,
     grant: Option<Box<Grant>>,
     slot: Slot,
@@ -139,7 +136,7 @@
     busy: u64,
     directory: Directory,
     expired: Instant,
-    held: HashMap<Ticket, Held>,
+    held: HashMap<Ticket, Placed>,
     pool: Pool,
     resyncs: BTreeMap<Slot, Instant>,
     waiting: HashSet<Ticket>,
@@ -171,16 +168,13 @@
         let mut effects = Vec::new();
         match event {
             Event::Ask(ask) => self.ask(ask, now, &mut effects),
+            Event::Bound(bound) => self.pool.bound(bound),
             Event::Cache { batch, upstream } => {
                 self.cache(batch, &upstream, now, &mut effects);
                 return effects;
             }
             Event::Cancel(ticket) => self.cancel(ticket, now),
-            Event::Held {
-                ask,
-                started,
-                upstream,
-            } => self.hold_again(ask, started, &upstream, now),
+            Event::Held(held) => self.hold_again(held, now),
             Event::Load { sample, upstream } => self.load(sample, &upstream, now, &mut effects),
             Event::Report(report) => self.report(report, now, &mut effects),
             Event::Share(thousandths) => self.admission.share(thousandths),
@@ -205,8 +199,12 @@
             return;
         }
         if !self.pool.serves(&ask) {
+            let reason = match self.pool.lists(&ask.model) {
+                false => Reason::NotOwner,
+                true => Reason::NoUpstream,
+            };
             effects.push(Effect::Refuse(Refusal {
-                reason: Reason::NoUpstream,
+                reason,
                 retry_after_ms: RESYNC_MS,
                 ticket,
             }));
@@ -268,10 +266,11 @@
         }
     }
 
-    fn hold_again(&mut self, ask: Ask, started: bool, upstream: &str, now: Instant) {
-        let Some(slot) = self.pool.slot(upstream) else {
+    fn hold_again(&mut self, held: Held, now: Instant) {
+        let Some(slot) = self.pool.slot(&held.upstream) else {
             return;
         };
+        let Held { ask, started, .. } = held;
         if self.held.contains_key(&ask.ticket) {
             return;
         }
@@ -280,7 +279,7 @@
             self.pool.start(slot, &mut work, now);
         }
         self.admission.count(&ask);
-        let held = Held {
+        let held = Placed {
             ask,
             grant: None,
             slot,
@@ -371,7 +370,7 @@
             waited_ms: now.since(waiting.since),
         });
         effects.push(Effect::Grant(grant.clone()));
-        let held = Held {
+        let held = Placed {
             ask,
             grant: Some(grant),
             slot,
@@ -385,6 +384,7 @@
             Progress::Failed => {
                 if let Some(held) = self.held.get(&report.ticket) {
                     self.directory.unexpect(held.slot, &held.ask.blocks);
+                    self.pool.fail(held.slot, now);
                 }
                 self.finish(report.ticket, now);
             }
@@ -465,7 +465,7 @@
             self.waiting.remove(&refusal.ticket);
             effects.push(Effect::Refuse(refusal));
         }
-        let lost = |held: &Held| now.since(held.work.granted) >= HELD_LIFETIME_MS;
+        let lost = |held: &Placed| now.since(held.work.granted) >= HELD_LIFETIME_MS;
         let tickets: Vec<Ticket> = self
             .held
             .iter()
--- a/crates/coordination/src/capacity.rs
+++ b/crates/coordination/src/capacity.rs
@@ -17,10 +17,11 @@
 const DEFAULT_SERVICE_MS: u64 = 2_000;
 const MICROS_PER_MILLI: u64 = 1_000;
 const MILLIS_PER_SECOND: u64 = 1_000;
+const FAILED_MS: u64 = 1_000;
 const LIGHT_SLOTS_DIVISOR: u32 = 16;
 const LIGHT_WINDOW_MS: u64 = 150;
 const SERVICE_SAMPLES: u64 = 8;
-const URGENT_WINDOW_MS: u64 = 60;
+const URGENT_WINDOW_MS: u64 = 30;
 
 /// Tells whether an upstream may get new work.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -36,6 +37,26 @@
     Usable,
 }
 
+/// Bounds what one of several hosts that stand in for an owner may use of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bound {
+    /// Gives how many hosts may stand in.
+    pub hosts: u32,
+    /// Gives the slots that each may use.
+    pub slots: u32,
+}
+
+impl Bound {
+    /// Returns the part of a limit that one host may use; all parts together keep to the limit
+    /// where it is at least the number of hosts.
+    fn part(self, limit: u32) -> u32 {
+        match limit {
+            0 => 0,
+            _ => (limit / self.hosts.max(1)).max(1),
+        }
+    }
+}
+
 /// Describes work that was sent to an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Work {
@@ -86,9 +107,11 @@
 /// Tracks the load of one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Capacity {
+    bound: Option<Bound>,
     loads: [Load; 2],
     epoch: u64,
     excess: u32,
+    failed: Option<Instant>,
     foreign: u32,
     limit: Option<u32>,
     measured: Instant,
@@ -98,6 +121,11 @@
 }
 
 impl Capacity {
+    /// Bounds the requests in flight below what the upstream and the table allow.
+    pub fn bound(&mut self, bound: Bound) {
+        self.bound = Some(bound);
+    }
+
     /// Records that the upstream got work of `rank` with `tokens` of prompt to compute.
     pub fn begin(&mut self, tokens: u64, rank: Rank, priority: Rank, now: Instant) -> Work {
         if self.pending() == 0 {
@@ -165,10 +193,15 @@
     /// Returns whether the upstream takes a further request without queueing it long.
     pub fn open(&self, class: Class, now: Instant) -> bool {
         let slots = self.slots();
+        if slots == 0 {
+            return false;
+        }
         let light = slots / LIGHT_SLOTS_DIVISOR;
         let background = self.loads[Rank::Background.index()].inflight;
         let (usable, window) = match class {
-            Class::Background(turn) if background + turn.reserve >= slots => return false,
+            Class::Background(turn) if background + turn.reserve.min(slots - 1) >= slots => {
+                return false;
+            }
             Class::Background(turn) if turn.yields => (slots - light, URGENT_WINDOW_MS),
             Class::Background(_) => (slots, BACKGROUND_WINDOW_MS),
             Class::Heavy => (slots - light, URGENT_WINDOW_MS),
@@ -197,6 +230,7 @@
         self.loads = [Load::default(); 2];
         self.epoch += 1;
         self.excess = 0;
+        self.failed = None;
         self.foreign = 0;
         self.measured = now;
         self.progress = now;
@@ -206,7 +240,11 @@
     /// Returns the requests that the upstream runs at once.
     pub fn slots(&self) -> u32 {
         let reported = self.sample.as_ref().map_or(DEFAULT_SLOTS, |s| s.slots);
-        self.limit.map_or(reported, |limit| limit.min(reported))
+        let limit = self.limit.unwrap_or(u32::MAX);
+        match self.bound {
+            None => reported.min(limit),
+            Some(bound) => bound.slots.min(reported).min(bound.part(limit)),
+        }
     }
 
     /// Records that the first token of `work` arrived.
@@ -227,9 +265,20 @@
         self.sample.as_ref().map(|sample| sample.version.as_str())
     }
 
+    /// Records that the upstream failed a request, so that others are preferred for a while.
+    pub fn fail(&mut self, now: Instant) {
+        self.failed = Some(now);
+    }
+
     /// Returns how long a further request of `rank` would wait to be computed, in microseconds.
     pub fn wait_us(&self, rank: Rank, now: Instant) -> u64 {
-        let backlog = self.backlog_us(rank, now);
+        let failed = self.failed.is_some_and(|at| now.since(at) < FAILED_MS);
+        let penalty = if failed {
+            FAILED_MS * MICROS_PER_MILLI
+        } else {
+            0
+        };
+        let backlog = self.backlog_us(rank, now) + penalty;
         if self.inflight() < self.slots() {
             return backlog;
         }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -39,5 +39,6 @@
 pub mod rollout;
 pub mod roster;
 pub mod rumor;
+pub mod shard;
 pub mod stream;
 pub mod view;
--- a/crates/coordination/src/pool.rs
+++ b/crates/coordination/src/pool.rs
@@ -5,6 +5,7 @@
 
 use crate::admission;
 use crate::ask::Ask;
+use crate::capacity::Bound;
 use crate::capacity::Capacity;
 use crate::capacity::Class;
 use crate::capacity::Standing;
@@ -93,6 +94,7 @@
 /// Holds the upstreams of a broker.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    bound: Option<Bound>,
     slots: BTreeMap<String, Slot>,
     upstreams: Vec<Upstream>,
 }
@@ -178,11 +180,24 @@
         capacity.begin(tokens, rank, priority, now)
     }
 
+    /// Bounds the requests in flight on each upstream, for one of several that share it.
+    pub fn bound(&mut self, bound: Bound) {
+        self.bound = Some(bound);
+        for upstream in &mut self.upstreams {
+            upstream.capacity.bound(bound);
+        }
+    }
+
     /// Records the end of work.
     pub fn end(&mut self, slot: Slot, work: &mut Work, now: Instant) {
         self.at_mut(slot).capacity.end(work, now);
     }
 
+    /// Records that an upstream failed a request.
+    pub fn fail(&mut self, slot: Slot, now: Instant) {
+        self.at_mut(slot).capacity.fail(now);
+    }
+
     /// Returns the upstreams that the table no longer lists.
     pub fn gone(&self) -> Vec<Slot> {
         let unlisted = |slot: &&Slot| !self.at(**slot).listed;
@@ -306,6 +321,12 @@
         }
     }
 
+    /// Returns whether any upstream of the model is listed, usable or not.
+    pub fn lists(&self, model: &str) -> bool {
+        let listed = |u: &Upstream| u.role == Role::Engine && u.listed && u.model == model;
+        self.upstreams.iter().any(listed)
+    }
+
     /// Returns whether any upstream could serve the request.
     pub fn serves(&self, ask: &Ask) -> bool {
         self.upstreams.iter().any(|upstream| upstream.fits(ask))
@@ -355,7 +376,12 @@
             let routed = matches!(row.text(Column::Type), Some("engine" | "kv_store"));
             if routed && owned.is_none_or(|owned| owned.contains(name)) {
                 let slot = self.admit(name);
-                self.at_mut(slot).update(row);
+                let bound = self.bound;
+                let upstream = self.at_mut(slot);
+                upstream.update(row);
+                if let Some(bound) = bound {
+                    upstream.capacity.bound(bound);
+                }
             }
         }
     }
--- a/crates/coordination/src/report.rs
+++ b/crates/coordination/src/report.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ask::Ask;
 use crate::ask::Ticket;
 use state::ident::Incarnation;
 
@@ -17,6 +18,17 @@
     FirstToken,
 }
 
+/// Describes a request that an earlier owner of its upstream placed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Held {
+    /// Holds the ask.
+    pub ask: Ask,
+    /// Tells whether its first token arrived.
+    pub started: bool,
+    /// Names the upstream.
+    pub upstream: String,
+}
+
 /// Reports on a granted request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
--- /dev/null
+++ b/crates/coordination/src/shard.rs
@@ -0,0 +1,77 @@
+//! Which broker owns which upstreams, and which broker places a request.
+//!
+//! Upstreams are grouped into shards of up to [`UPSTREAMS`], so that a broker has many to choose
+//! from: a small fleet has one shard, and cost per broker stays level as a fleet grows. Each host
+//! works all of it out from its own view and table.
+
+use std::collections::BTreeSet;
+
+use crate::ownership;
+use crate::rendezvous;
+use crate::view::Member;
+use crate::view::View;
+use state::column::Column;
+use state::ident::Block;
+use state::row::Row;
+use state::sheet::Sheet;
+use state::table::Table;
+
+/// Gives the upstreams of one shard.
+pub const UPSTREAMS: usize = 140;
+
+/// Names a shard; a `Copy` key.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Shard(pub u16);
+
+/// Returns how many shards the upstreams of a table make.
+pub fn count(table: &Table) -> u16 {
+    let engines = table.sheet(Sheet::Upstreams).filter(|(_, r)| is_engine(r));
+    let shards = engines.count().div_ceil(UPSTREAMS).max(1);
+    u16::try_from(shards).unwrap_or(u16::MAX)
+}
+
+/// Returns the shard of an upstream.
+pub fn of_upstream(name: impl AsRef<str>, shards: u16) -> Shard {
+    best(name.as_ref().as_bytes(), shards)
+}
+
+/// Returns the shard that places requests whose prompt starts with `root`.
+pub fn of_prompt(root: Block, shards: u16) -> Shard {
+    best(&root.0.to_le_bytes(), shards)
+}
+
+/// Returns the broker of a shard, if any broker takes work.
+pub fn owner(view: &View, shard: Shard) -> Option<&Member> {
+    let key = name(shard);
+    let score = |member: &&Member| rendezvous::score(key.as_bytes(), &member.record.host);
+    ownership::brokers(view).max_by_key(score)
+}
+
+/// Returns the upstreams that this host owns; stores of kept KV belong to every shard.
+pub fn owned(view: &View, table: &Table) -> BTreeSet<String> {
+    let shards = count(table);
+    let is_mine = |shard: Shard| owner(view, shard).is_some_and(|m| m.record.host == view.me);
+    let mine: Vec<bool> = (0..shards).map(|at| is_mine(Shard(at))).collect();
+    let any = mine.contains(&true);
+    table
+        .sheet(Sheet::Upstreams)
+        .filter(|(name, row)| match is_engine(row) {
+            true => mine[usize::from(of_upstream(name, shards).0)],
+            false => any,
+        })
+        .map(|(name, _)| name.to_owned())
+        .collect()
+}
+
+fn best(key: &[u8], shards: u16) -> Shard {
+    let score = |at: &u16| rendezvous::score(key, &name(Shard(*at)));
+    Shard((0..shards).max_by_key(score).unwrap_or(0))
+}
+
+fn is_engine(row: &Row) -> bool {
+    row.text(Column::Type) == Some("engine")
+}
+
+fn name(shard: Shard) -> String {
+    format!("shard {}", shard.0)
+}
--- a/crates/coordination/tests/broker.rs
+++ b/crates/coordination/tests/broker.rs
@@ -6,12 +6,15 @@
 use coordination::ask::Ticket;
 use coordination::broker::Effect;
 use coordination::broker::Event;
+use coordination::capacity::Bound;
 use coordination::capacity::Standing;
+use coordination::report::Held;
 use coordination::report::Progress;
 use state::column::Column;
 use state::directory::Snapshot;
 use state::ident::Incarnation;
 use state::rank::Rank;
+use state::sheet::Sheet;
 use support::Desk;
 use support::SLOTS;
 use support::ask;
@@ -33,11 +36,11 @@
     let mut desk = Desk::new(&["a"]);
     desk.workspace("maps", &[(Column::Limit, "8")]);
     for serial in 0..u128::from(SLOTS) {
-        desk.step(Event::Held {
+        desk.step(Event::Held(Held {
             ask: ask(serial, Rank::Urgent, "maps", "c", 1),
             started: true,
             upstream: "a".to_owned(),
-        });
+        }));
     }
     let effects = desk.ask(ask(100, Rank::Urgent, "maps", "c", 1));
     assert_eq!(refusals(&effects), [Reason::WorkspaceLimit]);
@@ -138,3 +141,28 @@
     let grant = grants(&desk.ask(ask(1, Rank::Urgent, "maps", "c", 4))).remove(0);
     assert_eq!(grant.resident_blocks, 0);
 }
+
+#[test]
+fn stand_in_keeps_to_its_part_of_each_upstream() {
+    for (limit, expected) in [(None, 4), (Some("8"), 2), (Some("1"), 2)] {
+        let mut desk = Desk::new(&["a", "b"]);
+        desk.step(Event::Bound(Bound { hosts: 8, slots: 2 }));
+        for upstream in ["a", "b"] {
+            if let Some(limit) = limit {
+                desk.row(Sheet::Upstreams, upstream, &[(Column::Limit, limit)]);
+            }
+        }
+        for serial in 0..10 {
+            let workspace = format!("w{serial}");
+            desk.ask(ask(serial, Rank::Urgent, &workspace, "c", 0));
+        }
+        assert_eq!(desk.broker.held(), expected, "{limit:?}");
+    }
+}
+
+#[test]
+fn broker_without_upstreams_of_the_model_says_so() {
+    let mut desk = Desk::new(&[]);
+    let effects = desk.ask(ask(1, Rank::Urgent, "maps", "c", 0));
+    assert_eq!(refusals(&effects), [Reason::NotOwner]);
+}
--- a/crates/coordination/tests/placement.rs
+++ b/crates/coordination/tests/placement.rs
@@ -112,8 +112,9 @@
     let mut serial = 0;
     let import = loop {
         serial += 1;
-        let effects = desk.ask(ask(serial, Rank::Urgent, "maps", "c", 4));
-        let grant = grants(&effects).remove(0);
+        let mut long = ask(serial, Rank::Urgent, "maps", "c", 4);
+        long.prompt_tokens += 4_000;
+        let grant = grants(&desk.ask(long)).remove(0);
         if grant.upstream != holder {
             break grant.import;
         }
@@ -188,3 +189,21 @@
     );
     assert_eq!(upstreams(&desk.busy("a", 0)), ["a"]);
 }
+
+#[test]
+fn upstream_that_failed_a_request_is_avoided_for_a_while() {
+    let mut desk = Desk::new(&["a", "b"]);
+    let holder = warm(&mut desk, 2);
+    desk.ask(ask(1, Rank::Urgent, "maps", "c", 2));
+    desk.report(Ticket(1), Progress::Failed);
+    assert_ne!(
+        upstreams(&desk.ask(ask(2, Rank::Urgent, "maps", "c", 2))),
+        [holder]
+    );
+    desk.report(Ticket(2), Progress::Failed);
+    desk.now += 1_000;
+    assert_eq!(
+        upstreams(&desk.ask(ask(3, Rank::Urgent, "maps", "c", 2))),
+        [holder]
+    );
+}
--- a/crates/hibiscushoistd/src/broker.rs
+++ b/crates/hibiscushoistd/src/broker.rs
@@ -1,5 +1,6 @@
 //! The duty that owns upstreams: placement, load and admission.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
@@ -11,6 +12,9 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::owner::Owner;
+use crate::owner::Owners;
+use coordination::admission::Reason;
 use coordination::admission::Refusal;
 use coordination::broker::Ask;
 use coordination::broker::Broker;
@@ -19,11 +23,18 @@
 use coordination::broker::Grant;
 use coordination::broker::Report;
 use coordination::broker::Ticket;
+use coordination::capacity::Bound;
+use coordination::shard;
+use coordination::view::View;
 use state::table::Table;
 use transport::clock::Clock;
+use transport::metric;
 use transport::ring;
 
 const RING_CALLS: usize = 4096;
+/// Gives the requests that a host may have on each upstream while the owner is away.
+const STAND_IN_SLOTS: u32 = 4;
+const THOUSANDTHS: u64 = 1_000;
 const TICK: Duration = Duration::from_millis(10);
 
 /// Tells why a request got no place.
@@ -40,58 +51,148 @@
     Unanswered,
 }
 
+/// Names one of the two brokers of a host.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Part {
+    /// Means the broker of the upstreams that this host owns.
+    Own,
+    /// Means the one that places a few requests anywhere while their owner is away.
+    StandIn,
+}
+
 type Answer = Result<Box<Grant>, Refusal>;
 
 enum Call {
-    Ask(Box<Ask>, oneshot::Sender<Answer>),
-    Event(Box<Event>),
+    Ask(Part, Box<Ask>, oneshot::Sender<Answer>),
+    Event(Part, Box<Event>),
 }
 
-/// Reaches the duty.
+/// Reaches the brokers of this host and, through them, those of others.
 #[derive(Clone)]
 pub struct Handle {
+    owned: watch::Receiver<Arc<BTreeSet<String>>>,
+    owners: Owners,
     ring: ring::Sender<Call>,
 }
 
 impl Handle {
-    /// Asks for a place and waits until the broker gives or refuses one.
+    /// Asks the owner for a place and waits until it gives or refuses one.
     ///
     /// # Errors
     ///
     /// Returns the broker's refusal, or why the duty could not be reached.
     pub async fn place(&self, ask: Ask) -> Result<Grant, Error> {
+        let owner = self.owners.of(&ask);
+        let answer = match &owner {
+            Owner::Here(part) => Some(self.place_here(*part, ask.clone()).await),
+            Owner::Host(host) => {
+                let answer = self.owners.place(host, &ask).await;
+                answer.map(|answer| answer.map_err(Error::Refused))
+            }
+        };
+        let (owner, grant) = match answer {
+            Some(answer) if !is_elsewhere(&answer) => (owner, *answer?),
+            _ => {
+                let grant = self.stand_in(ask.clone()).await?;
+                self.owners.lost(&owner);
+                (Owner::Here(Part::StandIn), grant)
+            }
+        };
+        self.owners.remember(ask, &grant, owner);
+        Ok(grant)
+    }
+
+    /// Asks a broker of this host for a place and waits until it gives or refuses one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the broker's refusal, or why the duty could not be reached.
+    pub async fn place_here(&self, part: Part, ask: Ask) -> Result<Box<Grant>, Error> {
         let cancel = Cancel {
             handle: self,
+            part,
             ticket: Some(ask.ticket),
         };
         let (answer, answered) = oneshot::channel();
-        self.ring.send(Call::Ask(Box::new(ask), answer))?;
+        self.ring.send(Call::Ask(part, Box::new(ask), answer))?;
         let answer = answered.await.map_err(|_| Error::Unanswered)?;
         cancel.disarm();
-        answer.map(|grant| *grant).map_err(Error::Refused)
+        answer.map_err(Error::Refused)
     }
 
-    /// Tells the broker how far a granted request has come.
+    /// Tells the broker that granted a request how far it has come.
     ///
     /// # Errors
     ///
     /// Returns an error when the ring is full; the broker then forgets the request by age.
     pub fn settle(&self, report: Report) -> Result<(), ring::Error> {
-        self.feed(Event::Report(report))
+        match self.owners.settle(report) {
+            None => Ok(()),
+            Some(part) => self.send(part, Event::Report(report)),
+        }
     }
 
-    /// Tells the broker of something that happened.
+    /// Tells the broker of the upstreams that this host owns of something that happened.
     ///
     /// # Errors
     ///
     /// Returns an error when the ring is full.
     pub fn feed(&self, event: Event) -> Result<(), ring::Error> {
-        self.ring.send(Call::Event(Box::new(event)))
+        self.send(Part::Own, event)
+    }
+
+    /// Returns the names of the upstreams that this host owns, and later ones.
+    pub fn owned(&self) -> watch::Receiver<Arc<BTreeSet<String>>> {
+        self.owned.clone()
+    }
+
+    /// Reports requests to the new owners of their upstreams, until the task is dropped.
+    pub async fn follow(self) {
+        let mut view = self.owners.view();
+        let mut table = self.owners.table();
+        loop {
+            let moved = self.owners.moved();
+            for (part, report) in moved.released {
+                let _ = self.send(part, Event::Report(report));
+            }
+            for held in moved.held {
+                let _ = self.feed(Event::Held(held));
+            }
+            let changed = tokio::select! {
+                changed = view.changed() => changed,
+                changed = table.changed() => changed,
+            };
+            if changed.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn stand_in(&self, ask: Ask) -> Result<Grant, Error> {
+        match self.place_here(Part::StandIn, ask).await {
+            Err(Error::Refused(refusal)) if refusal.reason == Reason::NotOwner => {
+                Err(Error::Refused(Refusal {
+                    reason: Reason::NoUpstream,
+                    ..refusal
+                }))
+            }
+            answer => answer.map(|grant| *grant),
+        }
+    }
+
+    fn send(&self, part: Part, event: Event) -> Result<(), ring::Error> {
+        self.ring.send(Call::Event(part, Box::new(event)))
     }
 }
 
+/// Returns whether the broker that was asked does not own the upstreams, or not yet.
+fn is_elsewhere(answer: &Result<Box<Grant>, Error>) -> bool {
+    matches!(answer, Err(Error::Refused(refusal)) if refusal.reason == Reason::NotOwner)
+}
+
 struct Cancel<'a> {
     handle: &'a Handle,
+    part: Part,
     ticket: Option<Ticket>,
 }
 
@@ -104,16 +205,19 @@
 impl Drop for Cancel<'_> {
     fn drop(&mut self) {
         if let Some(ticket) = self.ticket {
-            let _ = self.handle.feed(Event::Cancel(ticket));
+            let _ = self.handle.send(self.part, Event::Cancel(ticket));
         }
     }
 }
 
 struct Duty {
-    broker: Broker,
     clock: Clock,
+    owned: watch::Sender<Arc<BTreeSet<String>>>,
+    own: Broker,
     resyncs: mpsc::Sender<String>,
+    stand_in: Broker,
     table: watch::Receiver<Arc<Table>>,
+    view: watch::Receiver<Arc<View>>,
     waiting: HashMap<Ticket, oneshot::Sender<Answer>>,
 }
 
@@ -122,39 +226,48 @@
 /// # Errors
 ///
 /// Returns an error when the thread cannot be started.
-pub fn start(
-    clock: Clock,
-    mut table: watch::Receiver<Arc<Table>>,
-    resyncs: mpsc::Sender<String>,
-) -> io::Result<Handle> {
+pub fn start(clock: Clock, owners: Owners, resyncs: mpsc::Sender<String>) -> io::Result<Handle> {
     let (ring, calls) = ring::bounded(RING_CALLS);
+    let mut table = owners.table();
     table.mark_changed();
+    let (owned, watched) = watch::channel(Arc::default());
     let mut duty = Duty {
-        broker: Broker::default(),
         clock,
+        owned,
+        own: Broker::default(),
         resyncs,
+        stand_in: Broker::default(),
         table,
+        view: owners.view(),
         waiting: HashMap::new(),
     };
+    duty.read();
     thread::Builder::new()
         .name("broker".to_owned())
         .spawn(move || duty.run(&calls))?;
-    Ok(Handle { ring })
+    Ok(Handle {
+        owned: watched,
+        owners,
+        ring,
+    })
 }
 
 impl Duty {
     fn run(&mut self, calls: &ring::Receiver<Call>) {
         loop {
             let received = calls.receive(TICK);
-            self.read_table();
+            self.read();
             match received {
                 Err(ring::Empty::Closed) => return,
-                Err(ring::Empty::Timeout) => self.step(Event::Tick),
-                Ok(Call::Ask(ask, answer)) => {
+                Err(ring::Empty::Timeout) => {
+                    self.step(Part::Own, Event::Tick);
+                    self.step(Part::StandIn, Event::Tick);
+                }
+                Ok(Call::Ask(part, ask, answer)) => {
                     self.waiting.insert(ask.ticket, answer);
-                    self.step(Event::Ask(*ask));
+                    self.step(part, Event::Ask(*ask));
                 }
-                Ok(Call::Event(event)) => self.step(*event),
+                Ok(Call::Event(part, event)) => self.step(part, *event),
             }
         }
     }
@@ -166,20 +279,46 @@
         let _ = waiting.send(answer);
     }
 
-    fn read_table(&mut self) {
-        if !self.table.has_changed().unwrap_or(false) {
+    /// Takes over a newer table or view.
+    fn read(&mut self) {
+        let changed = |changed: Result<bool, _>| changed.unwrap_or(false);
+        if !changed(self.table.has_changed()) && !changed(self.view.has_changed()) {
             return;
         }
         let table = self.table.borrow_and_update().clone();
-        self.step(Event::Table { owned: None, table });
+        let view = self.view.borrow_and_update().clone();
+        let owned = shard::owned(&view, &table);
+        let shards = u64::from(shard::count(&table));
+        let hosts = view.hosts.len().max(1) as u64;
+        let bound = Bound {
+            hosts: hosts as u32,
+            slots: STAND_IN_SLOTS,
+        };
+        self.step(Part::StandIn, Event::Bound(bound));
+        self.step(Part::Own, Event::Share(THOUSANDTHS / shards));
+        self.step(Part::StandIn, Event::Share(THOUSANDTHS / hosts));
+        let event = Event::Table {
+            owned: Some(owned.clone()),
+            table: table.clone(),
+        };
+        self.step(Part::Own, event);
+        self.step(Part::StandIn, Event::Table { owned: None, table });
+        metrics::gauge!(metric::OWNED_UPSTREAMS).set(owned.len() as f64);
+        if **self.owned.borrow() != owned {
+            self.owned.send_replace(Arc::new(owned));
+        }
     }
 
-    fn step(&mut self, event: Event) {
+    fn step(&mut self, part: Part, event: Event) {
         if let Event::Cancel(ticket) = event {
             self.waiting.remove(&ticket);
         }
         let now = self.clock.now();
-        for effect in self.broker.step(now, event) {
+        let broker = match part {
+            Part::Own => &mut self.own,
+            Part::StandIn => &mut self.stand_in,
+        };
+        for effect in broker.step(now, event) {
             match effect {
                 Effect::Export { .. } => {}
                 Effect::Grant(grant) => self.answer(grant.ticket, Ok(grant)),
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::links::Links;
 use crate::load;
 use crate::member;
+use crate::owner::Owners;
 use crate::peer;
 use crate::platform;
 use crate::routes;
@@ -101,17 +102,20 @@
         let mut links = Links::open(&settings).await?;
         let voter = voter::start(&settings, links.address, links.pool.clone(), clock, &log)
             .change_context(Error::Duty { duty: "voter" })?;
-        let (resync, resyncs) = mpsc::channel(RESYNCS);
-        let broker = broker::start(clock, voter.table(), resync)
-            .change_context(Error::Duty { duty: "broker" })?;
         let options = links.membership(&settings, address);
         let member = member::start(options, links.pool.clone(), clock, log.clone())
             .change_context(Error::Duty { duty: "member" })?;
+        let pool = links.pool.clone();
+        let owners = Owners::new(voter.table(), member.view(), pool, log.clone());
+        let (resync, resyncs) = mpsc::channel(RESYNCS);
+        let broker =
+            broker::start(clock, owners, resync).change_context(Error::Duty { duty: "broker" })?;
+        tokio::spawn(broker.clone().follow());
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone());
         let context = Arc::new(Context {
             address,
             bodies: Budget::new(settings.entry.as_ref().map_or(0, |e| e.bodies_limit)),
-            broker,
+            broker: broker.clone(),
             clock,
             drain_began: OnceLock::new(),
             draining,
@@ -140,6 +144,7 @@
             });
         voter.follow(member.view());
         let service = peer::Service {
+            broker,
             member,
             suspects,
             voter,
--- a/crates/hibiscushoistd/src/feed.rs
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -1,6 +1,7 @@
 //! Reads cache events and load reports of the engines and feeds them to the broker.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,10 +46,11 @@
 };
 const OFF: &str = "off";
 
-/// Reads all engines of the table until the daemon ends; `resyncs` names those whose whole cache
-/// the broker needs.
+/// Reads the engines that this host owns until the daemon ends; `resyncs` names those whose whole
+/// cache the broker needs.
 pub async fn run(context: Arc<Context>, mut resyncs: mpsc::Receiver<String>) {
     let mut table = context.voter.table();
+    let mut owned = context.broker.owned();
     let mut engines = Engines {
         context,
         feeds: BTreeMap::new(),
@@ -56,13 +58,19 @@
     };
     loop {
         let current = table.borrow_and_update().clone();
-        engines.sync(&current);
+        let mine = owned.borrow_and_update().clone();
+        engines.sync(&current, &mine);
         tokio::select! {
             changed = table.changed() => {
                 if changed.is_err() {
                     return;
                 }
             }
+            changed = owned.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
             Some(upstream) = resyncs.recv() => {
                 if let Some(feed) = engines.feeds.get(&upstream) {
                     feed.resync.notify_one();
@@ -85,8 +93,9 @@
 }
 
 impl Engines {
-    fn sync(&mut self, table: &Table) {
+    fn sync(&mut self, table: &Table, owned: &BTreeSet<String>) {
         let rows = table.sheet(Sheet::Upstreams);
+        let rows = rows.filter(|(name, _)| owned.contains(*name));
         let wanted = rows.filter_map(|(name, row)| Some((name, address(row)?)));
         let wanted: BTreeMap<&str, SocketAddr> = wanted.collect();
         self.feeds.retain(|name, entry| {
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod member;
 pub mod options;
 pub mod order;
+pub mod owner;
 pub mod peer;
 pub mod platform;
 pub mod pool;
--- /dev/null
+++ b/crates/hibiscushoistd/src/owner.rs
@@ -0,0 +1,245 @@
+//! The way to the owners of upstreams, on this host or another, and what they granted.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::broker::Part;
+use crate::pool::Pool;
+use coordination::admission::Refusal;
+use coordination::broker::Ask;
+use coordination::broker::Grant;
+use coordination::broker::Held;
+use coordination::broker::Report;
+use coordination::broker::Ticket;
+use coordination::report::Progress;
+use coordination::shard;
+use coordination::view::View;
+use state::table::Table;
+use transport::event;
+use transport::event::Event;
+use transport::metric;
+use transport::peer;
+
+/// Gives the time that an answer may take beyond the deadline of its ask.
+const GRACE: Duration = Duration::from_millis(500);
+const REPORT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Tells which broker grants or granted a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Owner {
+    /// Means a broker of this host.
+    Here(Part),
+    /// Means the broker of the host of that name.
+    Host(String),
+}
+
+/// Lists what the brokers of this host must hear after owners changed.
+#[derive(Debug, Default)]
+pub struct Moved {
+    /// Lists requests on upstreams that this host owns now.
+    pub held: Vec<Held>,
+    /// Lists reports that free the places of requests at the brokers that no longer hold them.
+    pub released: Vec<(Part, Report)>,
+}
+
+struct Placed {
+    held: Held,
+    owner: Owner,
+}
+
+struct Shared {
+    away: AtomicBool,
+    log: Logger,
+    placed: Mutex<HashMap<Ticket, Placed>>,
+    pool: Option<Pool>,
+    table: watch::Receiver<Arc<Table>>,
+    view: watch::Receiver<Arc<View>>,
+}
+
+/// Knows the owners of upstreams and the requests that they placed for this host.
+#[derive(Clone)]
+pub struct Owners {
+    shared: Arc<Shared>,
+}
+
+impl Owners {
+    /// Returns the way to the owners that `table` and `view` name, over the connections of `pool`.
+    pub fn new(
+        table: watch::Receiver<Arc<Table>>,
+        view: watch::Receiver<Arc<View>>,
+        pool: Option<Pool>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                away: AtomicBool::new(false),
+                log,
+                placed: Mutex::default(),
+                pool,
+                table,
+                view,
+            }),
+        }
+    }
+
+    /// Returns the owner that should place a request.
+    pub fn of(&self, ask: &Ask) -> Owner {
+        let table = self.shared.table.borrow().clone();
+        let view = self.shared.view.borrow().clone();
+        let root = ask.blocks.first().copied().unwrap_or_default();
+        let shard = shard::of_prompt(root, shard::count(&table));
+        owner(&view, shard)
+    }
+
+    /// Asks the broker of `host` for a place, or returns nothing where it could not be asked.
+    pub async fn place(&self, host: &str, ask: &Ask) -> Option<Result<Box<Grant>, Refusal>> {
+        let client = self.client(host)?;
+        let limit = Duration::from_millis(ask.deadline_ms) + GRACE;
+        let ask = ask.clone();
+        let call = client.call(limit, |peer, context| async move {
+            peer.place(context, ask).await
+        });
+        let answer = call.await.ok()?;
+        self.shared.away.store(false, Ordering::Relaxed);
+        Some(answer)
+    }
+
+    /// Remembers a grant until its request ends.
+    pub fn remember(&self, ask: Ask, grant: &Grant, owner: Owner) {
+        let held = Held {
+            ask,
+            started: false,
+            upstream: grant.upstream.clone(),
+        };
+        let placed = Placed { held, owner };
+        self.placed().insert(grant.ticket, placed);
+    }
+
+    /// Passes a report to the owner on another host, or returns the broker of this host.
+    pub fn settle(&self, report: Report) -> Option<Part> {
+        let owner = {
+            let mut placed = self.placed();
+            let entry = placed.get_mut(&report.ticket)?;
+            let owner = entry.owner.clone();
+            match report.progress {
+                Progress::FirstToken => entry.held.started = true,
+                Progress::Failed | Progress::Finished => {
+                    placed.remove(&report.ticket);
+                }
+            }
+            owner
+        };
+        match owner {
+            Owner::Here(part) => Some(part),
+            Owner::Host(host) => {
+                self.tell(host, report);
+                None
+            }
+        }
+    }
+
+    /// Reports requests to owners that changed and returns what the brokers of this host must hear.
+    pub fn moved(&self) -> Moved {
+        let table = self.shared.table.borrow().clone();
+        let view = self.shared.view.borrow().clone();
+        let shards = shard::count(&table);
+        let mut moved = Moved::default();
+        for (ticket, placed) in self.placed().iter_mut() {
+            let shard = shard::of_upstream(&placed.held.upstream, shards);
+            let now = owner(&view, shard);
+            if now == placed.owner || now == Owner::Here(Part::StandIn) {
+                continue;
+            }
+            let progress = Progress::Finished;
+            let report = Report {
+                progress,
+                ticket: *ticket,
+            };
+            match std::mem::replace(&mut placed.owner, now.clone()) {
+                Owner::Here(part) => moved.released.push((part, report)),
+                Owner::Host(host) => self.tell(host, report),
+            }
+            match now {
+                Owner::Here(_) => moved.held.push(placed.held.clone()),
+                Owner::Host(host) => self.hold(host, placed.held.clone()),
+            }
+        }
+        moved
+    }
+
+    /// Returns the table in force, and later ones.
+    pub fn table(&self) -> watch::Receiver<Arc<Table>> {
+        self.shared.table.clone()
+    }
+
+    /// Returns what this host knows of the fleet, and its later versions.
+    pub fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.shared.view.clone()
+    }
+
+    fn client(&self, host: &str) -> Option<peer::Client> {
+        let view = self.shared.view.borrow().clone();
+        let address = view.get(host)?.record.profile.peer;
+        let pool = self.shared.pool.as_ref()?;
+        Some(pool.client(address, Some(host.to_owned())))
+    }
+
+    fn hold(&self, host: String, held: Held) {
+        let Some(client) = self.client(&host) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let call = client.call(REPORT_LIMIT, |peer, context| async move {
+                peer.hold(context, held).await
+            });
+            let _ = call.await;
+        });
+    }
+
+    /// Records that an owner could not be asked; logs it once until one answers again.
+    pub fn lost(&self, owner: &Owner) {
+        metrics::counter!(metric::OWNER_AWAY).increment(1);
+        if !self.shared.away.swap(true, Ordering::Relaxed) {
+            let host = match owner {
+                Owner::Here(_) => "",
+                Owner::Host(host) => host,
+            };
+            let details = slog::o!("host" => host.to_owned());
+            event::emit(&self.shared.log, Event::OwnerAway, details);
+        }
+    }
+
+    fn placed(&self) -> MutexGuard<'_, HashMap<Ticket, Placed>> {
+        let placed = self.shared.placed.lock();
+        placed.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(&self, host: String, report: Report) {
+        let Some(client) = self.client(&host) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let call = client.call(REPORT_LIMIT, |peer, context| async move {
+                peer.settle(context, report).await
+            });
+            let _ = call.await;
+        });
+    }
+}
+
+fn owner(view: &View, shard: shard::Shard) -> Owner {
+    match shard::owner(view, shard) {
+        None => Owner::Here(Part::StandIn),
+        Some(member) if member.record.host == view.me => Owner::Here(Part::Own),
+        Some(member) => Owner::Host(member.record.host.clone()),
+    }
+}
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -9,9 +9,18 @@
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
 
+use crate::broker::Error;
+use crate::broker::Handle;
+use crate::broker::Part;
 use crate::member;
 use crate::suspects::Suspects;
 use crate::voter;
+use coordination::admission::Reason;
+use coordination::admission::Refusal;
+use coordination::broker;
+use coordination::broker::Grant;
+use coordination::broker::Held;
+use coordination::broker::Report;
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
@@ -30,11 +39,14 @@
 use transport::peer_handshake::Identity;
 use transport::peer_server;
 
+const BUSY_MS: u64 = 100;
 const CALLS_AT_ONCE: usize = 1_024;
 
 /// Hands the calls of other daemons to the duties of this one.
 #[derive(Clone)]
 pub struct Service {
+    /// Reaches the broker of the upstreams that this host owns.
+    pub broker: Handle,
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
     /// Answers for the requests that may crash upstreams.
@@ -84,6 +96,27 @@
     async fn suspect(self, _: Context, call: quarantine::Call) -> quarantine::Answer {
         self.suspects.answer(call)
     }
+
+    async fn place(self, _: Context, ask: broker::Ask) -> Result<Box<Grant>, Refusal> {
+        let ticket = ask.ticket;
+        match self.broker.place_here(Part::Own, ask).await {
+            Err(Error::Refused(refusal)) => Err(refusal),
+            Err(Error::Ring(_) | Error::Unanswered) => Err(Refusal {
+                reason: Reason::Overloaded,
+                retry_after_ms: BUSY_MS,
+                ticket,
+            }),
+            Ok(grant) => Ok(grant),
+        }
+    }
+
+    async fn settle(self, _: Context, report: Report) {
+        let _ = self.broker.feed(broker::Event::Report(report));
+    }
+
+    async fn hold(self, _: Context, held: Held) {
+        let _ = self.broker.feed(broker::Event::Held(held));
+    }
 }
 
 /// Answers the calls of other daemons until the task is dropped.
--- a/crates/hibiscushoistd/src/stream.rs
+++ b/crates/hibiscushoistd/src/stream.rs
@@ -338,7 +338,7 @@
             admission::Reason::CallerLimit => Reason::CallerLimit,
             admission::Reason::Deadline => Reason::Deadline,
             admission::Reason::KindLimit => Reason::KindLimit,
-            admission::Reason::NoUpstream => Reason::NoUpstream,
+            admission::Reason::NoUpstream | admission::Reason::NotOwner => Reason::NoUpstream,
             admission::Reason::Overloaded => Reason::Overloaded,
             admission::Reason::RateLimit => Reason::RateLimit,
             admission::Reason::WorkspaceLimit => Reason::WorkspaceLimit,
--- /dev/null
+++ b/crates/hibiscushoistd/tests/brokers.rs
@@ -0,0 +1,154 @@
+//! Tests of brokers that place requests for the entries of a fleet.
+
+mod processes;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use processes::Fleet;
+use processes::WORKSPACE_KEY;
+use serde_json::json;
+
+use fakes::engine;
+use fakes::engine::Engine;
+use hibiscushoistd::auth;
+
+const BLOCK: usize = 64;
+const HOSTS: usize = 8;
+const POLL: Duration = Duration::from_millis(20);
+
+struct Bench {
+    engines: Vec<Engine>,
+    fleet: Fleet,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let fleet = Fleet::start(HOSTS).await;
+        let mut engines = Vec::new();
+        for _ in 0..3 {
+            let started = Engine::start(engine::Options::default()).await;
+            engines.push(started.unwrap());
+        }
+        let key = json!({"key_hash": auth::hash(WORKSPACE_KEY)});
+        fleet.add("workspaces", "maps", key).await;
+        let model = json!({"block_bytes": BLOCK.to_string(), "version": "v1"});
+        fleet.add("models", "m", model).await;
+        for (number, engine) in engines.iter().enumerate() {
+            let address = engine.address().to_string();
+            let cells = json!({"address": address, "model": "m", "type": "engine"});
+            fleet.add("upstreams", &format!("u{number}"), cells).await;
+        }
+        fleet.until_spread().await;
+        Self { engines, fleet }
+    }
+
+    /// Sends a prompt to an entry and returns the place of the engine that ran it.
+    async fn run(&self, entry: SocketAddr, prompt: &str) -> Option<usize> {
+        let before = self.started();
+        let body = json!({"max_tokens": 2, "model": "m", "prompt": prompt});
+        let request = Request::post(format!("http://{entry}/v1/completions"))
+            .header("authorization", format!("Bearer {WORKSPACE_KEY}"))
+            .header("x-deadline-ms", "30000")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .unwrap();
+        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+        let response = client.request(request).await.ok()?;
+        let status = response.status();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        assert_eq!(status, 200, "{body:?}");
+        let after = self.started();
+        (0..after.len()).find(|place| after[*place] > before[*place])
+    }
+
+    fn started(&self) -> Vec<u64> {
+        let engines = self.engines.iter();
+        engines.map(|engine| engine.counts().started).collect()
+    }
+
+    fn prefilled(&self) -> u64 {
+        let engines = self.engines.iter();
+        engines.map(|engine| engine.counts().prefilled).sum()
+    }
+
+    /// Waits until exactly one host follows the engines, and returns its place.
+    async fn owner(&self) -> usize {
+        let start = Instant::now();
+        loop {
+            let mut owners = Vec::new();
+            for place in self.fleet.running() {
+                let metrics = self.fleet.text(place, "/metrics", "").await;
+                let owned = metrics.unwrap_or_default();
+                if owned
+                    .lines()
+                    .any(|line| line == "hibiscushoist_owned_upstreams 3")
+                {
+                    owners.push(place);
+                }
+            }
+            if let [owner] = owners[..] {
+                return owner;
+            }
+            assert!(start.elapsed() < processes::LIMIT, "owners: {owners:?}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+fn prompt(blocks: usize) -> String {
+    let numbered = |number| format!("{number:>width$}", width = BLOCK);
+    (0..blocks).map(numbered).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_nested_prefix_sticks_to_the_upstream_that_holds_it_whatever_the_entry() {
+    let bench = Bench::start().await;
+    bench.owner().await;
+    let first = bench.run(bench.fleet.hosts[0].entry, &prompt(8)).await;
+    let computed = bench.prefilled();
+    for (blocks, host) in [(6, 1), (8, 2), (10, 1), (12, 0), (12, 2)] {
+        let entry = bench.fleet.hosts[host].entry;
+        assert_eq!(bench.run(entry, &prompt(blocks)).await, first);
+    }
+    assert_eq!(bench.prefilled() - computed, 4, "blocks beyond those held");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_serve_on_while_the_owner_is_away_and_another_takes_over() {
+    let mut bench = Bench::start().await;
+    let owner = bench.owner().await;
+    let others = (0..HOSTS).filter(|place| *place != owner);
+    let entries: Vec<usize> = others.take(2).collect();
+    let before = bench
+        .run(bench.fleet.hosts[entries[0]].entry, &prompt(8))
+        .await;
+    bench.fleet.kill(owner);
+    for place in &entries {
+        let entry = bench.fleet.hosts[*place].entry;
+        assert!(bench.run(entry, &prompt(3)).await.is_some());
+    }
+    let logs: String = entries
+        .iter()
+        .map(|place| bench.fleet.log(*place))
+        .collect();
+    assert!(logs.contains("owner_away"), "{logs}");
+    bench.owner().await;
+    let computed = bench.prefilled();
+    let start = Instant::now();
+    loop {
+        let entry = bench.fleet.hosts[entries[1]].entry;
+        let after = bench.run(entry, &prompt(8)).await;
+        if after == before && bench.prefilled() == computed {
+            return;
+        }
+        assert!(start.elapsed() < processes::LIMIT, "{before:?} {after:?}");
+        tokio::time::sleep(POLL).await;
+    }
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -7,6 +7,11 @@
 use crate::voter::Packet;
 use crate::voter::Rejection;
 use crate::voter::Spread;
+use coordination::admission::Refusal;
+use coordination::broker;
+use coordination::broker::Grant;
+use coordination::broker::Held;
+use coordination::broker::Report;
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
@@ -40,4 +45,10 @@
     async fn history(after: u64) -> Option<History>;
     /// Answers for the requests that may crash upstreams.
     async fn suspect(call: quarantine::Call) -> quarantine::Answer;
+    /// Asks for a place on an upstream that the host owns, and waits for it.
+    async fn place(ask: broker::Ask) -> Result<Box<Grant>, Refusal>;
+    /// Tells the owner of an upstream how far a granted request has come.
+    async fn settle(report: Report);
+    /// Reports a request again to the new owner of its upstream.
+    async fn hold(held: Held);
 }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -76,6 +76,8 @@
     NameTaken = 315,
     /// Logs that a daemon was refused.
     PeerRefused = 316,
+    /// Logs that the owner of upstreams cannot be asked and that this host places requests itself.
+    OwnerAway = 317,
     /// Logs that an engine was given an order.
     RolloutOrdered = 320,
     /// Logs that an engine serves what the table asks for.
@@ -102,6 +104,7 @@
             | Self::LeadershipLost
             | Self::LinkCut
             | Self::LogTorn
+            | Self::OwnerAway
             | Self::Paused
             | Self::PeerRefused
             | Self::RolloutBlocked
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -23,6 +23,10 @@
 pub const LOG_TERM: &str = "hibiscushoist_log_term";
 /// Counts orders to plain services by how they ended.
 pub const ORDERS: &str = "hibiscushoist_orders_total";
+/// Gives how many upstreams this host owns.
+pub const OWNED_UPSTREAMS: &str = "hibiscushoist_owned_upstreams";
+/// Counts requests that this host placed itself because the owner could not be asked.
+pub const OWNER_AWAY: &str = "hibiscushoist_owner_away_total";
 /// Counts connections to other daemons that could not be opened.
 pub const PEER_CONNECT_FAILURES: &str = "hibiscushoist_peer_connect_failures_total";
 /// Counts connections to other daemons that were opened.
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -16,6 +16,11 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use coordination::admission;
+use coordination::broker;
+use coordination::broker::Grant;
+use coordination::broker::Held;
+use coordination::broker::Report;
 use coordination::gossip::Body;
 use coordination::gossip::Message;
 use coordination::host::Version;
@@ -88,6 +93,18 @@
     async fn suspect(self, _: Context, _: quarantine::Call) -> quarantine::Answer {
         quarantine::Answer::Done
     }
+
+    async fn place(self, _: Context, ask: broker::Ask) -> Result<Box<Grant>, admission::Refusal> {
+        Err(admission::Refusal {
+            reason: admission::Reason::NoUpstream,
+            retry_after_ms: 0,
+            ticket: ask.ticket,
+        })
+    }
+
+    async fn settle(self, _: Context, _: Report) {}
+
+    async fn hold(self, _: Context, _: Held) {}
 }
 
 fn message() -> Message {
