--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -389,3 +389,13 @@
     println!("seed 1, 390 hosts: suspected after {suspected:?} ms, dead {dead:?} ms later");
     assert!(suspected.is_some() && dead.is_some());
 }
+
+#[test]
+fn a_report_is_small() {
+    let fleet = Fleet::start(1, 1);
+    let mut record = fleet.view(0).hosts[0].record.clone();
+    record.version.run = 1_800_000_000_000;
+    let bytes = postcard::to_stdvec(&record).unwrap().len();
+    println!("a report has {bytes} bytes");
+    assert!(bytes <= 64);
+}
