Pass by engines that refuse while they load weights, and free the end of answers

Ruled out: the budget's size, since a load of any length would spend it. A host now passes by an upstream for 200 ms after a refusal, and feeds tell the broker when an engine takes no requests. The end of a whole answer no longer waits for the owner of its digest, and budgets are pruned with the table.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -147,6 +147,7 @@
     pub(crate) cache: Cache,
     pub(crate) counts: Counts,
     pub(crate) faults: Faults,
+    pub(crate) last: Option<engine::Request>,
     pub(crate) queued: Queued,
     pub(crate) running: HashMap<String, watch::Sender<bool>>,
     pub(crate) standing: engine::Standing,
@@ -237,6 +238,11 @@
         self.shared.lock().standing.incarnation
     }
 
+    /// Returns the newest request for a completion, as it was read.
+    pub fn last_request(&self) -> Option<engine::Request> {
+        self.shared.lock().last.clone()
+    }
+
     /// Returns how many connections were accepted so far.
     pub fn opened(&self) -> u64 {
         self.server.opened()
@@ -285,6 +291,7 @@
             cache: Cache::new(options.blocks, options.events_retained),
             counts: Counts::default(),
             faults: Faults::default(),
+            last: None,
             queued: Queued::default(),
             reports: VecDeque::new(),
             running: HashMap::new(),
--- a/crates/fakes/src/engine_stream.rs
+++ b/crates/fakes/src/engine_stream.rs
@@ -76,6 +76,7 @@
         let resume = asked.resume.clone().unwrap_or_default();
         let chain = named(shared, &asked);
         let mut inner = shared.lock();
+        inner.last = Some(asked.clone());
         let standing = &inner.standing;
         if standing.loading.is_some() {
             return Err(Code::Loading);
--- a/crates/hibiscushoistd/src/feed.rs
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -114,6 +114,7 @@
             incarnation: None,
             listed: false,
             resync: resync.clone(),
+            serving: true,
             session: Session::new(Client::new(address, LIMITS)),
             tracker: Tracker::default(),
             upstream: name.to_owned(),
@@ -134,6 +135,7 @@
     incarnation: Option<Incarnation>,
     listed: bool,
     resync: Arc<Notify>,
+    serving: bool,
     session: Session,
     tracker: Tracker,
     upstream: String,
@@ -166,6 +168,7 @@
             incarnation,
             leaving: false,
         });
+        self.serve(load.serving);
         self.tell(Event::Load {
             sample: sample(load),
             upstream: self.upstream.clone(),
@@ -217,6 +220,27 @@
         self.after = events.newest.max(self.after);
     }
 
+    /// Hears whether the engine takes requests; it takes none while it loads weights.
+    fn serve(&mut self, serving: bool) {
+        if self.serving == serving {
+            return;
+        }
+        self.serving = serving;
+        self.stand(self.tracker.standing());
+    }
+
+    fn stand(&self, to: Standing) {
+        let standing = match standing(to) {
+            Some(capacity::Standing::Usable) if !self.serving => capacity::Standing::Ejected,
+            Some(standing) => standing,
+            None => return,
+        };
+        self.tell(Event::Standing {
+            standing,
+            upstream: self.upstream.clone(),
+        });
+    }
+
     fn hear(&mut self, signal: Signal) {
         for change in self.tracker.step(signal) {
             let Move::Moved { to, .. } = change else {
@@ -225,12 +249,7 @@
             if to == Standing::Down {
                 self.incarnation = None;
             }
-            if let Some(standing) = standing(to) {
-                self.tell(Event::Standing {
-                    standing,
-                    upstream: self.upstream.clone(),
-                });
-            }
+            self.stand(to);
         }
     }
 
--- a/crates/hibiscushoistd/src/health.rs
+++ b/crates/hibiscushoistd/src/health.rs
@@ -18,10 +18,13 @@
 use state::ident::Incarnation;
 use state::sheet::Sheet;
 use state::table::Table;
+use state::time::Instant;
 use transport::clock::Clock;
 use transport::metric;
 
 const ENGINE: &str = "engine";
+/// Gives how long an upstream is passed by after it refused a request, in milliseconds.
+const REFUSAL_PAUSE: u64 = 200;
 const SERVING: &str = "serving";
 
 /// Keeps ejections, retry budgets and the runs of upstreams as last seen.
@@ -35,6 +38,7 @@
 struct Inner {
     breaker: Breaker,
     incarnations: BTreeMap<String, Incarnation>,
+    refused: BTreeMap<String, Instant>,
     retries: Retries,
     revision: Option<u64>,
 }
@@ -45,6 +49,7 @@
         let inner = Inner {
             breaker: Breaker::new(breaker::Policy::default(), rand::random()),
             incarnations: BTreeMap::new(),
+            refused: BTreeMap::new(),
             retries: Retries::new(retry::Policy::default(), rand::random()),
             revision: None,
         };
@@ -80,14 +85,18 @@
     pub fn excluded(&self, table: &Table, model: &str, failed: &BTreeSet<String>) -> Vec<String> {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.sync(table);
+        inner.sync(now, table);
         let serving = table.sheet(Sheet::Upstreams).filter(|(_, row)| {
             row.text(Column::Model) == Some(model)
                 && row.text(Column::Type) == Some(ENGINE)
                 && row.text(Column::Standing).unwrap_or(SERVING) == SERVING
         });
         let serving: BTreeSet<String> = serving.map(|(name, _)| name.to_owned()).collect();
-        let ejected = |name: &&String| matches!(inner.breaker.peek(now, name), Standing::Open(_));
+        let ejected = |name: &&String| {
+            let refused = inner.refused.get(*name);
+            refused.is_some_and(|at| now.since(*at) < REFUSAL_PAUSE)
+                || matches!(inner.breaker.peek(now, name), Standing::Open(_))
+        };
         let mut all = failed.clone();
         all.extend(serving.iter().filter(ejected).cloned());
         if !serving.is_subset(&all) {
@@ -119,6 +128,12 @@
         inner.incarnations.insert(upstream.to_owned(), incarnation);
     }
 
+    /// Takes note that `upstream` refused a request, so that others pass it by for a moment.
+    pub fn refused(&self, upstream: &str) {
+        let now = self.clock.now();
+        self.lock().refused.insert(upstream.to_owned(), now);
+    }
+
     /// Counts a request that is sent to `upstream`, claims its probe where it is ejected, and
     /// earns retry budget with a first attempt.
     pub fn sent(&self, workspace: &str, upstream: &str, first: bool) {
@@ -141,15 +156,17 @@
 }
 
 impl Inner {
-    fn sync(&mut self, table: &Table) {
+    fn sync(&mut self, now: Instant, table: &Table) {
         if self.revision == Some(table.revision()) {
             return;
         }
         self.revision = Some(table.revision());
+        self.retries.prune(now);
         let names = || table.sheet(Sheet::Upstreams).map(|(name, _)| name);
         self.breaker.sync(names().map(str::to_owned));
         let known: BTreeSet<&str> = names().collect();
         self.incarnations
             .retain(|name, _| known.contains(name.as_str()));
+        self.refused.retain(|name, _| known.contains(name.as_str()));
     }
 }
--- a/crates/hibiscushoistd/src/stream.rs
+++ b/crates/hibiscushoistd/src/stream.rs
@@ -362,7 +362,8 @@
         let progress = match ended {
             Ended::Broken(broken) => {
                 match broken.reason {
-                    retry::Reason::Mismatch | retry::Reason::Refused => {}
+                    retry::Reason::Mismatch => {}
+                    retry::Reason::Refused => health.refused(upstream),
                     reason => health.failed(upstream, reason),
                 }
                 Progress::Failed
@@ -381,11 +382,24 @@
             // The run stays counted until its lease is over.
             (_, Fate::Unknown) => return,
         };
-        let suspects = &self.context.suspects;
-        if place.alone {
-            suspects.release(upstream, place.pass).await;
+        let leave = leave(self.context, place, outcome);
+        match outcome {
+            Outcome::Crashed | Outcome::Stopped => leave.await,
+            // The end of a whole answer does not wait for the owner.
+            Outcome::Whole => drop(tokio::spawn(leave)),
         }
-        suspects.leave(place.pass, outcome).await;
+    }
+}
+
+fn leave(context: &Context, place: &Place, outcome: Outcome) -> impl Future<Output = ()> + use<> {
+    let suspects = context.suspects.clone();
+    let upstream = place.grant.upstream.clone();
+    let (alone, pass) = (place.alone, place.pass);
+    async move {
+        if alone {
+            suspects.release(&upstream, pass).await;
+        }
+        suspects.leave(pass, outcome).await;
     }
 }
 
