--- a/crates/hibiscushoistd/src/feed.rs
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -1,6 +1,7 @@
 //! Reads cache events and load reports of the engines and feeds them to the broker.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,10 +46,11 @@
 };
 const OFF: &str = "off";
 
-/// Reads all engines of the table until the daemon ends; `resyncs` names those whose whole cache
-/// the broker needs.
+/// Reads the engines that this host owns until the daemon ends; `resyncs` names those whose whole
+/// cache the broker needs.
 pub async fn run(context: Arc<Context>, mut resyncs: mpsc::Receiver<String>) {
     let mut table = context.voter.table();
+    let mut owned = context.broker.owned();
     let mut engines = Engines {
         context,
         feeds: BTreeMap::new(),
@@ -56,13 +58,19 @@
     };
     loop {
         let current = table.borrow_and_update().clone();
-        engines.sync(&current);
+        let mine = owned.borrow_and_update().clone();
+        engines.sync(&current, &mine);
         tokio::select! {
             changed = table.changed() => {
                 if changed.is_err() {
                     return;
                 }
             }
+            changed = owned.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
             Some(upstream) = resyncs.recv() => {
                 if let Some(feed) = engines.feeds.get(&upstream) {
                     feed.resync.notify_one();
@@ -85,8 +93,9 @@
 }
 
 impl Engines {
-    fn sync(&mut self, table: &Table) {
+    fn sync(&mut self, table: &Table, owned: &BTreeSet<String>) {
         let rows = table.sheet(Sheet::Upstreams);
+        let rows = rows.filter(|(name, _)| owned.contains(*name));
         let wanted = rows.filter_map(|(name, row)| Some((name, address(row)?)));
         let wanted: BTreeMap<&str, SocketAddr> = wanted.collect();
         self.feeds.retain(|name, entry| {
@@ -116,6 +125,7 @@
             resync: resync.clone(),
             serving: true,
             session: Session::new(Client::new(address, LIMITS)),
+            told: None,
             tracker: Tracker::default(),
             upstream: name.to_owned(),
         };
@@ -137,6 +147,7 @@
     resync: Arc<Notify>,
     serving: bool,
     session: Session,
+    told: Option<capacity::Standing>,
     tracker: Tracker,
     upstream: String,
 }
@@ -164,11 +175,11 @@
     async fn read(&mut self) -> Result<(), Error> {
         let load = self.session.load().await?;
         let incarnation = load.incarnation;
+        self.serving = load.serving;
         self.hear(Signal::Answered {
             incarnation,
             leaving: false,
         });
-        self.serve(load.serving);
         self.tell(Event::Load {
             sample: sample(load),
             upstream: self.upstream.clone(),
@@ -220,27 +231,6 @@
         self.after = events.newest.max(self.after);
     }
 
-    /// Hears whether the engine takes requests; it takes none while it loads weights.
-    fn serve(&mut self, serving: bool) {
-        if self.serving == serving {
-            return;
-        }
-        self.serving = serving;
-        self.stand(self.tracker.standing());
-    }
-
-    fn stand(&self, to: Standing) {
-        let standing = match standing(to) {
-            Some(capacity::Standing::Usable) if !self.serving => capacity::Standing::Ejected,
-            Some(standing) => standing,
-            None => return,
-        };
-        self.tell(Event::Standing {
-            standing,
-            upstream: self.upstream.clone(),
-        });
-    }
-
     fn hear(&mut self, signal: Signal) {
         for change in self.tracker.step(signal) {
             let Move::Moved { to, .. } = change else {
@@ -249,7 +239,23 @@
             if to == Standing::Down {
                 self.incarnation = None;
             }
-            self.stand(to);
+        }
+        self.stand();
+    }
+
+    /// Tells the broker whether the engine may get new work, where that changed; an engine that
+    /// loads weights gets none.
+    fn stand(&mut self) {
+        let standing = match standing(self.tracker.standing()) {
+            Some(capacity::Standing::Usable) if !self.serving => capacity::Standing::Leaving,
+            Some(standing) => standing,
+            None => return,
+        };
+        if self.told.replace(standing) != Some(standing) {
+            self.tell(Event::Standing {
+                standing,
+                upstream: self.upstream.clone(),
+            });
         }
     }
 
