--- a/crates/hibiscushoistd/tests/pages.rs
+++ b/crates/hibiscushoistd/tests/pages.rs
@@ -222,3 +222,25 @@
         Form::Number { least, most } => format!("{least} to {most}"),
     }
 }
+#[test]
+fn every_link_between_pages_leads_to_a_file() {
+    let mut pages = vec![root().join("README.md")];
+    for folder in ["docs", "docs/operations", "docs/design"] {
+        let Ok(entries) = fs::read_dir(root().join(folder)) else {
+            continue;
+        };
+        let paths = entries.map(|entry| entry.unwrap().path());
+        pages.extend(paths.filter(|path| path.extension().is_some_and(|e| e == "md")));
+    }
+    for page in pages {
+        let text = fs::read_to_string(&page).unwrap();
+        for rest in text.split("](").skip(1) {
+            let target = rest.split([')', '#']).next().unwrap();
+            if target.is_empty() || target.contains("://") {
+                continue;
+            }
+            let path = page.parent().unwrap().join(target);
+            assert!(path.exists(), "{}: {target}", page.display());
+        }
+    }
+}
