Make the hosts next in rank hear of a crash before its request goes on

Cause: a crash was told to the other hosts once, within 250 ms, by tasks that nobody waited for. On a busy machine the telling was lost, and a resent request met an owner that knew nothing once the first owner was killed (poison test, `no_upstream` in place of `quarantined`, seen once under a load of 22).

Change: each host is told up to six times with doubling pauses, and a crashed attempt waits at most 0.75 s until the three hosts next in rank have heard.

Conclusion: an owner may die right after a crash without its count being lost.

--- a/crates/hibiscushoistd/src/suspects.rs
+++ b/crates/hibiscushoistd/src/suspects.rs
@@ -30,10 +30,18 @@
 
 /// Bounds the wait for an owner.
 const CALL_LIMIT: Duration = Duration::from_millis(250);
+/// Counts the hosts next in rank that must hear of a crash before its request goes on.
+const HEIRS: usize = 3;
+/// Bounds the wait for them.
+const HEIRS_LIMIT: Duration = Duration::from_millis(750);
 /// Bounds the owners that are asked in turn.
 const OWNERS: usize = 2;
 /// Gives how long an owner that did not answer is passed over, in milliseconds.
 const PASSED_OVER: u64 = 1_000;
+/// Bounds how often a host is told of a crash.
+const TELLS: u32 = 6;
+/// Gives the pause before a host is told again; it doubles each time.
+const TELL_PAUSE: Duration = Duration::from_millis(50);
 /// Gives the time between renewals of a run.
 const RENEWAL: Duration = Duration::from_secs(5);
 
@@ -106,7 +114,8 @@
         let call = Call::Leave(pass.digest, pass.ticket, outcome);
         let answer = self.ask_owner(pass.digest, call).await;
         if let (Outcome::Crashed, Answer::Left(crashes)) = (outcome, answer) {
-            self.spread(&Call::Adopt(pass.digest, crashes));
+            let adopt = Call::Adopt(pass.digest, crashes);
+            self.spread(pass.digest, &adopt).await;
         }
     }
 
@@ -168,16 +177,35 @@
         answered.ok()?.ok()
     }
 
-    /// Tells all other hosts, so that whichever owns the digest next knows of its crashes.
-    fn spread(&self, call: &Call) {
+    /// Tells all other hosts, so that whichever owns the digest next knows of its crashes, and
+    /// waits a little for those that are next in rank.
+    async fn spread(&self, digest: Digest, call: &Call) {
         let view = self.view();
+        self.answer(call.clone());
+        let ranked = quarantine::owners(&view, digest);
+        let next: Vec<&String> = ranked.iter().take(HEIRS).map(|m| &m.record.host).collect();
+        let mut heirs = Vec::new();
         for member in &view.hosts {
             if member.record.host == view.me {
-                self.answer(call.clone());
                 continue;
             }
-            let (suspects, member, call) = (self.clone(), member.clone(), call.clone());
-            tokio::spawn(async move { suspects.send(&member, call).await });
+            let telling = tokio::spawn(self.clone().tell(member.clone(), call.clone()));
+            if next.contains(&&member.record.host) {
+                heirs.push(telling);
+            }
+        }
+        let _ = tokio::time::timeout(HEIRS_LIMIT, futures::future::join_all(heirs)).await;
+    }
+
+    /// Tells one host, again where no answer came.
+    async fn tell(self, member: Member, call: Call) {
+        let mut pause = TELL_PAUSE;
+        for _ in 0..TELLS {
+            if self.send(&member, call.clone()).await.is_some() {
+                return;
+            }
+            tokio::time::sleep(pause).await;
+            pause *= 2;
         }
     }
 
