Ask owners that place requests for signs of life, and pass silent ones over

Cause: an entry waited for the grant of a frozen owner until the peer connection's own silence limit, 1.5 to 2.5 s, which is longer than the 2 s that the callers of the test wait; and each further request began that wait anew. The known red test `a_silent_host_is_left_alone_and_comes_back` cut 28 of 704 streams that way.

Change: while a place is waited for, the owner is pinged every 0.25 s with a limit of 0.5 s; one that does not answer is passed over for 1 s, and the small local share stands in.

Conclusion: a frozen owner costs a request at most 0.75 s, once a second.

--- a/crates/hibiscushoistd/src/owner.rs
+++ b/crates/hibiscushoistd/src/owner.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use slog::Logger;
 use tokio::sync::watch;
@@ -31,6 +32,12 @@
 
 /// Gives the time that an answer may take beyond the deadline of its ask.
 const GRACE: Duration = Duration::from_millis(500);
+/// Gives how long an owner that did not answer is not asked again.
+const PASSED_OVER: Duration = Duration::from_millis(1_000);
+/// Gives the time between signs of life that are asked of an owner while it is waited for.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+/// Bounds the wait for such a sign.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
 const REPORT_LIMIT: Duration = Duration::from_secs(2);
 
 /// Tells which broker grants or granted a request.
@@ -61,6 +68,7 @@
     log: Logger,
     placed: Mutex<HashMap<Ticket, Placed>>,
     pool: Option<Pool>,
+    silent: Mutex<HashMap<String, Instant>>,
     table: watch::Receiver<Arc<Table>>,
     view: watch::Receiver<Arc<View>>,
 }
@@ -85,6 +93,7 @@
                 log,
                 placed: Mutex::default(),
                 pool,
+                silent: Mutex::default(),
                 table,
                 view,
             }),
@@ -102,15 +111,28 @@
 
     /// Asks the broker of `host` for a place, or returns nothing where it could not be asked.
     pub async fn place(&self, host: &str, ask: &Ask) -> Option<Result<Box<Grant>, Refusal>> {
+        if self.is_passed_over(host) {
+            return None;
+        }
+        let answer = self.ask(host, ask).await;
+        match answer {
+            None => self.pass_over(host),
+            Some(_) => self.shared.away.store(false, Ordering::Relaxed),
+        }
+        answer
+    }
+
+    async fn ask(&self, host: &str, ask: &Ask) -> Option<Result<Box<Grant>, Refusal>> {
         let client = self.client(host)?;
         let limit = Duration::from_millis(ask.deadline_ms) + GRACE;
         let ask = ask.clone();
         let call = client.call(limit, |peer, context| async move {
             peer.place(context, ask).await
         });
-        let answer = call.await.ok()?;
-        self.shared.away.store(false, Ordering::Relaxed);
-        Some(answer)
+        tokio::select! {
+            answer = call => answer.ok(),
+            () = silence(&client) => None,
+        }
     }
 
     /// Remembers a grant until its request ends.
@@ -218,6 +240,23 @@
         }
     }
 
+    fn is_passed_over(&self, host: &str) -> bool {
+        let silent = self.silent();
+        silent
+            .get(host)
+            .is_some_and(|until| Instant::now() < *until)
+    }
+
+    fn pass_over(&self, host: &str) {
+        let until = Instant::now() + PASSED_OVER;
+        self.silent().insert(host.to_owned(), until);
+    }
+
+    fn silent(&self) -> MutexGuard<'_, HashMap<String, Instant>> {
+        let silent = self.shared.silent.lock();
+        silent.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn placed(&self) -> MutexGuard<'_, HashMap<Ticket, Placed>> {
         let placed = self.shared.placed.lock();
         placed.unwrap_or_else(PoisonError::into_inner)
@@ -236,6 +275,20 @@
     }
 }
 
+/// Returns once the host at the other end of `client` gives no sign of life.
+async fn silence(client: &peer::Client) {
+    loop {
+        tokio::time::sleep(PROBE_PAUSE).await;
+        let probe = client.call(PROBE_LIMIT, |peer, context| async move {
+            peer.ping(context).await
+        });
+        let answered = tokio::time::timeout(PROBE_LIMIT, probe).await;
+        if !matches!(answered, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
 fn owner(view: &View, shard: shard::Shard) -> Owner {
     match shard::owner(view, shard) {
         None => Owner::Here(Part::StandIn),
