Count requests and log refusals, as the pages promise

Cause: the counter `hibiscushoist_requests_total` and event 120 stood on their pages and in the code, but nothing counted or logged.

Change: the wrapper of all handlers counts each response by class of path and outcome and logs a refusal with its request and reason, also where the router found no path.

Figures: the new test fails without the wrapper's call and passes with it.

Conclusion: each page now names what the daemon does.

--- a/crates/hibiscushoistd/src/respond.rs
+++ b/crates/hibiscushoistd/src/respond.rs
@@ -32,12 +32,13 @@
     json(error.kind.status(), &operator::Body { error })
 }
 
-/// Returns a response that refuses a request.
+/// Returns a response that refuses a request; its extensions hold the reason.
 pub fn refusal(refusal: Refusal) -> Response<Body> {
     let retry_after = refusal.retry_after_ms;
-    let status = refusal.reason.status();
+    let reason = refusal.reason;
     let id = refusal.request_id.clone();
-    let mut response = json(status, &refusal::Body { error: refusal });
+    let mut response = json(reason.status(), &refusal::Body { error: refusal });
+    response.extensions_mut().insert(reason);
     if let Some(millis) = retry_after {
         let seconds = millis.div_ceil(MILLIS_PER_SECOND);
         response
--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -28,7 +28,10 @@
 use crate::request::Request;
 use crate::service;
 use protocol::refusal::Reason;
+use transport::event;
+use transport::event::Event;
 use transport::http::Body;
+use transport::metric;
 
 /// Answers one request.
 pub type Endpoint = fn(Arc<Context>, Request) -> BoxFuture<'static, Response<Body>>;
@@ -36,15 +39,21 @@
 /// Returns the router of a daemon.
 pub fn router() -> Router {
     build_simple_router(|route| {
-        route.get("/healthz").to(to(caller::health));
-        route.get("/metrics").to(to(caller::metrics));
-        route.get("/readyz").to(to(caller::ready));
-        route.get("/v1/addresses").to(to(caller::addresses));
-        route.post("/v1/chat/completions").to(to(completions::chat));
-        route.post("/v1/completions").to(to(completions::plain));
+        route.get("/healthz").to(to("health", caller::health));
+        route.get("/metrics").to(to("metrics", caller::metrics));
+        route.get("/readyz").to(to("ready", caller::ready));
+        route
+            .get("/v1/addresses")
+            .to(to("addresses", caller::addresses));
+        route
+            .post("/v1/chat/completions")
+            .to(to("chat", completions::chat));
+        route
+            .post("/v1/completions")
+            .to(to("completions", completions::plain));
         route
             .request(vec![Method::GET, Method::POST], "/admin/*")
-            .to(to(admin::answer));
+            .to(to("admin", admin::answer));
         let methods = vec![
             Method::DELETE,
             Method::GET,
@@ -54,13 +63,14 @@
         ];
         route
             .request(methods, "/v1/services/*")
-            .to(to(service::answer));
+            .to(to("services", service::answer));
         route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, Unknown);
         route.add_response_extender(StatusCode::NOT_FOUND, Unknown);
     })
 }
 
 fn to(
+    path: &'static str,
     endpoint: Endpoint,
 ) -> impl Fn(State) -> Pin<Box<HandlerFuture>> + Copy + Send + Sync + 'static {
     move |mut state| {
@@ -68,9 +78,9 @@
         let request = Request::take(&mut state);
         async move {
             let guard = context.enter();
-            let draining = context.draining.clone();
-            let mut response = endpoint(context, request).await;
-            if *draining.borrow() {
+            let mut response = endpoint(context.clone(), request).await;
+            observe(&context, path, &response);
+            if *context.draining.borrow() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -81,13 +91,32 @@
     }
 }
 
+/// Counts a response by class of path and outcome, and logs a refusal.
+fn observe(context: &Context, path: &'static str, response: &Response<Body>) {
+    let refused = response.extensions().get::<Reason>();
+    let outcome = match refused {
+        None if response.status().is_success() => "served",
+        None => "failed",
+        Some(_) => "refused",
+    };
+    metrics::counter!(metric::REQUESTS, "path" => path, "outcome" => outcome).increment(1);
+    if let Some(reason) = refused {
+        let id = response.headers().get(protocol::header::REQUEST_ID);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let details = slog::o!("request" => id.to_owned(), "reason" => reason.to_string());
+        event::emit(&context.log, Event::RequestRefused, details);
+    }
+}
+
 struct Unknown;
 
 impl ResponseExtender<Body> for Unknown {
     fn extend(&self, state: &mut State, response: &mut Response<Body>) {
         if !response.headers().contains_key(CONTENT_TYPE) {
+            let Shared(context) = Shared::borrow_from(state).clone();
             let request = Request::take(state);
             *response = caller::refuse(&request.id, Reason::UnknownPath);
+            observe(&context, "unknown", response);
         }
     }
 }
--- a/crates/hibiscushoistd/tests/completions.rs
+++ b/crates/hibiscushoistd/tests/completions.rs
@@ -85,3 +85,22 @@
     assert_eq!(response.json()["error"]["reason"], "no_upstream");
     assert_eq!(response.json()["error"]["not_run"], "true");
 }
+
+#[tokio::test]
+async fn requests_are_counted_by_path_and_outcome() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    let ask = json!({"max_tokens": 1, "model": "m", "prompt": "cove"});
+    bench.post(PATH, MAPS_KEY, &[], &ask).await;
+    bench.post(PATH, "guess", &[], &ask).await;
+    bench.get("/nowhere", MAPS_KEY).await;
+    let text = bench.get("/metrics", MAPS_KEY).await.body;
+    let text = String::from_utf8(text.to_vec()).expect("the counters are text");
+    for labels in [
+        r#"path="completions",outcome="served""#,
+        r#"path="completions",outcome="refused""#,
+        r#"path="unknown",outcome="refused""#,
+    ] {
+        let line = format!("hibiscushoist_requests_total{{{labels}}}");
+        assert!(text.contains(&line), "{line} is not in\n{text}");
+    }
+}
