Show counters and the true owners in the status

Cause: the status left its counters empty, and named as owner of an upstream the host that a hash over upstreams picks, while placement goes by shards.

Change: counters are read from the daemon's own Prometheus text; owners come from the shards.

Figures: the new test fails on both points before and passes now.

--- a/crates/hibiscushoistd/src/status.rs
+++ b/crates/hibiscushoistd/src/status.rs
@@ -1,5 +1,6 @@
 //! Shows a daemon as it sees itself.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
 use strum::IntoEnumIterator;
@@ -8,15 +9,16 @@
 use coordination::host::Load;
 use coordination::host::Role;
 use coordination::host::Standing;
-use coordination::ownership;
+use coordination::shard;
 use coordination::view::Member;
-use coordination::view::View;
 use protocol::operator;
 use protocol::operator::Status;
 use state::column::Column;
 use state::row::Row;
 use state::sheet::Sheet;
 
+const COUNTER_SUFFIX: &str = "_total";
+
 /// Returns what the daemon knows of itself and its fleet.
 pub fn of(context: &Context) -> Status {
     let settings = &context.settings;
@@ -24,11 +26,13 @@
     let view = context.view();
     let upstreams = table.sheet(Sheet::Upstreams);
     let now = context.clock.now();
+    let shards = shard::count(&table);
     let drain = context.draining.borrow().then(|| operator::Drain {
         in_flight: context.in_flight.load(Ordering::SeqCst),
         since_ms: context.drain_began.get().map_or(0, |at| now.since(*at)),
     });
     Status {
+        counters: counters(&context.metrics.render()),
         drain,
         failure_domain: settings.failure_domain.clone(),
         host: settings.name.clone(),
@@ -37,14 +41,32 @@
         revision: table.revision(),
         roles: settings.roles.iter().map(ToString::to_string).collect(),
         upstreams: upstreams
-            .map(|(name, row)| upstream(context, name, row, &view))
+            .map(|(name, row)| {
+                let owner = shard::owner(&view, shard::of_upstream(name, shards));
+                let owner = owner.map(|member| member.record.host.clone());
+                upstream(context, name, row, owner)
+            })
             .collect(),
         uptime_ms: context.clock.now().0,
         version: env!("CARGO_PKG_VERSION").to_owned(),
-        ..Status::default()
     }
 }
 
+/// Returns the counters in a Prometheus text, by name with labels.
+fn counters(text: &str) -> BTreeMap<String, u64> {
+    let samples = text.lines().filter(|line| !line.starts_with('#'));
+    let samples = samples.filter_map(|line| line.rsplit_once(' '));
+    let counters = samples.filter(|(name, _)| is_counter(name));
+    counters
+        .filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?)))
+        .collect()
+}
+
+fn is_counter(name: &str) -> bool {
+    let name = name.split('{').next().unwrap_or_default();
+    name.ends_with(COUNTER_SUFFIX)
+}
+
 fn host(member: &Member) -> operator::Host {
     let profile = &member.record.profile;
     let roles = Role::iter().filter(|role| profile.roles.contains(*role));
@@ -71,14 +93,14 @@
     }
 }
 
-fn upstream(context: &Context, name: &str, row: &Row, view: &View) -> operator::Upstream {
+fn upstream(context: &Context, name: &str, row: &Row, owner: Option<String>) -> operator::Upstream {
     let address = row.address(Column::Address);
     let incarnation = context.health.incarnation(name);
     operator::Upstream {
         address: address.map(|a| a.to_string()).unwrap_or_default(),
         incarnation: incarnation.map(|i| i.0),
         name: name.to_owned(),
-        owner: ownership::owner(view, name).map(|member| member.record.host.clone()),
+        owner,
         standing: row.text(Column::Standing).unwrap_or("serving").to_owned(),
         ..operator::Upstream::default()
     }
--- a/crates/hibiscushoistd/tests/completions.rs
+++ b/crates/hibiscushoistd/tests/completions.rs
@@ -6,6 +6,7 @@
 
 use fakes::engine::Options;
 use support::MAPS_KEY;
+use support::OPERATOR_KEY;
 use support::Test;
 
 const PATH: &str = "/v1/completions";
@@ -104,3 +105,13 @@
         assert!(text.contains(&line), "{line} is not in\n{text}");
     }
 }
+
+#[tokio::test]
+async fn status_shows_counters_and_owners() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    bench.post(PATH, "guess", &[], &json!({})).await;
+    let status = bench.get("/admin/status", OPERATOR_KEY).await.json();
+    let refusals = &status["counters"]["hibiscushoist_refusals_total{reason=\"unauthorized\"}"];
+    assert!(refusals.as_u64() >= Some(1), "{status}");
+    assert_eq!(status["upstreams"][0]["owner"], "a");
+}
