Tell callers how many tokens were asked, cached and answered

Change: whole answers and the last piece of streamed ones carry `usage` in the OpenAI form with `cached_tokens`, from the blocks that the last attempt's engine held.

--- a/crates/hibiscushoistd/src/answer.rs
+++ b/crates/hibiscushoistd/src/answer.rs
@@ -1,5 +1,6 @@
 //! The parts of an answer on their way from an upstream to a caller.
 
+use protocol::completion::Usage;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
 
@@ -10,6 +11,8 @@
     End {
         /// Tells why the answer ended.
         finish: String,
+        /// Counts the tokens.
+        usage: Usage,
     },
     /// Ends the attempt to answer; nothing follows.
     Failed(Failure),
--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -107,6 +107,8 @@
     pub pass: Pass,
     /// Tells whether the first token came, and when.
     pub started: Option<u64>,
+    /// Counts the blocks of the prompt, once the engine has told.
+    pub usage: Option<engine::Usage>,
 }
 
 impl Attempt<'_> {
@@ -197,6 +199,7 @@
                 Some(Item::End) => self.answer.end().map(Some),
                 Some(Item::Heartbeat) => Ok(None),
                 Some(Item::Piece(piece)) => {
+                    self.usage = self.usage.or(piece.usage);
                     let piece = piece.into();
                     let accepted = self.answer.push(&piece).map(|()| None);
                     if accepted.is_ok() && piece.tokens > 0 && !self.pass_on(piece.text).await {
--- a/crates/hibiscushoistd/src/completions.rs
+++ b/crates/hibiscushoistd/src/completions.rs
@@ -121,6 +121,7 @@
             id: self.id.clone(),
             model: self.model.clone(),
             object: object.to_owned(),
+            usage: None,
         }
     }
 
@@ -143,9 +144,10 @@
 
     fn event(&self, part: Part) -> Bytes {
         match part {
-            Part::End { finish } => {
-                let last = data(&self.piece(String::new(), Some(finish)));
-                Bytes::from(last + END_MARK)
+            Part::End { finish, usage } => {
+                let mut last = self.piece(String::new(), Some(finish));
+                last.usage = Some(usage);
+                Bytes::from(data(&last) + END_MARK)
             }
             Part::Failed(failure) => {
                 let error = caller::refusal(&self.id, failure);
@@ -187,7 +189,11 @@
         let mut next = Some(first);
         loop {
             match next.unwrap_or_else(cut) {
-                Part::End { finish } => return respond::json(200, &self.full(text, finish)),
+                Part::End { finish, usage } => {
+                    let mut answer = self.full(text, finish);
+                    answer.usage = Some(usage);
+                    return respond::json(200, &answer);
+                }
                 Part::Failed(failure) => return caller::fail(&self.id, failure),
                 Part::Text(more) => text.push_str(&more),
             }
--- a/crates/hibiscushoistd/src/stream.rs
+++ b/crates/hibiscushoistd/src/stream.rs
@@ -30,6 +30,8 @@
 use coordination::retry::Denial;
 use coordination::stream::Assembler;
 use coordination::stream::Bound;
+use protocol::completion::Details;
+use protocol::completion::Usage;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
 use state::column::Column;
@@ -58,6 +60,7 @@
         let relay = Relay {
             answer: Assembler::new(bound),
             attempts: 0,
+            cached_blocks: 0,
             context: &context,
             failed: BTreeSet::new(),
             job: &job,
@@ -74,6 +77,7 @@
 struct Relay<'a> {
     answer: Assembler,
     attempts: u32,
+    cached_blocks: u64,
     context: &'a Context,
     failed: BTreeSet<String>,
     job: &'a Job,
@@ -108,7 +112,10 @@
         let context = self.context;
         let (last, outcome, refusal) = match ended {
             Err(failure) => (Some(Part::Failed(failure)), "refused", Some(failure.reason)),
-            Ok(Next::Whole(finish)) => (Some(Part::End { finish }), "done", None),
+            Ok(Next::Whole(finish)) => {
+                let usage = self.usage();
+                (Some(Part::End { finish, usage }), "done", None)
+            }
             Ok(_) => (None, "left", None),
         };
         context.journal.put(self.story.close(outcome, refusal));
@@ -117,6 +124,20 @@
         }
     }
 
+    fn usage(&self) -> Usage {
+        let prompt_tokens = u64::from(self.job.ask.prompt_tokens);
+        let cached_tokens = self.cached_blocks * u64::from(self.job.ask.block_tokens);
+        let completion_tokens = self.answer.len();
+        Usage {
+            completion_tokens,
+            prompt_tokens,
+            prompt_tokens_details: Details {
+                cached_tokens: cached_tokens.min(prompt_tokens),
+            },
+            total_tokens: prompt_tokens + completion_tokens,
+        }
+    }
+
     async fn step(&mut self) -> Result<Next, Failure> {
         let Some(place) = self.place().await? else {
             return Ok(Next::Left);
@@ -139,9 +160,11 @@
             parts: self.parts,
             pass: place.pass,
             started: None,
+            usage: None,
         };
         let (ended, fate) = attempt.run(place.address).await;
         let started = attempt.started;
+        self.cached_blocks = attempt.usage.map_or(0, |usage| usage.cached_blocks);
         self.settle(&place, &ended, fate).await;
         match ended {
             Ended::Broken(broken) => {
--- a/crates/hibiscushoistd/tests/completions.rs
+++ b/crates/hibiscushoistd/tests/completions.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use serde_json::json;
 
 use fakes::engine::Options;
@@ -9,6 +11,8 @@
 use support::OPERATOR_KEY;
 use support::Test;
 
+/// Only a hang meets it.
+const LIMIT: Duration = Duration::from_secs(60);
 const PATH: &str = "/v1/completions";
 
 #[tokio::test]
@@ -115,3 +119,22 @@
     assert!(refusals.as_u64() >= Some(1), "{status}");
     assert_eq!(status["upstreams"][0]["owner"], "a");
 }
+
+#[tokio::test]
+async fn answer_counts_the_tokens_of_prompt_cache_and_answer() {
+    let bench = Test::new().engine(Options::default()).start().await;
+    let ask = json!({"max_tokens": 5, "model": "m", "prompt": "x".repeat(128)});
+    let expected = json!({
+        "completion_tokens": 5,
+        "prompt_tokens": 32,
+        "prompt_tokens_details": {"cached_tokens": 32},
+        "total_tokens": 37,
+    });
+    let cached = async {
+        while bench.post(PATH, MAPS_KEY, &[], &ask).await.json()["usage"] != expected {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let cached = tokio::time::timeout(LIMIT, cached).await;
+    cached.expect("the engine tells what it held");
+}
--- a/crates/protocol/src/completion.rs
+++ b/crates/protocol/src/completion.rs
@@ -64,6 +64,31 @@
     pub model: String,
     /// Names the type of the object.
     pub object: String,
+    /// Counts the tokens; a streamed answer holds it in its last piece.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
+
+/// Counts the tokens of a request and its answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Counts the tokens of the answer.
+    pub completion_tokens: u64,
+    /// Counts the tokens of the prompt, as far as the daemon can tell from its length.
+    pub prompt_tokens: u64,
+    /// Tells more of the prompt.
+    #[serde(default)]
+    pub prompt_tokens_details: Details,
+    /// Counts both.
+    pub total_tokens: u64,
+}
+
+/// Tells more of the tokens of a prompt.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Details {
+    /// Counts the tokens that the engine held in its cache.
+    #[serde(default)]
+    pub cached_tokens: u64,
 }
 
 /// Holds one alternative of an answer.
