--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -37,6 +37,7 @@
 use crate::settings::Settings;
 use crate::suspects::Suspects;
 use crate::voter;
+use crate::voter_start;
 use coordination::drain;
 use coordination::drain::Drain;
 use coordination::drain::Effect;
@@ -100,7 +101,7 @@
         let clock = Clock::default();
         let address = advertised(&settings, listener.as_ref());
         let mut links = Links::open(&settings).await?;
-        let voter = voter::start(&settings, links.address, links.pool.clone(), clock, &log)
+        let voter = voter_start::start(&settings, links.address, links.pool.clone(), clock, &log)
             .change_context(Error::Duty { duty: "voter" })?;
         let options = links.membership(&settings, address);
         let member = member::start(options, links.pool.clone(), clock, log.clone())
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -42,4 +42,5 @@
 pub mod voter_disk;
 pub mod voter_duty;
 pub mod voter_route;
+pub mod voter_start;
 pub mod voter_upkeep;
--- a/crates/hibiscushoistd/src/voter.rs
+++ b/crates/hibiscushoistd/src/voter.rs
@@ -1,43 +1,26 @@
 //! Reaches the voters from any daemon: the one of this host, or another host's that leads.
 
 use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
-use error_stack::Report;
-use error_stack::ResultExt;
-use slog::Logger;
 use thiserror::Error;
-use tokio::runtime;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::follow::Follower;
-use crate::keeper;
 use crate::pool::Pool;
-use crate::settings::Role;
-use crate::settings::Settings;
 use crate::voter_call::Call;
 use crate::voter_call::Reply;
 use crate::voter_call::Status;
-use crate::voter_disk;
-use crate::voter_duty::Duty;
-use crate::voter_duty::Parts;
-use crate::voter_route::Routes;
-use crate::voter_upkeep::Upkeep;
 use coordination::lease;
 use coordination::machine::Answer;
 use coordination::machine::Command;
 use coordination::quorum::Change;
 use coordination::quorum::Identity;
 use coordination::quorum::Member;
-use coordination::raft::Raft;
-use coordination::raft_entry::Recovered;
-use coordination::raft_settings;
 use coordination::view::View;
 use protocol::operator::History;
 use protocol::operator::Voters;
@@ -51,20 +34,14 @@
 use state::ledger;
 use state::table;
 use state::table::Table;
-use transport::clock::Clock;
-use transport::disk;
-use transport::event;
-use transport::event::Event;
 use transport::metric;
 use transport::peer;
 use transport::ring;
-use transport::store::Store;
 
 const ARRIVAL_LIMIT: Duration = Duration::from_secs(2);
 const CALL_LIMIT: Duration = Duration::from_millis(2_000);
 const LIMIT: Duration = Duration::from_secs(6);
 const PAUSE: Duration = Duration::from_millis(100);
-const RING_CALLS: usize = 4_096;
 const SPREAD_WAIT: Duration = Duration::from_secs(4);
 
 /// Tells why the voters did not take a command.
@@ -84,36 +61,22 @@
     Unanswered,
 }
 
-/// Tells which part of the voter could not start.
-#[derive(Clone, Copy, Debug, Error)]
-pub enum Start {
-    /// Reports the data folder.
-    #[error("the voter's data folder cannot be used")]
-    Folder,
-    /// Reports the log's newest snapshot.
-    #[error("the voter's snapshot cannot be read")]
-    Snapshot,
-    /// Reports a thread.
-    #[error("a thread cannot be started")]
-    Thread,
-}
-
 #[derive(Clone)]
-struct Local {
-    calls: ring::Sender<Call>,
-    status: watch::Receiver<Status>,
+pub(crate) struct Local {
+    pub(crate) calls: ring::Sender<Call>,
+    pub(crate) status: watch::Receiver<Status>,
 }
 
 /// Reaches the voters.
 #[derive(Clone)]
 pub struct Handle {
-    local: Option<Local>,
-    name: String,
-    offers: ring::Sender<Arc<Table>>,
-    own: SocketAddr,
-    pool: Option<Pool>,
-    table: watch::Receiver<Arc<Table>>,
-    voters: Vec<SocketAddr>,
+    pub(crate) local: Option<Local>,
+    pub(crate) name: String,
+    pub(crate) offers: ring::Sender<Arc<Table>>,
+    pub(crate) own: SocketAddr,
+    pub(crate) pool: Option<Pool>,
+    pub(crate) table: watch::Receiver<Arc<Table>>,
+    pub(crate) voters: Vec<SocketAddr>,
 }
 
 impl Handle {
@@ -473,105 +436,3 @@
         true => Rejection::Ended,
     }
 }
-
-/// Starts the voter of this host, if it has one, and what reaches the others.
-///
-/// # Errors
-///
-/// Returns an error that names the part that could not start.
-pub fn start(
-    settings: &Settings,
-    own: SocketAddr,
-    pool: Option<Pool>,
-    clock: Clock,
-    log: &Logger,
-) -> Result<Handle, Report<Start>> {
-    let keeper = keeper::start(settings.data.as_deref(), log.clone());
-    let keeper = keeper.change_context(Start::Folder)?;
-    let alone = settings.voters.is_empty() && !settings.plays(Role::Voter);
-    let votes = alone || settings.plays(Role::Voter);
-    let mut handle = Handle {
-        local: None,
-        name: settings.name.clone(),
-        offers: keeper.offers,
-        own,
-        pool,
-        table: keeper.table,
-        voters: settings.voters.iter().map(|voter| voter.address).collect(),
-    };
-    if votes {
-        handle.local = Some(local(settings, &handle, clock, log)?);
-    }
-    Ok(handle)
-}
-
-fn local(
-    settings: &Settings,
-    handle: &Handle,
-    clock: Clock,
-    log: &Logger,
-) -> Result<Local, Report<Start>> {
-    let folder = settings.data.as_ref().map(|data| data.join("log"));
-    let store = folder.map(|folder| open(folder, log)).transpose()?;
-    let fresh = Identity(rand::random());
-    let identity = store.as_ref().map_or(fresh, Store::identity);
-    let recovered = store.as_ref().map(Store::recovered).cloned();
-    let recovered = recovered.unwrap_or_default();
-    let empty = recovered == Recovered::default();
-    let raft_settings = raft_settings::Settings::default();
-    let seed = rand::random();
-    let raft = Raft::new(identity, raft_settings, seed, clock.now(), recovered);
-    let (calls, receiver) = ring::bounded(RING_CALLS);
-    let disk = voter_disk::start(store, calls.clone(), log.clone());
-    let (publish, status) = watch::channel(Status::default());
-    let runtime = runtime::Handle::current();
-    let duty = Duty::new(Parts {
-        calls: receiver,
-        clock,
-        disk: disk.change_context(Start::Thread)?,
-        log: log.clone(),
-        raft,
-        routes: Routes::new(handle.own, handle.pool.clone(), runtime),
-        status: publish,
-        tables: handle.offers.clone(),
-    });
-    let duty = duty.change_context(Start::Snapshot)?;
-    let thread = thread::Builder::new().name("voter".to_owned());
-    let spawned: io::Result<_> = thread.spawn(move || duty.run());
-    spawned.change_context(Start::Thread)?;
-    if settings.voters.is_empty() && empty {
-        let _ = calls.send(Call::Bootstrap(Member {
-            address: handle.own,
-            name: settings.name.clone(),
-            votes: true,
-        }));
-    }
-    if let Some(pool) = handle.pool.as_ref().filter(|_| !settings.voters.is_empty()) {
-        let upkeep = Upkeep {
-            calls: calls.clone(),
-            founded: handle.table.borrow().revision() > 0,
-            log: log.clone(),
-            name: settings.name.clone(),
-            pool: pool.clone(),
-            status: status.clone(),
-            voters: settings.voters.clone(),
-        };
-        tokio::spawn(upkeep.run());
-    }
-    Ok(Local { calls, status })
-}
-
-fn open(folder: std::path::PathBuf, log: &Logger) -> Result<Store<disk::Folder>, Report<Start>> {
-    let locked = disk::Folder::open(folder).change_context(Start::Folder)?;
-    let opened = Store::open(locked, Identity(rand::random()));
-    let (store, report) = opened.change_context(Start::Folder)?;
-    if report.torn {
-        event::emit(log, Event::LogTorn, slog::o!());
-    }
-    let details = slog::o!(
-        "entries" => report.entries,
-        "identity" => store.identity().to_string(),
-    );
-    event::emit(log, Event::VoterStarted, details);
-    Ok(store)
-}
