Draw bytes for the decoders of log records and commands

Cause: the frames of the replicated log and the commands in them were the only decoders without property tests.

Change: a changed byte in a frame is found as damage, a cut one as torn, and bytes of any kind are a record or command that encodes the same again, or an error.

--- a/crates/transport/tests/decoders.rs
+++ b/crates/transport/tests/decoders.rs
@@ -6,9 +6,14 @@
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
+use proptest::sample::Index;
 use tokio_util::codec::Decoder as _;
 use tokio_util::codec::Encoder;
 
+use coordination::machine::Command;
+use coordination::raft_entry::Record;
+use transport::log_frame;
+use transport::log_frame::Found;
 use transport::peer_frame::Codec;
 use transport::peer_key::Key;
 use transport::sse::Decoder;
@@ -82,4 +87,42 @@
     fn a_key_does_not_show(bytes in any::<[u8; 32]>()) {
         prop_assert_eq!(format!("{:?}", Key::new(bytes)), "Key");
     }
+
+    #[test]
+    fn a_log_frame_is_read_whole_or_found_damaged_or_torn(
+        first in vec(any::<u8>(), 0..100),
+        second in vec(any::<u8>(), 0..100),
+        at in any::<Index>(),
+        change in 1u8..,
+    ) {
+        let mut bytes = log_frame::encode(&first).expect("it encodes");
+        let next = bytes.len();
+        bytes.extend(log_frame::encode(&second).expect("it encodes"));
+        let end = bytes.len();
+        prop_assert_eq!(log_frame::read(&bytes, 0), Found::Frame { next, value: first });
+        prop_assert_eq!(log_frame::read(&bytes, next), Found::Frame { next: end, value: second });
+        let cut = next + 1 + at.index(end - next - 1);
+        prop_assert_eq!(log_frame::read::<Vec<u8>>(&bytes[..cut], next), Found::Torn);
+        bytes[at.index(next)] ^= change;
+        prop_assert_eq!(log_frame::read::<Vec<u8>>(&bytes, 0), Found::Damaged);
+    }
+
+    #[test]
+    fn bytes_of_any_kind_are_a_log_record_or_an_error(
+        bytes in vec(any::<u8>(), 0..300),
+        place in 0usize..400,
+    ) {
+        let _ = log_frame::read::<Record>(&bytes, place);
+        let mut framed = log_frame::encode(&bytes).expect("it encodes");
+        framed.truncate(place);
+        let _ = log_frame::read::<Record>(&framed, 0);
+    }
+
+    #[test]
+    fn bytes_of_any_kind_are_a_command_or_an_error(bytes in vec(any::<u8>(), 0..300)) {
+        if let Ok(command) = Command::decode(&bytes) {
+            let encoded = command.encode().expect("it encodes");
+            prop_assert_eq!(Command::decode(&encoded).ok(), Some(command));
+        }
+    }
 }
