Give each fleet of the restart tests addresses of its own

Cause: the restart tests took free ports of one shared address and let them go before their daemons bound them, so two fleets that started together could get the same port; a voter that cannot bind leaves the group unfounded and no host accepts the first edit. By arithmetic, 32 ports taken by four fleets collide in about 2 of 100 runs, 128 by sixteen in about 3 of 10; no log of the failed run was kept, so this is the likely cause, not a seen one.

Change: each fleet has addresses of its own, as the other process tests do, and the failure prints the last lines of each host's log.

--- a/crates/hibiscushoistd/tests/restart.rs
+++ b/crates/hibiscushoistd/tests/restart.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,11 +28,14 @@
 use fakes::service::Service;
 use hibiscushoistd::auth;
 
-const ADDRESS: &str = "127.0.7.1";
 const KEY: &str = "operator-key";
+const LOG_LINES: usize = 12;
 const LIMIT: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// Counts the fleets of this process.
+static FLEETS: AtomicU8 = AtomicU8::new(0);
+
 struct Host {
     child: Option<Child>,
     data: PathBuf,
@@ -53,8 +59,15 @@
     }
 }
 
+/// Returns addresses of this fleet's own, which no outgoing connection takes meanwhile.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind((ADDRESS, 0)).expect("a port is free");
+    let network = FLEETS.fetch_add(1, Ordering::SeqCst);
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    let low = low.wrapping_add(network.wrapping_mul(16));
+    let bind = |place: usize| {
+        let ip = Ipv4Addr::new(127, high & 127, low, place as u8 + 2);
+        TcpListener::bind((ip, 0)).expect("a port is free")
+    };
     let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
     let address = |listener: &TcpListener| listener.local_addr().expect("it is bound");
     listeners.iter().map(address).collect()
@@ -198,7 +211,21 @@
             }
             host += 1;
         }
-        panic!("no host accepted the edit");
+        panic!(
+            "no host accepted the edit; the logs end with\n{}",
+            self.logs()
+        );
+    }
+
+    /// Returns the last lines of each host's log.
+    fn logs(&self) -> String {
+        let log = |host: usize| {
+            let path = self.folder.join(format!("h{host}.log"));
+            let text = fs::read_to_string(path).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().rev().take(LOG_LINES).collect();
+            format!("h{host}:\n{}\n", lines.join("\n"))
+        };
+        (0..self.hosts.len()).map(log).collect()
     }
 
     /// Waits until `holds` does of what a host answers.
