Wait for all voters before the restart test kills their leader

The leader was killed 0.3 s after it had founded the group, while the second voter stood beside a learner; two voters cannot lose one, so no edit was accepted until the host came back.

Change: the test waits until three voters are listed, sends one more edit, whose place in the log lies behind the last change of voters, and then kills. What would close the window is founding with all listed voters at once.

Conclusion: the refusal was true and nothing was lost; the check was too early.

--- a/crates/hibiscushoistd/tests/restart.rs
+++ b/crates/hibiscushoistd/tests/restart.rs
@@ -288,12 +288,21 @@
     })
 }
 
+/// Returns whether the group is founded; before that it has too few voters to lose one.
+fn has_three_voters(body: &Value) -> bool {
+    let voters = body["voters"].as_array();
+    voters.is_some_and(|v| v.len() == 3 && v.iter().all(|v| v["standing"] == "voter"))
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn accepted_edits_outlive_kills_of_all_and_are_in_force_everywhere() {
     let mut fleet = Fleet::start("restart_all", 3, 1);
     let mut rows = BTreeMap::new();
     let mut revision = 0;
     for number in 0..120 {
+        if number == 39 {
+            fleet.wait(3, "/admin/voters", has_three_voters).await;
+        }
         if number == 40 {
             let leader = fleet.leader().await;
             fleet.kill(leader);
@@ -348,17 +357,12 @@
     let mut fleet = Fleet::start("second_loss", 3, 1);
     let mut rows = BTreeMap::new();
     let mut revision = 0;
-    let repaired = |body: &Value| {
-        let voters = body["voters"].as_array().expect("voters");
-        let votes = voters.iter().filter(|voter| voter["standing"] == "voter");
-        voters.len() == 3 && votes.count() == 3
-    };
     for round in 0..3 {
         for number in 10 * round..10 * (round + 1) {
             revision = fleet.edit(number as usize, &add(number)).await;
             rows.insert(format!("k{number}"), revision);
         }
-        fleet.wait(3, "/admin/voters", repaired).await;
+        fleet.wait(3, "/admin/voters", has_three_voters).await;
         let victim = match round {
             0 => fleet.leader().await,
             _ => round as usize,
@@ -370,7 +374,7 @@
             assert!(Instant::now() < end, "the voter was not replaced");
             tokio::time::sleep(PAUSE).await;
         }
-        fleet.wait(3, "/admin/voters", repaired).await;
+        fleet.wait(3, "/admin/voters", has_three_voters).await;
     }
     assert_eq!(revision, 30);
     fleet.agree(revision, &rows).await;
