--- /dev/null
+++ b/crates/coordination/src/dispatch.rs
@@ -0,0 +1,337 @@
+//! Dispatch: chooses the upstream of a routed request from what this host has seen itself and what
+//! the fleet's list says, and refuses at once what cannot be served.
+
+use std::collections::BTreeMap;
+
+use strum::Display;
+use strum::IntoStaticStr;
+
+use crate::affinity;
+use crate::affinity::Candidate;
+use crate::breaker::Breaker;
+use crate::breaker::Policy;
+use crate::breaker::Standing;
+use crate::silence::Silence;
+use crate::silence::Ticket;
+use crate::upstream;
+use crate::upstream::Fleet;
+use crate::upstream::Upstream;
+use state::time::Instant;
+
+/// Counts the prompt tokens that an engine reads in a millisecond; engines of this class read 62.
+const READ_TOKENS_PER_MS: u64 = 62;
+/// Gives how much longer a request may wait for an engine with the newest weights, in
+/// milliseconds: a fifth of the second within which a long answer should begin, as an answer on
+/// older weights is worth a fifth less, and as much again because it may be read twice.
+const NEWEST_MS: u64 = 400;
+/// Gives how much one more running request slows the others down, in milliseconds of waiting.
+const RUNNING_MS: u64 = 3;
+/// Gives how long what an upstream said of its load holds, in milliseconds.
+const LOAD_AGE_MS: u64 = 1_000;
+/// Gives how long an upstream that refused a request gets no other, in milliseconds.
+const REFUSED_MS: u64 = 250;
+/// Gives how much longer a request may wait for an engine that has read its shared prompt than the
+/// reading takes; copies on several engines take memory from other prompts.
+const SHARED_FACTOR: u64 = 2;
+
+/// Describes what a request needs.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// Names the failure domain of this host.
+    pub domain: String,
+    /// Breaks ties.
+    pub draw: u64,
+    /// Gives the time left, in milliseconds.
+    pub left_ms: u64,
+    /// Names the model, where engines serve the request.
+    pub model: Option<String>,
+    /// Gives the newest version of the model's weights.
+    pub newest: u64,
+    /// Counts the tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Names the service.
+    pub service: String,
+    /// Names the part of the prompt that other requests share, and counts the tokens up to its end.
+    pub shared: Option<(String, u64)>,
+    /// Lists the upstreams that have failed this request.
+    pub tried: Vec<String>,
+}
+
+/// Tells where a request goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Describes the upstream.
+    pub upstream: Upstream,
+    /// Gives the version of the model's weights there.
+    pub weights: Option<u64>,
+    /// Holds another engine that probably has the shared prompt, where this one does not.
+    pub peer: Option<std::net::SocketAddr>,
+}
+
+/// Tells why no upstream takes a request.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Refusal {
+    /// Means that no upstream of the service takes work.
+    None,
+    /// Means that the work ahead takes longer than the caller waits.
+    TooLate,
+}
+
+/// Names a request under way.
+#[derive(Clone, Debug)]
+pub struct Run {
+    id: String,
+    ticket: Ticket,
+    tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    /// Counts the requests that this host did not send.
+    others: u32,
+    at: Instant,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    /// Gives the version under which prompts were sent here last, and the prompts.
+    held: (u64, BTreeMap<String, Instant>),
+    load: Load,
+    refused: Option<Instant>,
+    running: u32,
+    unread_tokens: u64,
+    weights: BTreeMap<String, u64>,
+}
+
+/// Chooses upstreams.
+#[derive(Debug)]
+pub struct Dispatch {
+    breaker: Breaker,
+    seen: BTreeMap<String, Seen>,
+    silence: Silence,
+}
+
+impl Dispatch {
+    /// Returns a dispatch that has seen nothing; `seed` fixes the jitter.
+    pub fn new(seed: u64) -> Self {
+        let policy = Policy {
+            failures: 3,
+            pause: 500,
+            pause_limit: 4_000,
+            probe: 1_000,
+            share: 60,
+        };
+        Self {
+            breaker: Breaker::new(policy, seed),
+            seen: BTreeMap::new(),
+            silence: Silence::default(),
+        }
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn sync(&mut self, fleet: &Fleet) {
+        let ids: Vec<&String> = fleet.upstreams.iter().map(|u| &u.id).collect();
+        self.breaker.sync(ids.iter().map(|id| (*id).clone()));
+        self.seen
+            .retain(|id, seen| seen.running > 0 || ids.contains(&id));
+        self.silence
+            .retain(|id| ids.iter().any(|known| *known == id));
+    }
+
+    /// Returns where a request goes.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no upstream takes it.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        demand: &Demand,
+    ) -> Result<Choice, Refusal> {
+        let takes = |upstream: &&Upstream| {
+            upstream.service == demand.service
+                && upstream.standing == upstream::Standing::Ready
+                && !demand.tried.contains(&upstream.id)
+                && self.is_usable(now, &upstream.id)
+        };
+        let ready: Vec<&Upstream> = fleet.upstreams.iter().filter(takes).collect();
+        let ready = match ready.is_empty() {
+            false => ready,
+            true => self.last_resort(fleet, demand),
+        };
+        let candidates: Vec<Candidate> = ready
+            .iter()
+            .map(|upstream| self.candidate(now, upstream, demand))
+            .collect();
+        let shared = demand.shared.as_ref();
+        let key = shared.map(|(part, _)| part.as_str());
+        let worth = shared.map_or(0, |(_, tokens)| tokens / READ_TOKENS_PER_MS);
+        let place = affinity::choose(&candidates, key, worth * SHARED_FACTOR, demand.draw);
+        let place = place.ok_or(Refusal::None)?;
+        if candidates[place].backlog_ms > demand.left_ms {
+            return Err(Refusal::TooLate);
+        }
+        let upstream = ready[place].clone();
+        let _ = self.breaker.claim(now, &upstream.id);
+        let weights = demand
+            .model
+            .as_ref()
+            .map(|model| self.weights(&upstream, model));
+        let peer = shared.and_then(|(part, _)| self.peer(&ready, &upstream, weights?, part));
+        Ok(Choice {
+            upstream,
+            weights,
+            peer,
+        })
+    }
+
+    /// Notes that a request was sent, and returns what its further events are noted with.
+    pub fn sent(&mut self, now: Instant, choice: &Choice, demand: &Demand) -> Run {
+        let id = choice.upstream.id.clone();
+        let seen = self.seen.entry(id.clone()).or_default();
+        seen.running += 1;
+        let mut tokens = demand.prompt_tokens;
+        if let Some(((part, shared), weights)) = demand.shared.as_ref().zip(choice.weights) {
+            if seen.held.0 != weights {
+                seen.held = (weights, BTreeMap::new());
+            }
+            if seen.held.1.insert(part.clone(), now).is_some() {
+                tokens = tokens.saturating_sub(*shared);
+            }
+        }
+        seen.unread_tokens += tokens;
+        let work_ms = 2 * seen.unread_tokens / READ_TOKENS_PER_MS;
+        let ticket = self.silence.sent(now, id.clone(), work_ms);
+        Run { id, ticket, tokens }
+    }
+
+    /// Notes the head of an answer, with how many requests the upstream has in all if it said so.
+    pub fn answered(&mut self, now: Instant, run: &mut Run, total: Option<u32>) {
+        self.heard(now, run);
+        self.silence.ended(&run.id, run.ticket);
+        if let Some(seen) = self.seen.get_mut(&run.id) {
+            seen.unread_tokens = seen.unread_tokens.saturating_sub(run.tokens);
+            run.tokens = 0;
+            if let Some(total) = total {
+                let others = total.saturating_sub(seen.running);
+                seen.load = Load { at: now, others };
+            }
+        }
+    }
+
+    /// Notes a byte of an answer.
+    pub fn heard(&mut self, now: Instant, run: &Run) {
+        self.silence.heard(now, &run.id);
+    }
+
+    /// Notes the version of an engine's weights as an answer gave it.
+    pub fn learned(&mut self, run: &Run, model: impl Into<String>, version: u64) {
+        if let Some(seen) = self.seen.get_mut(&run.id) {
+            let known = seen.weights.entry(model.into()).or_default();
+            *known = version.max(*known);
+        }
+    }
+
+    /// Notes that the upstream refused the request without running it.
+    pub fn refused(&mut self, now: Instant, run: &Run) {
+        if let Some(seen) = self.seen.get_mut(&run.id) {
+            seen.refused = Some(now);
+        }
+    }
+
+    /// Notes that the request failed at the upstream, and returns whether that ejected it.
+    pub fn failed(&mut self, now: Instant, run: &Run) -> bool {
+        self.breaker.failed(now, run.id.clone())
+    }
+
+    /// Notes that the upstream served the request.
+    pub fn succeeded(&mut self, run: &Run) {
+        self.breaker.succeeded(&run.id);
+    }
+
+    /// Notes that a request is no longer under way.
+    pub fn ended(&mut self, run: &Run) {
+        self.silence.ended(&run.id, run.ticket);
+        if let Some(seen) = self.seen.get_mut(&run.id) {
+            seen.running = seen.running.saturating_sub(1);
+            seen.unread_tokens = seen.unread_tokens.saturating_sub(run.tokens);
+        }
+    }
+
+    /// Returns whether the upstream of a request answers nobody.
+    pub fn is_silent(&self, now: Instant, run: &Run) -> bool {
+        self.silence.is_silent(now, &run.id)
+    }
+
+    fn is_usable(&self, now: Instant, id: &str) -> bool {
+        let refused = self.seen.get(id).and_then(|seen| seen.refused);
+        !matches!(self.breaker.peek(now, id), Standing::Open(_))
+            && !self.silence.is_silent(now, id)
+            && refused.is_none_or(|at| now.since(at) > REFUSED_MS)
+    }
+
+    /// Returns all upstreams that are listed as ready and have not failed the request, where none
+    /// of them looks sound.
+    fn last_resort<'a>(&self, fleet: &'a Fleet, demand: &Demand) -> Vec<&'a Upstream> {
+        let takes = |upstream: &&Upstream| {
+            upstream.service == demand.service
+                && upstream.standing == upstream::Standing::Ready
+                && !demand.tried.contains(&upstream.id)
+        };
+        fleet.upstreams.iter().filter(takes).collect()
+    }
+
+    fn candidate(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> Candidate {
+        let seen = self.seen.get(&upstream.id);
+        let (running, unread) = seen.map_or((0, 0), |seen| {
+            let fresh = now.since(seen.load.at) <= LOAD_AGE_MS;
+            let others = if fresh { seen.load.others } else { 0 };
+            (u64::from(seen.running + others), seen.unread_tokens)
+        });
+        let mut backlog_ms = unread / READ_TOKENS_PER_MS + running * RUNNING_MS;
+        let older = demand
+            .model
+            .as_ref()
+            .is_some_and(|model| self.weights(upstream, model) < demand.newest);
+        if older {
+            backlog_ms += NEWEST_MS;
+        }
+        Candidate {
+            backlog_ms,
+            id: upstream.id.clone(),
+            near: upstream.domain == demand.domain,
+        }
+    }
+
+    fn weights(&self, upstream: &Upstream, model: &str) -> u64 {
+        let listed = upstream.weights.get(model).copied().unwrap_or_default();
+        let learned = self
+            .seen
+            .get(&upstream.id)
+            .and_then(|seen| seen.weights.get(model).copied());
+        listed.max(learned.unwrap_or_default())
+    }
+
+    /// Returns an engine to which the shared prompt was sent under the same weights, where it was
+    /// not sent to the chosen one.
+    fn peer(
+        &self,
+        ready: &[&Upstream],
+        chosen: &Upstream,
+        weights: u64,
+        part: &str,
+    ) -> Option<std::net::SocketAddr> {
+        let holds = |id: &str| {
+            let seen = self.seen.get(id);
+            seen.is_some_and(|seen| seen.held.0 == weights && seen.held.1.contains_key(part))
+        };
+        if holds(&chosen.id) {
+            return None;
+        }
+        let holders = ready.iter().filter(|upstream| holds(&upstream.id));
+        let near = holders.max_by_key(|upstream| upstream.domain == chosen.domain);
+        near.map(|upstream| upstream.address)
+    }
+}
--- a/crates/coordination/src/host.rs
+++ b/crates/coordination/src/host.rs
@@ -143,6 +143,8 @@
     pub draining: bool,
     /// Holds the address for callers, where the host is an entry.
     pub entry: Option<SocketAddr>,
+    /// Holds the address for callers of routed services, where the host takes them.
+    pub gateway: Option<SocketAddr>,
     /// Tells how loaded the host is.
     pub load: Load,
     /// Holds the address for other daemons.
--- a/crates/coordination/src/machine.rs
+++ b/crates/coordination/src/machine.rs
@@ -16,6 +16,8 @@
 use state::history::History;
 use state::ledger;
 use state::ledger::Ledger;
+use state::routing;
+use state::routing::Held;
 use state::table;
 use state::table::Table;
 
@@ -30,6 +32,20 @@
     Finish(ledger::Report),
     /// Asks for a lease.
     Lease(lease::Ask),
+    /// Replaces the routed table unless the one in force is as new.
+    Route {
+        /// Holds the operator's text of it.
+        source: Arc<String>,
+        /// Holds the table.
+        table: Arc<routing::Table>,
+    },
+    /// Names the weights version that engines of a model should have.
+    Weights {
+        /// Names the model.
+        model: String,
+        /// Gives the version.
+        version: u64,
+    },
 }
 
 /// Answers a [`Command`].
@@ -43,6 +59,10 @@
     Finish(ledger::Settlement),
     /// Answers [`Command::Lease`].
     Lease(lease::Answer),
+    /// Answers [`Command::Route`] with the version in force.
+    Route(u64),
+    /// Answers [`Command::Weights`] with the newest version of the model.
+    Weights(u64),
 }
 
 /// Tells why bytes are no command or no snapshot.
@@ -80,6 +100,7 @@
     history: History,
     leases: Leases,
     ledger: Ledger,
+    routed: Arc<Held>,
     table: Arc<Table>,
 }
 
@@ -104,6 +125,16 @@
             }
             Command::Finish(report) => Answer::Finish(self.ledger.finish(now, report)),
             Command::Lease(ask) => Answer::Lease(self.leases.ask(now, ask)),
+            Command::Route { source, table } => {
+                let routed = Arc::make_mut(&mut self.routed);
+                routed.replace(source.clone(), table.clone());
+                Answer::Route(routed.table.version)
+            }
+            Command::Weights { model, version } => {
+                let routed = Arc::make_mut(&mut self.routed);
+                routed.name_weights(model.clone(), *version);
+                Answer::Weights(routed.weights[model])
+            }
         }
     }
 
@@ -136,6 +167,11 @@
         Ok(postcard::from_bytes(bytes.as_ref())?)
     }
 
+    /// Returns the routed table and the weights versions.
+    pub fn routed(&self) -> &Arc<Held> {
+        &self.routed
+    }
+
     /// Returns the bytes of a snapshot.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/coordination/src/outlook.rs
@@ -0,0 +1,72 @@
+//! What the leading voter tells the hosts that serve callers, and how long they may rely on it.
+//!
+//! A host asks often and counts the age of what it knows from when it asked. The voter answers
+//! under everything acknowledged before, so a host whose knowledge is young enough cannot have
+//! missed a change that was acknowledged long ago, also when it was cut off or stood still.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::upstream::Edition;
+use crate::upstream::Fleet;
+use state::routing::Table;
+use state::time::Instant;
+
+/// Asks for what a host lacks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ask {
+    /// Gives the edition of the fleet that the host has.
+    pub edition: Edition,
+    /// Names the host.
+    pub host: String,
+    /// Gives the version of the routed table that the host has.
+    pub version: u64,
+}
+
+/// Holds what a host lacks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Outlook {
+    /// Holds the upstreams, where the host lacks this edition.
+    pub fleet: Option<Fleet>,
+    /// Holds the routed table, where the host lacks this version.
+    pub table: Option<Arc<Table>>,
+    /// Gives the newest weights version of each model.
+    pub weights: BTreeMap<String, u64>,
+}
+
+/// Counts the age of what a host knows.
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    asked: Option<Instant>,
+    limit_ms: u64,
+}
+
+impl Freshness {
+    /// Returns the age of a host that knows nothing yet and may rely on what it knows for
+    /// `limit_ms`.
+    pub fn new(limit_ms: u64) -> Self {
+        Self {
+            asked: None,
+            limit_ms,
+        }
+    }
+
+    /// Notes that an ask sent at `asked` was answered.
+    pub fn confirm(&mut self, asked: Instant) {
+        self.asked = self.asked.max(Some(asked));
+    }
+
+    /// Returns whether the host may rely on what it knows.
+    pub fn holds(&self, now: Instant) -> bool {
+        let age = self.age_ms(now);
+        age.is_some_and(|age| age < self.limit_ms)
+    }
+
+    /// Returns the age, if anything is known.
+    pub fn age_ms(&self, now: Instant) -> Option<u64> {
+        self.asked.map(|asked| now.since(asked))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/reload.rs
@@ -0,0 +1,345 @@
+//! Rolling reload: brings engines to the newest weights, a share of them at a time.
+//!
+//! One host gives the orders. It takes an engine off new work, reads how many orders the engine has
+//! accepted, orders the newest weights under the condition that the engine has accepted no other
+//! order since, and reads again until the weights are there. An order that got no answer is given
+//! again under the same condition, so that it is carried out once even when the first arrives late.
+//! A version that was named while an engine waited is skipped. A host that has just begun to lead
+//! waits until no order of the host before it can still be on its way.
+
+use std::collections::BTreeMap;
+
+use strum::Display;
+use strum::IntoStaticStr;
+
+use crate::upstream::Seen;
+use state::time::Instant;
+
+/// Tells what becomes of the requests that run when weights change.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Running {
+    /// Means that they go on under the new weights.
+    Continue,
+    /// Means that they end before the weights change.
+    #[default]
+    Finish,
+}
+
+/// Bounds a rolling reload; times are in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Gives the time after an order in which no engine can have finished it.
+    pub load_ms: u64,
+    /// Gives the time between two reads of an engine that loads.
+    pub read_ms: u64,
+    /// Tells what becomes of the requests that run.
+    pub running: Running,
+    /// Bounds the engines that reload at once, in percent of all.
+    pub share: usize,
+    /// Gives the time from when an engine is taken off new work until its order.
+    pub spread_ms: u64,
+    /// Gives the time after an unanswered or refused order until the next try.
+    pub retry_ms: u64,
+    /// Gives the time for which a host that begins to lead gives no orders.
+    pub takeover_ms: u64,
+}
+
+impl Default for Policy {
+    /// Returns a policy for engines that load in about two seconds and for hosts that learn of a
+    /// change within a third of a second.
+    fn default() -> Self {
+        Self {
+            load_ms: 1_900,
+            read_ms: 200,
+            running: Running::Finish,
+            share: 25,
+            spread_ms: 350,
+            retry_ms: 500,
+            takeover_ms: 3_500,
+        }
+    }
+}
+
+/// Asks an engine to load weights.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// Names the engine.
+    pub id: String,
+    /// Names the model.
+    pub model: String,
+    /// Counts the orders that the engine must have accepted before.
+    pub orders: u64,
+    /// Tells what becomes of the requests that run.
+    pub running: Running,
+    /// Gives the version of the weights.
+    pub version: u64,
+}
+
+/// Tells how an order was answered.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// Means that the engine carries it out.
+    Accepted,
+    /// Means that the engine has these weights.
+    Holds,
+    /// Means that the engine has another order or has accepted another since.
+    Refused,
+    /// Means that the order may or may not be carried out, perhaps later.
+    Unknown,
+}
+
+/// Holds what an engine says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Tells whether it carries out an order.
+    pub loading: bool,
+    /// Counts the orders that it has accepted since its start.
+    pub orders: u64,
+    /// Counts the requests that run.
+    pub running: u32,
+    /// Gives the weights version of each of its models.
+    pub weights: BTreeMap<String, u64>,
+}
+
+/// Tells a reload what happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Brings the answer to an order.
+    Answered(String, Outcome),
+    /// Tells that this host leads from now on.
+    Led,
+    /// Brings the upstreams of the platform's list.
+    Listed(Vec<Seen>),
+    /// Brings the newest weights versions.
+    Named(BTreeMap<String, u64>),
+    /// Brings what an engine says, or that it did not answer.
+    Reported(String, Option<Report>),
+    /// Lets time pass.
+    Tick,
+}
+
+/// Tells what to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Gives an order.
+    Order(Order),
+    /// Reads what an engine says of itself.
+    Read(String),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// Takes work.
+    Settled,
+    /// Gets no new work until the other hosts know of it.
+    Spreading { until: Instant },
+    /// Is being read before its order.
+    Reading { again: Instant },
+    /// Was given an order and is read from `next` on.
+    Loading { next: Instant },
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    phase: Phase,
+    seen: Seen,
+    weights: BTreeMap<String, u64>,
+}
+
+/// Brings engines to the newest weights.
+#[derive(Clone, Debug)]
+pub struct Reload {
+    engines: BTreeMap<String, Engine>,
+    named: BTreeMap<String, u64>,
+    orders_from: Option<Instant>,
+    policy: Policy,
+}
+
+impl Reload {
+    /// Returns a reload that knows no engine.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            engines: BTreeMap::new(),
+            named: BTreeMap::new(),
+            orders_from: None,
+            policy,
+        }
+    }
+
+    /// Takes `event` at `now` and returns what to do.
+    pub fn step(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Answered(id, outcome) => self.answered(now, &id, outcome),
+            Event::Led => self.led(now),
+            Event::Listed(seen) => self.listed(seen),
+            Event::Named(named) => self.named = named,
+            Event::Reported(id, report) => return self.reported(now, &id, report),
+            Event::Tick => return self.tick(now),
+        }
+        Vec::new()
+    }
+
+    /// Returns whether an engine gets no new work because of its weights.
+    pub fn is_loading(&self, id: &str) -> bool {
+        let engine = self.engines.get(id);
+        engine.is_some_and(|engine| engine.phase != Phase::Settled)
+    }
+
+    /// Returns the newest known weights versions of an engine.
+    pub fn weights(&self, id: &str) -> Option<&BTreeMap<String, u64>> {
+        self.engines.get(id).map(|engine| &engine.weights)
+    }
+
+    fn led(&mut self, now: Instant) {
+        self.orders_from = Some(now + self.policy.takeover_ms);
+        for engine in self.engines.values_mut() {
+            engine.phase = Phase::Settled;
+        }
+    }
+
+    fn listed(&mut self, seen: Vec<Seen>) {
+        let mut old = std::mem::take(&mut self.engines);
+        for seen in seen.into_iter().filter(|seen| !seen.weights.is_empty()) {
+            let known = old.remove(&seen.id);
+            let known = known.filter(|known| known.seen.started == seen.started);
+            let mut engine = known.unwrap_or_else(|| Engine {
+                phase: Phase::Settled,
+                seen: seen.clone(),
+                weights: BTreeMap::new(),
+            });
+            engine.note(&seen.weights);
+            engine.seen = seen;
+            self.engines.insert(engine.seen.id.clone(), engine);
+        }
+    }
+
+    fn answered(&mut self, now: Instant, id: &str, outcome: Outcome) {
+        let policy = self.policy;
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if !matches!(engine.phase, Phase::Loading { .. }) {
+            return;
+        }
+        let wait = match outcome {
+            Outcome::Accepted => policy.load_ms,
+            Outcome::Holds => 0,
+            Outcome::Refused | Outcome::Unknown => policy.retry_ms,
+        };
+        engine.phase = Phase::Loading { next: now + wait };
+    }
+
+    fn reported(&mut self, now: Instant, id: &str, report: Option<Report>) -> Vec<Effect> {
+        let policy = self.policy;
+        let Some(engine) = self.engines.get_mut(id) else {
+            return Vec::new();
+        };
+        let Some(report) = report else {
+            // An engine that does not answer may be gone; it comes back in its turn.
+            engine.phase = Phase::Settled;
+            return Vec::new();
+        };
+        engine.note(&report.weights);
+        let lagging = engine.lagging(&self.named);
+        match (engine.phase, lagging) {
+            (Phase::Settled, _) => {}
+            (_, None) => engine.phase = Phase::Settled,
+            (_, Some(_)) if report.loading => {
+                let next = now + policy.read_ms;
+                engine.phase = Phase::Loading { next };
+            }
+            (_, Some((model, version))) => {
+                let next = now + policy.load_ms;
+                engine.phase = Phase::Loading { next };
+                return vec![Effect::Order(Order {
+                    id: id.to_owned(),
+                    model,
+                    orders: report.orders,
+                    running: policy.running,
+                    version,
+                })];
+            }
+        }
+        Vec::new()
+    }
+
+    fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        if self.orders_from.is_none_or(|from| now < from) {
+            return Vec::new();
+        }
+        self.begin(now);
+        let policy = self.policy;
+        let mut effects = Vec::new();
+        for engine in self.engines.values_mut() {
+            let due = match engine.phase {
+                Phase::Settled => continue,
+                Phase::Spreading { until } => until,
+                Phase::Reading { again } => again,
+                Phase::Loading { next } => next,
+            };
+            if now < due {
+                continue;
+            }
+            engine.phase = match engine.phase {
+                Phase::Loading { .. } => Phase::Loading {
+                    next: now + policy.read_ms,
+                },
+                _ => Phase::Reading {
+                    again: now + policy.retry_ms,
+                },
+            };
+            effects.push(Effect::Read(engine.seen.id.clone()));
+        }
+        effects
+    }
+
+    /// Takes the engines that lag furthest off new work, as far as the share allows.
+    fn begin(&mut self, now: Instant) {
+        let policy = self.policy;
+        let stay = self.engines.values().filter(|engine| !engine.seen.leaving);
+        let most = (stay.count() * policy.share).div_ceil(100).max(1);
+        let busy = self.engines.values();
+        let busy = busy.filter(|engine| engine.phase != Phase::Settled).count();
+        let mut lagging: Vec<(u64, String)> = self
+            .engines
+            .values()
+            .filter(|engine| engine.phase == Phase::Settled && !engine.seen.leaving)
+            .filter_map(|engine| Some((engine.behind(&self.named)?, engine.seen.id.clone())))
+            .collect();
+        lagging.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        for (_, id) in lagging.into_iter().take(most.saturating_sub(busy)) {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                let until = now + policy.spread_ms;
+                engine.phase = Phase::Spreading { until };
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// Notes versions that were seen; one never goes back while the engine runs.
+    fn note(&mut self, weights: &BTreeMap<String, u64>) {
+        for (model, version) in weights {
+            let known = self.weights.entry(model.clone()).or_default();
+            *known = (*known).max(*version);
+        }
+    }
+
+    fn behind(&self, named: &BTreeMap<String, u64>) -> Option<u64> {
+        let behind = self.weights.iter().filter_map(|(model, version)| {
+            let newest = named.get(model)?;
+            (newest > version).then(|| newest - version)
+        });
+        behind.max()
+    }
+
+    fn lagging(&self, named: &BTreeMap<String, u64>) -> Option<(String, u64)> {
+        let mut lagging = self.weights.iter().filter_map(|(model, version)| {
+            let newest = named.get(model)?;
+            (newest > version).then(|| (model.clone(), *newest))
+        });
+        lagging.next()
+    }
+}
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Bounds retries by another policy from now on; budgets shrink where they hold more.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// Counts a first attempt, which earns budget.
     pub fn first(
         &mut self,
@@ -246,5 +251,6 @@
     let left = policy.burst * ATTEMPT;
     let budget = budgets.entry(name).or_insert(Budget { at: now, left });
     *budget = budget.refilled(now, policy);
+    budget.left = budget.left.min(left);
     budget
 }
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -14,6 +14,7 @@
 use crate::broker;
 use crate::budget::Budget;
 use crate::budget::Share;
+use crate::gateway::Gateway;
 use crate::health::Health;
 use crate::journal::Journal;
 use crate::member;
@@ -41,6 +42,8 @@
     pub drain_began: OnceLock<Instant>,
     /// Turns true when the daemon begins to drain.
     pub draining: watch::Receiver<bool>,
+    /// Takes routed requests, where the host serves callers of routed services.
+    pub gateway: Option<Arc<Gateway>>,
     /// Knows the health of upstreams.
     pub health: Health,
     /// Counts the requests in flight.
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -23,18 +23,24 @@
 use crate::context::Context;
 use crate::context::Shared;
 use crate::controller;
+use crate::edge;
 use crate::feed;
+use crate::gateway;
+use crate::gateway::Gateway;
 use crate::health::Health;
 use crate::journal::Journal;
 use crate::links::Links;
 use crate::load;
 use crate::member;
+use crate::outlook;
 use crate::owner::Owners;
 use crate::peer;
 use crate::platform;
 use crate::routes;
 use crate::settings::Entry;
+use crate::settings::Role;
 use crate::settings::Settings;
+use crate::steward;
 use crate::suspects::Suspects;
 use crate::voter;
 use crate::voter_start;
@@ -80,7 +86,7 @@
     drain: watch::Sender<bool>,
     feeds: JoinHandle<()>,
     peer: SocketAddr,
-    server: Option<JoinHandle<()>>,
+    servers: Vec<JoinHandle<()>>,
     stop: watch::Sender<bool>,
 }
 
@@ -112,6 +118,18 @@
         let broker =
             broker::start(clock, owners, resync).change_context(Error::Duty { duty: "broker" })?;
         tokio::spawn(broker.clone().follow());
+        let (outlook, shown) = outlook::channel(
+            settings
+                .gateway
+                .as_ref()
+                .map(|g| g.freshness)
+                .unwrap_or_default(),
+        );
+        let takes_callers = settings
+            .gateway
+            .as_ref()
+            .and_then(|gateway| gateway.callers);
+        let gateway = takes_callers.map(|_| Arc::new(Gateway::new(shown)));
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone());
         let context = Arc::new(Context {
             address,
@@ -120,6 +138,7 @@
             clock,
             drain_began: OnceLock::new(),
             draining,
+            gateway: gateway.clone(),
             health: Health::new(clock),
             in_flight: Arc::new(AtomicU64::new(0)),
             journal: Journal::default(),
@@ -133,26 +152,41 @@
             voter: voter.clone(),
         });
         let feeds = tokio::spawn(feed::run(context.clone(), resyncs));
-        let server = listener
-            .zip(settings.entry.as_ref())
-            .map(|(listener, entry)| {
-                let server = server(&context, entry);
-                let table = first_table(&settings, &context.voter);
-                tokio::spawn(async move {
-                    table.await;
-                    server.run(listener, stopped).await;
-                })
-            });
+        let mut servers = Vec::new();
+        if let Some((listener, entry)) = listener.zip(settings.entry.as_ref()) {
+            let server = server(&context, entry, routes::router());
+            let table = first_table(&settings, &context.voter);
+            let stopped = stopped.clone();
+            servers.push(tokio::spawn(async move {
+                table.await;
+                server.run(listener, stopped).await;
+            }));
+        }
+        if let Some(entry) = &settings.entry {
+            servers.extend(edges(&context, entry, &stopped).await?);
+        }
+        if let Some(gateway) = gateway {
+            tokio::spawn(outlook.run(context.clone()));
+            tokio::spawn(gateway.follow(context.clone()));
+        }
         voter.follow(member.view());
+        let (publish, fleet) = watch::channel(Arc::default());
+        let list = settings.gateway.as_ref().and_then(|gateway| gateway.list);
+        if let Some(list) = list.filter(|_| settings.plays(Role::Voter)) {
+            tokio::spawn(steward::run(context.clone(), list, publish));
+        }
         let service = peer::Service {
             broker,
+            fleet,
             member,
             suspects,
             voter,
         };
         links.serve(service, &log);
         tokio::spawn(load::watch(context.clone()));
-        tokio::spawn(controller::run(context.clone()));
+        if settings.gateway.is_none() {
+            tokio::spawn(controller::run(context.clone()));
+        }
         let details = slog::o!(
             "host" => settings.name.clone(),
             "entry" => context.address.to_string(),
@@ -164,7 +198,7 @@
             drain,
             feeds,
             peer: links.address,
-            server,
+            servers,
             stop,
         })
     }
@@ -241,7 +275,7 @@
 
     /// Counts the requests in flight, and one more while a connection is still open.
     fn in_flight(&self) -> u64 {
-        let open = self.server.as_ref().is_some_and(|s| !s.is_finished());
+        let open = self.servers.iter().any(|server| !server.is_finished());
         self.context.in_flight.load(Ordering::SeqCst) + u64::from(open)
     }
 
@@ -295,9 +329,43 @@
     }
 }
 
-fn server(context: &Arc<Context>, entry: &Entry) -> Server {
+/// Opens the addresses for routed services.
+async fn edges(
+    context: &Arc<Context>,
+    entry: &Entry,
+    stopped: &watch::Receiver<bool>,
+) -> Result<Vec<JoinHandle<()>>, Report<Error>> {
+    let Some(gateway) = &context.settings.gateway else {
+        return Ok(Vec::new());
+    };
+    let mut open: Vec<(SocketAddr, &'static str, routes::Endpoint)> = Vec::new();
+    open.extend(
+        gateway
+            .callers
+            .map(|at| (at, "routed", gateway::answer as routes::Endpoint)),
+    );
+    open.extend(
+        gateway
+            .readiness
+            .map(|at| (at, "readiness", edge::readiness as routes::Endpoint)),
+    );
+    for address in &gateway.control {
+        open.push((*address, "control", edge::control));
+    }
+    let mut servers = Vec::new();
+    for (address, path, endpoint) in open {
+        let listener = bind(address).await?;
+        let server = server(context, entry, routes::whole(path, endpoint));
+        let stopped = stopped.clone();
+        servers.push(tokio::spawn(server.run(listener, stopped)));
+    }
+    Ok(servers)
+}
+
+fn server<H>(context: &Arc<Context>, entry: &Entry, handler: H) -> Server<H> {
     let shared = Shared(context.clone());
     Server {
+        handler,
         limits: Limits {
             connections: entry.connections,
             header_bytes: entry.header_limit,
@@ -306,6 +374,5 @@
         },
         log: context.log.clone(),
         prepare: Arc::new(move |state: &mut State| state.put(shared.clone())),
-        router: routes::router(),
     }
 }
--- /dev/null
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -0,0 +1,274 @@
+//! Takes routed requests from callers: finds route and workspace, and answers what did not run.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Response;
+use hyper::Uri;
+use hyper::header::RETRY_AFTER;
+
+use crate::answer::Failure;
+use crate::caller as answers;
+use crate::context::Context;
+use crate::gateway_run;
+use crate::outlook;
+use crate::outlook::Known;
+use crate::request::Request;
+use coordination::dispatch::Dispatch;
+use coordination::host::Role;
+use coordination::retry::Policy;
+use coordination::retry::Retries;
+use platform::caller;
+use platform::caller::Facts;
+use protocol::refusal::NotRun;
+use protocol::refusal::Reason;
+use state::routing::Kind;
+use state::routing::Route;
+use state::routing::Target;
+use state::routing::Workspace;
+use state::time::Instant;
+use transport::event;
+use transport::event::Event;
+use transport::http::Body;
+use transport::lane::Lanes;
+
+/// Gives how long a caller should wait when the host lacks a table or upstreams, in milliseconds;
+/// hosts ask for both several times a second.
+const MISSING_MS: u64 = 500;
+/// Counts budget in thousandths of a retry.
+const RETRY: u64 = 1_000;
+/// Gives the share of the fleet's retry budget that hosts use, in percent; the rest covers requests
+/// that callers count later than this host.
+const BUDGET_SHARE: u64 = 80;
+
+/// Holds what routed requests share on this host.
+pub struct Gateway {
+    /// Chooses upstreams.
+    pub dispatch: Mutex<Dispatch>,
+    /// Holds the connections to upstreams.
+    pub lanes: Lanes,
+    /// Shows what this host knows.
+    pub outlook: outlook::Handle,
+    /// Bounds requests that go to a second upstream.
+    pub retries: Mutex<Retries>,
+}
+
+impl Gateway {
+    /// Returns a gateway that has sent nothing.
+    pub fn new(outlook: outlook::Handle) -> Self {
+        Self {
+            dispatch: Mutex::new(Dispatch::new(rand::random())),
+            lanes: Lanes::default(),
+            outlook,
+            retries: Mutex::new(Retries::new(budget(0, 0, 1), rand::random())),
+        }
+    }
+
+    /// Returns the chooser of upstreams.
+    pub fn dispatch(&self) -> MutexGuard<'_, Dispatch> {
+        self.dispatch.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the budget of retries.
+    pub fn retries(&self) -> MutexGuard<'_, Retries> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps connections, budgets and what was seen in step with the fleet, until the task is
+    /// dropped.
+    pub async fn follow(self: Arc<Self>, context: Arc<Context>) {
+        let mut known = self.outlook.watch();
+        let mut view = context.member.view();
+        loop {
+            tokio::select! {
+                changed = known.changed() => if changed.is_err() { return; },
+                changed = view.changed() => if changed.is_err() { return; },
+            }
+            let fleet = known.borrow_and_update().fleet.clone();
+            self.dispatch().sync(&fleet);
+            let addresses: Vec<_> = fleet.upstreams.iter().map(|u| u.address).collect();
+            self.lanes.retain(&addresses);
+            let seen = view.borrow_and_update().clone();
+            let hosts = seen.present(Role::Entry).filter(takes_callers);
+            let hosts = hosts.count().max(1) as u64;
+            if let Some(settings) = &context.settings.gateway {
+                let policy = budget(settings.retry_percent, settings.retry_slack, hosts);
+                self.retries().set_policy(policy);
+            }
+        }
+    }
+}
+
+fn takes_callers(member: &&coordination::view::Member) -> bool {
+    member.record.profile.gateway.is_some()
+}
+
+/// Returns this host's part of the budget that all hosts share.
+fn budget(percent: u64, slack: u64, hosts: u64) -> Policy {
+    Policy {
+        attempts: u32::MAX,
+        backoff: 0,
+        backoff_limit: 0,
+        burst: (slack * BUDGET_SHARE / 100 / hosts).max(1),
+        deposit: percent * BUDGET_SHARE * RETRY / 10_000,
+        refill: 0,
+    }
+}
+
+/// Holds a routed request that may be sent.
+pub struct Routed {
+    /// Gives the time of its arrival.
+    pub arrived: Instant,
+    /// Holds the body.
+    pub body: Bytes,
+    /// Gives the time after which the caller gets nothing more.
+    pub deadline: Instant,
+    /// Holds what its headers say.
+    pub facts: Facts,
+    /// Holds the headers.
+    pub headers: HeaderMap,
+    /// Holds the method.
+    pub method: Method,
+    /// Holds the route.
+    pub route: Route,
+    /// Names the service.
+    pub service: String,
+    /// Holds the path and the query.
+    pub uri: Uri,
+    /// Holds the workspace, where the table has any and the route needs one.
+    pub workspace: Option<Workspace>,
+}
+
+impl Routed {
+    /// Returns the time left, in milliseconds.
+    pub fn left_ms(&self, now: Instant) -> u64 {
+        self.deadline.since(now)
+    }
+}
+
+/// Answers a routed request.
+pub fn answer(context: Arc<Context>, request: Request) -> BoxFuture<'static, Response<Body>> {
+    async move {
+        let Some(gateway) = context.gateway.clone() else {
+            return answers::refuse(&request.id, Reason::UnknownPath);
+        };
+        let facts = Facts::read(&request.headers);
+        let id = facts.id.clone();
+        match accept(&context, &gateway, request, facts).await {
+            Err(failure) => refuse(&id, failure),
+            Ok(routed) => match gateway_run::run(&context, &gateway, routed).await {
+                Err(failure) => refuse(&id, failure),
+                Ok(response) => response,
+            },
+        }
+    }
+    .boxed()
+}
+
+/// Finds route and workspace of a request and reads its body.
+async fn accept(
+    context: &Context,
+    gateway: &Gateway,
+    mut request: Request,
+    facts: Facts,
+) -> Result<Routed, Failure> {
+    let arrived = context.clock.now();
+    let known = gateway.outlook.get(context).ok_or_else(|| {
+        let age = gateway.outlook.age_ms(context);
+        let details = slog::o!("request" => facts.id.clone(), "age_ms" => age);
+        event::emit(&context.log, Event::OutlookStale, details);
+        later(Reason::QuorumAway, MISSING_MS)
+    })?;
+    let route = known.index.route(&facts.host, request.uri.path());
+    let route = route
+        .cloned()
+        .ok_or(Failure::before_run(Reason::UnknownPath))?;
+    let workspace = workspace(&known, &route, &facts)?;
+    let service = drawn(&route.targets, rand::random());
+    let service = service
+        .ok_or(later(Reason::NoUpstream, MISSING_MS))?
+        .to_owned();
+    let patience = facts
+        .deadline_ms
+        .unwrap_or(route.timeout_ms)
+        .min(route.timeout_ms);
+    let deadline = arrived + patience;
+    let limit = context
+        .settings
+        .entry
+        .as_ref()
+        .map_or(0, |entry| entry.body_limit);
+    let body = request.read(limit, Duration::from_millis(patience)).await;
+    Ok(Routed {
+        arrived,
+        body: body.map_err(Failure::before_run)?,
+        deadline,
+        facts,
+        headers: request.headers,
+        method: request.method,
+        route,
+        service,
+        uri: request.uri,
+        workspace,
+    })
+}
+
+fn workspace(known: &Known, route: &Route, facts: &Facts) -> Result<Option<Workspace>, Failure> {
+    if known.index.table().workspaces.is_empty() || route.public {
+        return Ok(None);
+    }
+    let key = facts.key.as_ref();
+    let found = key.and_then(|key| known.index.workspace(key));
+    match found {
+        None => Err(Failure::before_run(Reason::Unauthorized)),
+        Some(workspace) => Ok(Some(workspace.clone())),
+    }
+}
+
+/// Returns a service by its weight.
+fn drawn(targets: &[Target], draw: u64) -> Option<&str> {
+    let sum: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut place = draw.checked_rem(sum)?;
+    for target in targets {
+        let weight = u64::from(target.weight);
+        if place < weight {
+            return Some(&target.service);
+        }
+        place -= weight;
+    }
+    None
+}
+
+/// Returns a failure of a request that did not run and may come back.
+pub fn later(reason: Reason, retry_after_ms: u64) -> Failure {
+    Failure {
+        not_run: NotRun::True,
+        reason,
+        retry_after_ms: Some(retry_after_ms),
+    }
+}
+
+/// Returns whether a request may run again after a run whose outcome is unknown.
+pub fn is_repeatable(route: &Route) -> bool {
+    match route.kind {
+        Kind::Idempotent | Kind::Order => route.is_repeatable(),
+        Kind::Stream => route.resumable,
+    }
+}
+
+fn refuse(id: &str, failure: Failure) -> Response<Body> {
+    let mut response = answers::fail(id, failure);
+    if let Some(after) = failure.retry_after_ms {
+        let value = caller::retry_after(after);
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- a/crates/hibiscushoistd/src/links.rs
+++ b/crates/hibiscushoistd/src/links.rs
@@ -65,6 +65,10 @@
                 domain: settings.failure_domain.clone(),
                 draining: false,
                 entry: settings.entry.as_ref().map(|_| entry),
+                gateway: settings
+                    .gateway
+                    .as_ref()
+                    .and_then(|gateway| gateway.callers),
                 load: Load::default(),
                 peer: self.address,
                 region: settings.region.clone(),
--- /dev/null
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -0,0 +1,190 @@
+//! Keeps what a host that serves callers knows of the routed table and the upstreams.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::context::Context;
+use coordination::host::Role;
+use coordination::outlook::Ask;
+use coordination::outlook::Freshness;
+use coordination::outlook::Outlook;
+use coordination::upstream::Fleet;
+use protocol::voter::Rejection;
+use state::routing_index::Index;
+use transport::event;
+use transport::event::Event;
+use transport::metric;
+
+/// Bounds one ask; a voter answers within a round trip and a turn of its thread.
+const CALL_LIMIT: Duration = Duration::from_millis(600);
+/// Gives the time between asks: a change is in force everywhere within a fraction of a second.
+const PERIOD: Duration = Duration::from_millis(250);
+/// Gives the pause after an ask that got no answer.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Holds what this host knows.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Lists the upstreams.
+    pub fleet: Arc<Fleet>,
+    /// Holds the routed table.
+    pub index: Arc<Index>,
+    /// Gives the newest weights version of each model.
+    pub weights: BTreeMap<String, u64>,
+}
+
+/// Shows what this host knows.
+#[derive(Clone)]
+pub struct Handle {
+    freshness: Arc<Mutex<Freshness>>,
+    known: watch::Receiver<Arc<Known>>,
+}
+
+impl Handle {
+    /// Returns what this host knows, where it is young enough to rely on.
+    pub fn get(&self, context: &Context) -> Option<Arc<Known>> {
+        let freshness = *self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let known = self.known.borrow().clone();
+        let usable = freshness.holds(context.clock.now()) && known.index.table().version > 0;
+        usable.then_some(known)
+    }
+
+    /// Returns the age of what this host knows, in milliseconds.
+    pub fn age_ms(&self, context: &Context) -> Option<u64> {
+        let freshness = *self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        freshness.age_ms(context.clock.now())
+    }
+
+    /// Returns what this host knows and its later versions.
+    pub fn watch(&self) -> watch::Receiver<Arc<Known>> {
+        self.known.clone()
+    }
+}
+
+/// Returns a handle that shows nothing until [`Keeper::run`] has asked.
+pub fn channel(limit: Duration) -> (Keeper, Handle) {
+    let (publish, known) = watch::channel(Arc::default());
+    let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+    let freshness = Arc::new(Mutex::new(Freshness::new(limit)));
+    let handle = Handle {
+        freshness: freshness.clone(),
+        known,
+    };
+    (Keeper { freshness, publish }, handle)
+}
+
+/// Asks the voter that leads, again and again.
+pub struct Keeper {
+    freshness: Arc<Mutex<Freshness>>,
+    publish: watch::Sender<Arc<Known>>,
+}
+
+impl Keeper {
+    /// Asks until the task is dropped.
+    pub async fn run(self, context: Arc<Context>) {
+        let mut leader: Option<SocketAddr> = None;
+        let mut turn = rand::random::<u32>() as usize;
+        loop {
+            let target = leader.or_else(|| {
+                let voters = voters(&context);
+                turn = turn.wrapping_add(1);
+                voters.get(turn % voters.len().max(1)).copied()
+            });
+            let Some(target) = target else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            match self.ask(&context, target).await {
+                Ok(()) => {
+                    leader = Some(target);
+                    tokio::time::sleep(PERIOD).await;
+                }
+                Err(hint) => {
+                    leader = hint.filter(|hint| *hint != target);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Asks one voter; an error names the one that leads, if the voter knew it.
+    async fn ask(&self, context: &Context, target: SocketAddr) -> Result<(), Option<SocketAddr>> {
+        let pool = context.pool.as_ref().ok_or(None)?;
+        let known = self.publish.borrow().clone();
+        let ask = Ask {
+            edition: known.fleet.edition,
+            host: context.settings.name.clone(),
+            version: known.index.table().version,
+        };
+        let asked = context.clock.now();
+        let client = pool.client(target, None);
+        let call = client.call(CALL_LIMIT, |peer, call| async move {
+            peer.outlook(call, ask).await
+        });
+        let outlook = match call.await {
+            Err(error) => {
+                metrics::counter!(metric::OUTLOOK_FAILURES).increment(1);
+                let details = slog::o!("voter" => target.to_string(), "error" => error.to_string());
+                event::emit(&context.log, Event::OutlookFailed, details);
+                return Err(None);
+            }
+            Ok(Err(Rejection::NotLeader(leader))) => return Err(leader),
+            Ok(Err(_)) => return Err(None),
+            Ok(Ok(outlook)) => outlook,
+        };
+        self.take(context, &known, outlook);
+        let mut freshness = self
+            .freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        freshness.confirm(asked);
+        Ok(())
+    }
+
+    fn take(&self, context: &Context, known: &Known, outlook: Outlook) {
+        let newer = |table: &Arc<_>| {
+            let table: &Arc<state::routing::Table> = table;
+            table.version > known.index.table().version
+        };
+        let table = outlook.table.filter(newer);
+        let fleet = outlook.fleet.filter(|f| f.edition > known.fleet.edition);
+        if table.is_none() && fleet.is_none() && outlook.weights == known.weights {
+            return;
+        }
+        if let Some(table) = &table {
+            let details = slog::o!("version" => table.version, "routes" => table.routes.len());
+            event::emit(&context.log, Event::RoutesApplied, details);
+        }
+        self.publish.send_replace(Arc::new(Known {
+            fleet: fleet.map_or_else(|| known.fleet.clone(), Arc::new),
+            index: table.map_or_else(|| known.index.clone(), |t| Arc::new(Index::new(t))),
+            weights: outlook.weights,
+        }));
+    }
+}
+
+/// Lists the voters that this host knows of.
+fn voters(context: &Context) -> Vec<SocketAddr> {
+    let view = context.view();
+    let present = view.present(Role::Voter);
+    let mut voters: Vec<SocketAddr> = present.map(|m| m.record.profile.peer).collect();
+    let first = context.settings.voters.iter().map(|voter| voter.address);
+    for address in first {
+        if !voters.contains(&address) {
+            voters.push(address);
+        }
+    }
+    voters
+}
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -8,6 +8,7 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::broker::Error;
 use crate::broker::Handle;
@@ -24,7 +25,10 @@
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
+use coordination::outlook;
+use coordination::outlook::Outlook;
 use coordination::quarantine;
+use coordination::upstream::Fleet;
 use protocol::operator::History;
 use protocol::operator::Voters;
 use protocol::peer::Peer;
@@ -47,6 +51,8 @@
 pub struct Service {
     /// Reaches the broker of the upstreams that this host owns.
     pub broker: Handle,
+    /// Shows the upstreams of routed services, as this host published them while it led.
+    pub fleet: watch::Receiver<Arc<Fleet>>,
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
     /// Answers for the requests that may crash upstreams.
@@ -117,6 +123,23 @@
     async fn hold(self, _: Context, held: Held) {
         let _ = self.broker.feed(broker::Event::Held(held));
     }
+
+    async fn outlook(self, _: Context, ask: outlook::Ask) -> Result<Outlook, Rejection> {
+        let reading = self.voter.read_here().await?;
+        let fleet = self.fleet.borrow().clone();
+        let fleet = (fleet.edition > ask.edition).then(|| (*fleet).clone());
+        let table = &reading.routed.table;
+        Ok(Outlook {
+            fleet,
+            table: (table.version > ask.version).then(|| table.clone()),
+            weights: reading.routed.weights.clone(),
+        })
+    }
+
+    async fn source(self, _: Context) -> Result<Arc<String>, Rejection> {
+        let reading = self.voter.read_here().await?;
+        Ok(reading.routed.source.clone())
+    }
 }
 
 /// Answers the calls of other daemons until the task is dropped.
--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -5,7 +5,9 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
+use gotham::handler::Handler;
 use gotham::handler::HandlerFuture;
+use gotham::handler::NewHandler;
 use gotham::hyper::Method;
 use gotham::hyper::StatusCode;
 use gotham::router::Router;
@@ -69,6 +71,14 @@
     })
 }
 
+/// Returns a handler that has one endpoint answer every request.
+pub fn whole(
+    path: &'static str,
+    endpoint: Endpoint,
+) -> impl NewHandler<Instance = impl Handler> + Clone + 'static {
+    move || Ok(to(path, endpoint))
+}
+
 fn to(
     path: &'static str,
     endpoint: Endpoint,
--- a/crates/hibiscushoistd/src/settings.rs
+++ b/crates/hibiscushoistd/src/settings.rs
@@ -47,6 +47,18 @@
         ],
         name: "entry",
     },
+    Section {
+        keys: &[
+            "callers",
+            "control",
+            "freshness_ms",
+            "list",
+            "readiness",
+            "retry_percent",
+            "retry_slack",
+        ],
+        name: "gateway",
+    },
     Section {
         keys: &["form", "level"],
         name: "log",
@@ -56,7 +68,14 @@
         name: "operator",
     },
     Section {
-        keys: &["advertise", "key", "listen", "previous_key", "seeds"],
+        keys: &[
+            "advertise",
+            "key",
+            "listen",
+            "previous_key",
+            "seed_port",
+            "seeds",
+        ],
         name: "peer",
     },
     Section {
@@ -64,7 +83,7 @@
         name: "platform",
     },
     Section {
-        keys: &["members"],
+        keys: &["found", "members", "seeds"],
         name: "voters",
     },
 ];
@@ -92,6 +111,10 @@
     pub failure_domain: String,
     /// Names the fleet.
     pub fleet: String,
+    /// Tells whether the first voters may found a group.
+    pub found: bool,
+    /// Holds the settings of routed services, where the daemon has a part in them.
+    pub gateway: Option<Gateway>,
     /// Holds the settings of the log.
     pub log: Log,
     /// Names the host.
@@ -137,6 +160,25 @@
     pub write_timeout: Duration,
 }
 
+/// Holds the settings of routed services.
+#[derive(Clone, Debug)]
+pub struct Gateway {
+    /// Holds the address to bind for callers of routed services.
+    pub callers: Option<SocketAddr>,
+    /// Holds the address to bind for operators and for callers that ask where to connect.
+    pub control: Vec<SocketAddr>,
+    /// Bounds the age of a table by which requests are judged.
+    pub freshness: Duration,
+    /// Holds the address of the platform's list of upstreams.
+    pub list: Option<SocketAddr>,
+    /// Holds the address to bind for checks whether the host takes callers.
+    pub readiness: Option<SocketAddr>,
+    /// Gives the retries that all hosts together may add to a service's requests, in percent.
+    pub retry_percent: u64,
+    /// Gives the retries that all hosts together may make beside that share.
+    pub retry_slack: u64,
+}
+
 /// Holds the settings of the log.
 #[derive(Clone, Copy, Debug)]
 pub struct Log {
@@ -225,6 +267,8 @@
             entry: entry(file)?,
             failure_domain: file.required("daemon", "failure_domain", NAME, name)?,
             fleet: file.required("daemon", "fleet", NAME, name)?,
+            found: file.optional("voters", "found", true, "true or false", flag)?,
+            gateway: gateway(file)?,
             log: log(file)?,
             name: file.required("daemon", "name", NAME, name)?,
             operator_key_hash: file.optional("operator", "key_hash", None, HASH, |text| {
@@ -239,13 +283,7 @@
                 "a list of broker, entry and voter",
                 roles,
             )?,
-            voters: file.optional(
-                "voters",
-                "members",
-                Vec::new(),
-                "a list such as a@192.0.2.1:7000, b@192.0.2.2:7000",
-                list,
-            )?,
+            voters: voters(file)?,
         };
         settings.agree(file)?;
         Ok(settings)
@@ -315,6 +353,35 @@
     }))
 }
 
+fn gateway(file: &File) -> Result<Option<Gateway>, Error> {
+    if !file.has("gateway") {
+        return Ok(None);
+    }
+    let address = |key| file.optional("gateway", key, None, ADDRESS, some_address);
+    let count = |key, default, most| {
+        let accepted = format!("a whole number from 0 to {most}");
+        file.optional("gateway", key, default, &accepted, number(0, most))
+    };
+    let accepted = "milliseconds from 1 to 86400000";
+    let freshness = number(1, 86_400_000);
+    let freshness = file.optional("gateway", "freshness_ms", 4_000, accepted, freshness)?;
+    Ok(Some(Gateway {
+        callers: address("callers")?,
+        control: file.optional(
+            "gateway",
+            "control",
+            Vec::new(),
+            "a list of addresses",
+            list,
+        )?,
+        freshness: Duration::from_millis(freshness),
+        list: address("list")?,
+        readiness: address("readiness")?,
+        retry_percent: count("retry_percent", 20, 100)?,
+        retry_slack: count("retry_slack", 50, 1_000_000)?,
+    }))
+}
+
 fn log(file: &File) -> Result<Log, Error> {
     Ok(Log {
         form: file.optional("log", "form", Form::Human, "human or json", |text| {
@@ -334,6 +401,15 @@
     if !file.has("peer") {
         return Ok(None);
     }
+    let accepted = "a port from 1 to 65535";
+    let port = |text: &str| number(1, 65_535)(text).map(|port| Some(port as u16));
+    let port = file.optional("peer", "seed_port", None, accepted, port)?;
+    let seeds: Vec<SocketAddr> =
+        file.optional("peer", "seeds", Vec::new(), "a list of addresses", list)?;
+    let seeds = seeds.into_iter().map(|mut seed| {
+        seed.set_port(port.unwrap_or(seed.port()));
+        seed
+    });
     Ok(Some(Peer {
         advertise: file.optional("peer", "advertise", None, ADDRESS, some_address)?,
         key: file.required("peer", "key", HASH, key)?,
@@ -341,10 +417,34 @@
         previous_key: file.optional("peer", "previous_key", None, HASH, |text| {
             key(text).map(Some)
         })?,
-        seeds: file.optional("peer", "seeds", Vec::new(), "a list of addresses", list)?,
+        seeds: seeds.collect(),
     }))
 }
 
+/// Returns the first voters: those listed, or the daemons at the seeds, named by their IP numbers.
+fn voters(file: &File) -> Result<Vec<Voter>, Error> {
+    let accepted = "a list such as a@192.0.2.1:7000, b@192.0.2.2:7000";
+    let listed: Vec<Voter> = file.optional("voters", "members", Vec::new(), accepted, list)?;
+    if !file.optional("voters", "seeds", false, "true or false", flag)? {
+        return Ok(listed);
+    }
+    if !listed.is_empty() {
+        let reason = "the seeds are the first voters; drop the list or `seeds`";
+        return Err(file.clash("voters", "members", reason));
+    }
+    let mut seeds = peer(file)?.map(|peer| peer.seeds).unwrap_or_default();
+    seeds.sort();
+    let named = seeds.into_iter().map(|address| Voter {
+        address,
+        name: address.ip().to_string(),
+    });
+    Ok(named.collect())
+}
+
+fn flag(text: &str) -> Option<bool> {
+    text.parse().ok()
+}
+
 fn key(text: &str) -> Option<[u8; 32]> {
     let hash = blake3::Hash::from_hex(text).ok()?;
     Some(*hash.as_bytes())
--- /dev/null
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -0,0 +1,298 @@
+//! Looks after the upstreams of routed services, on the host whose voter leads: reads the
+//! platform's list, has engines reload, and publishes what hosts need to know.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::header::CONTENT_TYPE;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::voter_call::Reading;
+use coordination::reload::Effect;
+use coordination::reload::Event;
+use coordination::reload::Order;
+use coordination::reload::Outcome;
+use coordination::reload::Policy;
+use coordination::reload::Reload;
+use coordination::reload::Report;
+use coordination::upstream::Edition;
+use coordination::upstream::Fleet;
+use coordination::upstream::Seen;
+use coordination::upstream::Standing;
+use coordination::upstream::Upstream;
+use platform::engine;
+use platform::header;
+use platform::listing;
+use platform::path;
+use transport::event;
+use transport::lane::Body;
+use transport::lane::Lanes;
+use transport::lane::Limits;
+use transport::metric;
+
+/// Bounds one call to the platform or an engine; they answer within milliseconds.
+const CALL_LIMIT: Duration = Duration::from_millis(600);
+/// Gives the time between two reads of the list, which itself lags by most of a second.
+const LIST_PERIOD: Duration = Duration::from_millis(400);
+/// Bounds the pages of one read of the list, against a list that never ends.
+const PAGES: usize = 64;
+const RING_EVENTS: usize = 1_024;
+const TICK: Duration = Duration::from_millis(100);
+
+const LIMITS: Limits = Limits {
+    connect: Duration::from_millis(300),
+    idle: Duration::from_millis(2_000),
+};
+
+struct Steward {
+    context: Arc<Context>,
+    events: mpsc::Sender<Event>,
+    lanes: Lanes,
+    list: SocketAddr,
+    number: u64,
+    publish: watch::Sender<Arc<Fleet>>,
+    reload: Reload,
+    seen: Vec<Seen>,
+    term: Option<u64>,
+}
+
+/// Looks after upstreams whenever this host's voter leads, until the task is dropped.
+pub async fn run(context: Arc<Context>, list: SocketAddr, publish: watch::Sender<Arc<Fleet>>) {
+    let (events, mut arrived) = mpsc::channel(RING_EVENTS);
+    let mut steward = Steward {
+        context,
+        events,
+        lanes: Lanes::default(),
+        list,
+        number: 0,
+        publish,
+        reload: Reload::new(Policy::default()),
+        seen: Vec::new(),
+        term: None,
+    };
+    let mut list_due = Instant::now();
+    loop {
+        let event = tokio::select! {
+            Some(event) = arrived.recv() => event,
+            () = tokio::time::sleep(TICK) => Event::Tick,
+        };
+        let Some(reading) = steward.lead().await else {
+            continue;
+        };
+        steward.step(Event::Named(reading.routed.weights.clone()));
+        if Instant::now() >= list_due {
+            list_due = Instant::now() + LIST_PERIOD;
+            steward.read_list().await;
+        }
+        steward.step(event);
+        steward.show();
+    }
+}
+
+impl Steward {
+    /// Returns the state where this host leads, and notes when it begins or ends to.
+    async fn lead(&mut self) -> Option<Reading> {
+        let Ok(reading) = self.context.voter.read_here().await else {
+            self.term = None;
+            return None;
+        };
+        if self.term != Some(reading.term) {
+            self.term = Some(reading.term);
+            self.number = 0;
+            self.seen.clear();
+            self.step(Event::Led);
+        }
+        Some(reading)
+    }
+
+    async fn read_list(&mut self) {
+        let mut seen = Vec::new();
+        let mut next: Option<String> = None;
+        for _ in 0..PAGES {
+            let path = match &next {
+                None => path::LISTING.to_owned(),
+                Some(page) => format!("{}?page_token={page}", path::LISTING),
+            };
+            let answer = self.get(self.list, path, None).await;
+            let page = match answer.map(|bytes| listing::decode(&bytes)) {
+                Some(Ok(page)) => page,
+                Some(Err(error)) => return self.list_failed(error.to_string()),
+                None => return self.list_failed("no answer".to_owned()),
+            };
+            seen.extend(page.upstreams);
+            next = page.next;
+            if next.is_none() {
+                self.seen = seen.clone();
+                self.step(Event::Listed(seen));
+                return;
+            }
+        }
+    }
+
+    fn list_failed(&self, error: String) {
+        metrics::counter!(metric::LIST_FAILURES).increment(1);
+        event::emit(
+            &self.context.log,
+            event::Event::ListFailed,
+            slog::o!("error" => error),
+        );
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.context.clock.now();
+        for effect in self.reload.step(now, event) {
+            match effect {
+                Effect::Order(order) => self.order(order),
+                Effect::Read(id) => self.read(id),
+            }
+        }
+    }
+
+    fn address(&self, id: &str) -> Option<SocketAddr> {
+        let seen = self.seen.iter().find(|seen| seen.id == id);
+        seen.map(|seen| seen.address)
+    }
+
+    fn read(&self, id: String) {
+        let Some(address) = self.address(&id) else {
+            return;
+        };
+        let events = self.events.clone();
+        let call = get(
+            self.lanes.clone(),
+            address,
+            path::ENGINE_REPORT.to_owned(),
+            Some(id.clone()),
+        );
+        tokio::spawn(async move {
+            let answer = call.await;
+            let report: Option<Report> = answer.and_then(|bytes| engine::report(&bytes).ok());
+            let _ = events.send(Event::Reported(id, report)).await;
+        });
+    }
+
+    fn order(&self, order: Order) {
+        let (Some(address), Some(term)) = (self.address(&order.id), self.term) else {
+            return;
+        };
+        let context = self.context.clone();
+        let events = self.events.clone();
+        let lanes = self.lanes.clone();
+        tokio::spawn(async move {
+            let outcome = give(&context, &lanes, address, &order, term).await;
+            metrics::counter!(metric::RELOADS, "outcome" => <&str>::from(outcome)).increment(1);
+            let details = slog::o!(
+                "upstream" => order.id.clone(),
+                "model" => order.model.clone(),
+                "version" => order.version,
+                "orders" => order.orders,
+                "fence" => term,
+                "outcome" => <&str>::from(outcome),
+            );
+            event::emit(&context.log, event::Event::ReloadOrdered, details);
+            let _ = events.send(Event::Answered(order.id, outcome)).await;
+        });
+    }
+
+    async fn get(
+        &self,
+        address: SocketAddr,
+        path: String,
+        expect: Option<String>,
+    ) -> Option<Bytes> {
+        get(self.lanes.clone(), address, path, expect).await
+    }
+
+    /// Publishes the upstreams where something about them has changed.
+    fn show(&mut self) {
+        let Some(term) = self.term.filter(|_| !self.seen.is_empty()) else {
+            return;
+        };
+        let upstreams: Vec<Upstream> = self.seen.iter().map(|seen| self.shown(seen)).collect();
+        let shown = self.publish.borrow().clone();
+        if shown.edition.term == term && shown.upstreams == upstreams {
+            return;
+        }
+        self.number += 1;
+        let edition = Edition {
+            term,
+            number: self.number,
+        };
+        let details = slog::o!("upstreams" => upstreams.len(), "edition" => self.number);
+        event::emit(&self.context.log, event::Event::FleetChanged, details);
+        self.publish
+            .send_replace(Arc::new(Fleet { edition, upstreams }));
+    }
+
+    fn shown(&self, seen: &Seen) -> Upstream {
+        let standing = match (seen.leaving, self.reload.is_loading(&seen.id)) {
+            (true, _) => Standing::Leaving,
+            (false, true) => Standing::Loading,
+            (false, false) => Standing::Ready,
+        };
+        let weights = self.reload.weights(&seen.id);
+        Upstream {
+            address: seen.address,
+            domain: seen.domain.clone(),
+            id: seen.id.clone(),
+            service: seen.service.clone(),
+            slots: seen.slots,
+            standing,
+            weights: weights.unwrap_or(&seen.weights).clone(),
+        }
+    }
+}
+
+/// Gives an order, unless this host no longer leads.
+async fn give(
+    context: &Context,
+    lanes: &Lanes,
+    address: SocketAddr,
+    order: &Order,
+    term: u64,
+) -> Outcome {
+    let reading = context.voter.read_here().await;
+    if reading.is_ok_and(|reading| reading.term != term) {
+        return Outcome::Refused;
+    }
+    let Ok(body) = engine::order(order, &context.settings.name, term) else {
+        return Outcome::Refused;
+    };
+    let request = Request::post(path::ENGINE_ORDER)
+        .header(CONTENT_TYPE, "application/json")
+        .header(header::EXPECT_UPSTREAM, &order.id)
+        .header("host", address.to_string())
+        .body(Body::from(body));
+    let Ok(request) = request else {
+        return Outcome::Refused;
+    };
+    match lanes.exchange(address, request, LIMITS, CALL_LIMIT).await {
+        Err(error) if error.not_sent() => Outcome::Refused,
+        Err(_) => Outcome::Unknown,
+        Ok(response) => engine::outcome(response.status().as_u16()),
+    }
+}
+
+async fn get(
+    lanes: Lanes,
+    address: SocketAddr,
+    path: String,
+    expect: Option<String>,
+) -> Option<Bytes> {
+    let mut request = Request::get(path).header("host", address.to_string());
+    if let Some(id) = expect {
+        request = request.header(header::EXPECT_UPSTREAM, id);
+    }
+    let request = request.body(Body::default()).ok()?;
+    let answer = lanes.exchange(address, request, LIMITS, CALL_LIMIT).await;
+    let response = answer
+        .ok()
+        .filter(|response| response.status().is_success())?;
+    Some(response.into_body())
+}
--- a/crates/hibiscushoistd/src/voter.rs
+++ b/crates/hibiscushoistd/src/voter.rs
@@ -13,6 +13,7 @@
 use crate::follow::Follower;
 use crate::pool::Pool;
 use crate::voter_call::Call;
+use crate::voter_call::Reading;
 use crate::voter_call::Reply;
 use crate::voter_call::Status;
 use coordination::lease;
@@ -32,6 +33,7 @@
 use state::edit::Edit;
 use state::edit::Receipt;
 use state::ledger;
+use state::routing;
 use state::table;
 use state::table::Table;
 use transport::metric;
@@ -132,6 +134,43 @@
         }
     }
 
+    /// Has a routed table come into force unless one as new is, and returns the version in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the voters could not be reached.
+    pub async fn route(
+        &self,
+        source: Arc<String>,
+        table: Arc<routing::Table>,
+    ) -> Result<u64, Error> {
+        match self.propose(Command::Route { source, table }).await? {
+            Answer::Route(version) => Ok(version),
+            _ => Err(Error::Answer),
+        }
+    }
+
+    /// Names the weights version that engines of `model` should have, and returns the newest.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the voters could not be reached.
+    pub async fn name_weights(&self, model: String, version: u64) -> Result<u64, Error> {
+        match self.propose(Command::Weights { model, version }).await? {
+            Answer::Weights(version) => Ok(version),
+            _ => Err(Error::Answer),
+        }
+    }
+
+    /// Returns the operator's text of the routed table, under everything acknowledged before.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no voter that leads could be reached.
+    pub async fn source(&self) -> Result<Arc<String>, Error> {
+        self.reach(|target| self.send_source(target)).await
+    }
+
     /// Changes the voters.
     ///
     /// # Errors
@@ -160,12 +199,12 @@
         self.reach(|target| self.send_history(target, after)).await
     }
 
-    /// Returns the table under everything acknowledged before; only the voter that leads can.
+    /// Returns the state under everything acknowledged before; only the voter that leads can.
     ///
     /// # Errors
     ///
     /// Returns why this host's voter cannot tell.
-    pub async fn read_here(&self) -> Result<Arc<Table>, Rejection> {
+    pub async fn read_here(&self) -> Result<Reading, Rejection> {
         self.ask(Call::Read).await
     }
 
@@ -398,6 +437,17 @@
         call.await.unwrap_or_else(|error| Err(unsent(&error)))
     }
 
+    async fn send_source(&self, target: Option<SocketAddr>) -> Result<Arc<String>, Rejection> {
+        let Some((pool, address)) = self.pool.as_ref().zip(target) else {
+            return Ok(self.read_here().await?.routed.source.clone());
+        };
+        let client = pool.client(address, None);
+        let call = client.call(CALL_LIMIT, |peer, context| async move {
+            peer.source(context).await
+        });
+        call.await.unwrap_or_else(|error| Err(unsent(&error)))
+    }
+
     async fn send_voters(&self, target: Option<SocketAddr>) -> Result<Voters, Rejection> {
         let Some((pool, address)) = self.pool.as_ref().zip(target) else {
             return self.voters_here().ok_or(Rejection::Ended);
--- a/crates/hibiscushoistd/src/voter_call.rs
+++ b/crates/hibiscushoistd/src/voter_call.rs
@@ -17,6 +17,7 @@
 use protocol::voter::Packet;
 use protocol::voter::Rejection;
 use protocol::voter::Spread;
+use state::routing::Held;
 use state::table::Table;
 
 /// Takes the answer to a call.
@@ -34,14 +35,25 @@
     Packet(Packet),
     /// Asks to replicate a command.
     Propose(Command, Reply<Answer>),
-    /// Asks for the table as it is now, under everything acknowledged before.
-    Read(Reply<Arc<Table>>),
+    /// Asks for the state as it is now, under everything acknowledged before.
+    Read(Reply<Reading>),
     /// Asks for what a daemon at a revision lacks.
     Spread(u64, Reply<Spread>),
     /// Wakes the duty after a write.
     Written,
 }
 
+/// Holds the replicated state as of a read.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    /// Holds the routed table and the weights versions.
+    pub routed: Arc<Held>,
+    /// Holds the table.
+    pub table: Arc<Table>,
+    /// Gives the term in which this voter leads.
+    pub term: u64,
+}
+
 /// Shows the voter of this host.
 #[derive(Clone, Debug, Default)]
 pub struct Status {
--- a/crates/hibiscushoistd/src/voter_duty.rs
+++ b/crates/hibiscushoistd/src/voter_duty.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::voter_call::Call;
+use crate::voter_call::Reading;
 use crate::voter_call::Reply;
 use crate::voter_call::Status;
 use crate::voter_disk::Job;
@@ -46,7 +47,7 @@
 enum Waiter {
     Change(Reply<()>),
     Command(Reply<Answer>),
-    Read(Reply<Arc<Table>>),
+    Read(Reply<Reading>),
 }
 
 /// Holds what the duty works with.
@@ -319,11 +320,15 @@
     }
 
     fn answer_reads(&mut self) {
-        let table = self.machine.table().clone();
+        let reading = Reading {
+            routed: self.machine.routed().clone(),
+            table: self.machine.table().clone(),
+            term: self.raft.as_ref().map_or(0, Raft::term),
+        };
         let later = self.due.reads.split_off(&(self.due.applied + 1, Token(0)));
         for (_, waiter) in std::mem::replace(&mut self.due.reads, later) {
             if let Waiter::Read(reply) = waiter {
-                let _ = reply.send(Ok(table.clone()));
+                let _ = reply.send(Ok(reading.clone()));
             }
         }
     }
--- a/crates/hibiscushoistd/src/voter_start.rs
+++ b/crates/hibiscushoistd/src/voter_start.rs
@@ -127,7 +127,7 @@
     if let Some(pool) = handle.pool.as_ref().filter(|_| !settings.voters.is_empty()) {
         let upkeep = Upkeep {
             calls: calls.clone(),
-            founded: handle.table.borrow().revision() > 0,
+            founded: handle.table.borrow().revision() > 0 || !settings.found,
             log: log.clone(),
             name: settings.name.clone(),
             pool: pool.clone(),
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,5 +1,7 @@
 //! The one service that daemons offer each other over an authenticated connection.
 
+use std::sync::Arc;
+
 use crate::operator::History;
 use crate::operator::Voters;
 use crate::voter::Ask;
@@ -15,10 +17,12 @@
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
+use coordination::outlook;
+use coordination::outlook::Outlook;
 use coordination::quarantine;
 
 /// Numbers the form of the messages; a connection needs the same number on both ends.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// Serves the other daemons of the fleet.
 ///
@@ -51,4 +55,8 @@
     async fn settle(report: Report);
     /// Reports a request again to the new owner of its upstream.
     async fn hold(held: Held);
+    /// Tells what a host that serves callers lacks; only the voter that leads can.
+    async fn outlook(ask: outlook::Ask) -> Result<Outlook, Rejection>;
+    /// Returns the operator's text of the routed table; only the voter that leads can.
+    async fn source() -> Result<Arc<String>, Rejection>;
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod ledger;
 pub mod queue;
 pub mod rank;
+pub mod routing;
+pub mod routing_index;
 pub mod row;
 pub mod sheet;
 pub mod table;
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -24,12 +24,28 @@
     ConnectionLimit = 111,
     /// Logs that a request was refused.
     RequestRefused = 120,
+    /// Logs that an attempt at a routed request failed.
+    AttemptFailed = 121,
+    /// Logs that no upstream takes a routed request.
+    RoutedRefused = 122,
+    /// Logs that a routed request was refused because the host's table may be out of date.
+    OutlookStale = 123,
     /// Logs that an accepted edit is in force here.
     TableApplied = 200,
     /// Logs that an edit was refused.
     EditRefused = 201,
     /// Logs that the table could not be saved for the next start.
     TableNotSaved = 202,
+    /// Logs that a routed table is in force here.
+    RoutesApplied = 203,
+    /// Logs that a routed table was accepted, or that one as new was in force.
+    RoutesAccepted = 204,
+    /// Logs that a routed table was refused.
+    RoutesRefused = 205,
+    /// Logs that the voters did not answer for a routed table.
+    RoutesUnanswered = 206,
+    /// Logs that new weights were named.
+    WeightsNamed = 207,
     /// Logs that the voter's data folder was opened.
     VoterStarted = 210,
     /// Logs that this voter leads from now on.
@@ -78,6 +94,10 @@
     PeerRefused = 316,
     /// Logs that the owner of upstreams cannot be asked and that this host places requests itself.
     OwnerAway = 317,
+    /// Logs that the list of upstreams could not be read.
+    ListFailed = 318,
+    /// Logs that the upstreams that hosts are told have changed.
+    FleetChanged = 319,
     /// Logs that an engine was given an order.
     RolloutOrdered = 320,
     /// Logs that an engine serves what the table asks for.
@@ -90,20 +110,32 @@
     RolloutStuck = 324,
     /// Logs that this host no longer controls roll-outs.
     RolloutLost = 325,
+    /// Logs how an engine answered the order to load newer weights.
+    ReloadOrdered = 326,
+    /// Logs that a voter did not tell what this host lacks.
+    OutlookFailed = 327,
 }
 
 impl Event {
     /// Returns the severity of the event.
     pub fn level(self) -> Level {
         match self {
-            Self::ConnectionFailed | Self::HostLoaded | Self::RequestRefused => Level::Debug,
+            Self::AttemptFailed
+            | Self::ConnectionFailed
+            | Self::FleetChanged
+            | Self::HostLoaded
+            | Self::OutlookStale
+            | Self::RequestRefused
+            | Self::RoutedRefused => Level::Debug,
             Self::ConnectionLimit
             | Self::DiskFull
             | Self::DrainLimitPassed
             | Self::HostDied
             | Self::LeadershipLost
             | Self::LinkCut
+            | Self::ListFailed
             | Self::LogTorn
+            | Self::OutlookFailed
             | Self::OwnerAway
             | Self::Paused
             | Self::PeerRefused
@@ -122,14 +154,20 @@
             | Self::HostSuspected
             | Self::LeadershipGained
             | Self::LinkMended
+            | Self::ReloadOrdered
             | Self::Reunited
             | Self::RolloutDone
             | Self::RolloutOrdered
+            | Self::RoutesAccepted
+            | Self::RoutesApplied
+            | Self::RoutesRefused
+            | Self::RoutesUnanswered
             | Self::Started
             | Self::Stopped
             | Self::TableApplied
             | Self::VoterStarted
-            | Self::VotersChanged => Level::Info,
+            | Self::VotersChanged
+            | Self::WeightsNamed => Level::Info,
             Self::DiskFailed | Self::Isolated | Self::NameTaken | Self::VoterForeign => {
                 Level::Error
             }
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gotham::router::Router;
+use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
 use hyper::Request;
@@ -51,19 +51,19 @@
 /// Puts what handlers share into the state of each request.
 pub type Prepare = Arc<dyn Fn(&mut State) + Send + Sync>;
 
-/// Accepts connections and hands each request to a router.
-pub struct Server {
+/// Accepts connections and hands each request to a handler.
+pub struct Server<H> {
+    /// Answers each request.
+    pub handler: H,
     /// Bounds what is accepted.
     pub limits: Limits,
     /// Receives events.
     pub log: Logger,
     /// Puts shared values into each request's state.
     pub prepare: Prepare,
-    /// Chooses the handler of each request.
-    pub router: Router,
 }
 
-impl Server {
+impl<H: NewHandler + Clone + 'static> Server<H> {
     /// Serves `listener` until `stop` turns true, then until the last open request has ended.
     pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let server = Arc::new(self);
@@ -133,8 +133,8 @@
     ) -> Result<Response<Body>, Infallible> {
         let mut state = State::from_request(request, peer);
         (self.prepare)(&mut state);
-        let router = Arc::new(self.router.clone());
-        let answer = call_handler(router, AssertUnwindSafe(state)).await;
+        let handler = Arc::new(self.handler.clone());
+        let answer = call_handler(handler, AssertUnwindSafe(state)).await;
         Ok(answer.unwrap_or_else(|_| internal_error()))
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod event;
 pub mod http;
+pub mod lane;
 pub mod log;
 pub mod log_frame;
 pub mod metric;
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -15,6 +15,8 @@
 pub const MEMBERSHIP_CHANGES: &str = "hibiscushoist_membership_changes_total";
 /// Gives the index of the newest committed entry known here.
 pub const LOG_COMMITTED: &str = "hibiscushoist_log_committed";
+/// Counts reads of the list of upstreams that failed.
+pub const LIST_FAILURES: &str = "hibiscushoist_list_failures_total";
 /// Counts messages of the replicated log that were dropped because their ring was full.
 pub const LOG_DROPS: &str = "hibiscushoist_log_drops_total";
 /// Counts synced writes of the replicated log.
@@ -23,6 +25,8 @@
 pub const LOG_TERM: &str = "hibiscushoist_log_term";
 /// Counts orders to plain services by how they ended.
 pub const ORDERS: &str = "hibiscushoist_orders_total";
+/// Counts asks for what this host lacks that a voter did not answer.
+pub const OUTLOOK_FAILURES: &str = "hibiscushoist_outlook_failures_total";
 /// Gives how many upstreams this host owns.
 pub const OWNED_UPSTREAMS: &str = "hibiscushoist_owned_upstreams";
 /// Counts requests that this host placed itself because the owner could not be asked.
@@ -41,6 +45,8 @@
 pub const PEER_SILENCES: &str = "hibiscushoist_peer_silences_total";
 /// Counts requests that were held back because they crashed upstreams.
 pub const QUARANTINED: &str = "hibiscushoist_quarantined_total";
+/// Counts orders to load newer weights, by outcome.
+pub const RELOADS: &str = "hibiscushoist_reloads_total";
 /// Counts requests by path class and outcome.
 pub const REQUESTS: &str = "hibiscushoist_requests_total";
 /// Counts refusals by reason.
