Reload the engine that lags furthest, and take SIGHUP as a hint to read the settings

The daemon now reads the file then, and every 5 s as it may change without a signal, and asks the new seeds. Cause of engines two versions behind: an engine that had just loaded was ordered the next version at once while others had not had their turn. It now settles when it has what was ordered. A failed answer of an upstream is passed on unchanged where no retry is allowed; logs go to standard output. Ruled out: memory (7 MB at peak).

--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -67,6 +67,8 @@
     Leave,
     /// Tells how loaded this host is.
     Load(Load),
+    /// Replaces the addresses that are asked first.
+    Seeds(Vec<SocketAddr>),
     /// Lets time pass; due every [`crate::membership::TICK_MS`].
     Tick,
 }
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -144,6 +144,7 @@
             Event::Failed(call) => self.failed(call),
             Event::Leave => self.leave(),
             Event::Load(load) => self.roster.restate(|profile| profile.load = load),
+            Event::Seeds(seeds) => self.seeds = seeds,
             Event::Tick => self.tick(),
         }
         let changes = self.roster.changes().into_iter().map(Effect::Changed);
--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -137,8 +137,8 @@
     Spreading { until: Instant },
     /// Is being read before its order.
     Reading { again: Instant },
-    /// Was given an order and is read from `next` on.
-    Loading { next: Instant },
+    /// Was given an order for `version` and is read from `next` on.
+    Loading { next: Instant, version: u64 },
 }
 
 #[derive(Clone, Debug)]
@@ -220,15 +220,16 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        if !matches!(engine.phase, Phase::Loading { .. }) {
+        let Phase::Loading { version, .. } = engine.phase else {
             return;
-        }
+        };
         let wait = match outcome {
             Outcome::Accepted => policy.load_ms,
             Outcome::Holds => 0,
             Outcome::Refused | Outcome::Unknown => policy.retry_ms,
         };
-        engine.phase = Phase::Loading { next: now + wait };
+        let next = now + wait;
+        engine.phase = Phase::Loading { next, version };
     }
 
     fn reported(&mut self, now: Instant, id: &str, report: Option<Report>) -> Vec<Effect> {
@@ -246,13 +247,17 @@
         match (engine.phase, lagging) {
             (Phase::Settled, _) => {}
             (_, None) => engine.phase = Phase::Settled,
-            (_, Some(_)) if report.loading => {
+            (Phase::Loading { version, .. }, Some(_)) if engine.has(version) => {
+                // Others may lag further behind; this one comes in its turn.
+                engine.phase = Phase::Settled;
+            }
+            (_, Some((_, version))) if report.loading => {
                 let next = now + policy.read_ms;
-                engine.phase = Phase::Loading { next };
+                engine.phase = Phase::Loading { next, version };
             }
             (_, Some((model, version))) => {
                 let next = now + policy.load_ms;
-                engine.phase = Phase::Loading { next };
+                engine.phase = Phase::Loading { next, version };
                 return vec![Effect::Order(Order {
                     id: id.to_owned(),
                     model,
@@ -277,14 +282,15 @@
                 Phase::Settled => continue,
                 Phase::Spreading { until } => until,
                 Phase::Reading { again } => again,
-                Phase::Loading { next } => next,
+                Phase::Loading { next, .. } => next,
             };
             if now < due {
                 continue;
             }
             engine.phase = match engine.phase {
-                Phase::Loading { .. } => Phase::Loading {
+                Phase::Loading { version, .. } => Phase::Loading {
                     next: now + policy.read_ms,
+                    version,
                 },
                 _ => Phase::Reading {
                     again: now + policy.retry_ms,
@@ -327,6 +333,11 @@
         }
     }
 
+    /// Returns whether any model has that version or a newer one.
+    fn has(&self, version: u64) -> bool {
+        self.weights.values().any(|known| *known >= version)
+    }
+
     fn behind(&self, named: &BTreeMap<String, u64>) -> Option<u64> {
         let behind = self.weights.iter().filter_map(|(model, version)| {
             let newest = named.get(model)?;
--- a/crates/coordination/tests/common/mod.rs
+++ b/crates/coordination/tests/common/mod.rs
@@ -25,6 +25,7 @@
     Profile {
         domain: format!("domain-{}", place % domains),
         draining: false,
+        gateway: None,
         entry: Some(entry),
         load: Load::Normal,
         peer: address(place),
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -149,6 +149,7 @@
             profile: Profile {
                 domain: "d".to_owned(),
                 draining: host == draining,
+                gateway: None,
                 entry: None,
                 load: Load::Normal,
                 peer: ([127, 0, 0, 1], 1).into(),
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -218,6 +218,29 @@
         &self.context.voter
     }
 
+    /// Takes over what settings may change while the daemon runs: the daemons to ask first. The rest
+    /// counts from the next start.
+    pub fn reload(&self, settings: &Settings) {
+        let seeds = settings.peer.as_ref().map(|peer| peer.seeds.clone());
+        let seeds = seeds.unwrap_or_default();
+        let details = slog::o!("seeds" => format!("{seeds:?}"));
+        let taken = self.context.member.seek(seeds).is_ok();
+        let event = match taken {
+            false => Event::SettingsRefused,
+            true => Event::SettingsReloaded,
+        };
+        event::emit(&self.context.log, event, details);
+    }
+
+    /// Keeps the settings in force, since those that were read have a fault.
+    pub fn refuse_settings(&self, fault: String) {
+        event::emit(
+            &self.context.log,
+            Event::SettingsRefused,
+            slog::o!("fault" => fault),
+        );
+    }
+
     /// Takes the host off the list, serves on for the lifetime of addresses, ends the last request
     /// and returns how that went; `again` ends the rest at once.
     pub async fn drain(&mut self, again: impl Future<Output = ()>) -> Outcome {
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -30,7 +30,6 @@
 use platform::caller::Facts;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
-use state::routing::Kind;
 use state::routing::Route;
 use state::routing::Target;
 use state::routing::Workspace;
@@ -256,14 +255,6 @@
     }
 }
 
-/// Returns whether a request may run again after a run whose outcome is unknown.
-pub fn is_repeatable(route: &Route) -> bool {
-    match route.kind {
-        Kind::Idempotent | Kind::Order => route.is_repeatable(),
-        Kind::Stream => route.resumable,
-    }
-}
-
 fn refuse(id: &str, failure: Failure) -> Response<Body> {
     let mut response = answers::fail(id, failure);
     if let Some(after) = failure.retry_after_ms {
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -124,10 +124,19 @@
             .map_err(|refusal| refused(&context.log, &routed, &progress, refusal))?;
         let sent = attempt(context, gateway, &routed, &demand, &choice).await;
         let failed = match sent {
-            Attempt::Answered(answered) => match finish(context, &routed, *answered).await {
-                Ok(response) => return Ok(response),
-                Err(reason) => (true, reason),
-            },
+            Attempt::Answered(answered) => {
+                if answered.response.status().is_server_error() {
+                    let run = &answered.underway.run;
+                    gateway.dispatch().failed(context.clock.now(), run);
+                    if repeats(context, gateway, &routed, &mut progress, &choice) {
+                        continue;
+                    }
+                }
+                match finish(context, &routed, *answered).await {
+                    Ok(response) => return Ok(response),
+                    Err(reason) => (true, reason),
+                }
+            }
             Attempt::Failed {
                 may_have_run,
                 reason,
@@ -146,6 +155,23 @@
     }
 }
 
+/// Returns whether a request that an upstream ran and failed is tried at another; where it is not,
+/// the caller gets the upstream's own answer.
+fn repeats(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &Routed,
+    progress: &mut Progress,
+    choice: &Choice,
+) -> bool {
+    let reason = retry::Reason::Status;
+    progress.may_have_run = true;
+    progress.attempts += 1;
+    progress.tried.push(choice.upstream.id.clone());
+    note(context, routed, choice, reason, true);
+    routed.route.is_repeatable() && again(context, gateway, routed, progress, reason).is_ok()
+}
+
 /// Returns nothing where the request may be tried again.
 fn again(
     context: &Context,
@@ -417,13 +443,7 @@
         underway,
     } = answered;
     let status = response.status();
-    if status.is_server_error() {
-        let now = context.clock.now();
-        underway.gateway.dispatch().failed(now, &underway.run);
-        if routed.route.is_repeatable() && routed.route.attempts > 1 {
-            return Err(retry::Reason::Status);
-        }
-    } else {
+    if !status.is_server_error() {
         underway.gateway.dispatch().succeeded(&underway.run);
     }
     let keep = keep(&facts);
--- a/crates/hibiscushoistd/src/main.rs
+++ b/crates/hibiscushoistd/src/main.rs
@@ -1,7 +1,10 @@
 //! Runs the hibiscushoist daemon.
 
 use std::env;
+use std::fs;
+use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -16,6 +19,10 @@
 use hibiscushoistd::settings::Settings;
 use transport::log;
 
+/// Gives the time between two looks at whether the settings file has changed; a platform that
+/// replaces it need not send a signal.
+const LOOK: Duration = Duration::from_secs(5);
+
 #[derive(Debug, Error)]
 enum Error {
     #[error("the command line cannot be read")]
@@ -50,7 +57,7 @@
         Command::Serve(path) => {
             let settings = Settings::read(&path).change_context(Error::Settings)?;
             let runtime = tokio::runtime::Runtime::new().change_context(Error::Start)?;
-            runtime.block_on(serve(settings))
+            runtime.block_on(serve(settings, &path))
         }
         Command::Version => {
             println!("hibiscushoistd {}", env!("CARGO_PKG_VERSION"));
@@ -59,16 +66,30 @@
     }
 }
 
-async fn serve(settings: Settings) -> Result<ExitCode, Report<Error>> {
+async fn serve(settings: Settings, path: &Path) -> Result<ExitCode, Report<Error>> {
     let log = log::root(settings.log.form, settings.log.level);
     let mut terminate = signal(SignalKind::terminate()).change_context(Error::Start)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(Error::Start)?;
+    let mut hangup = signal(SignalKind::hangup()).change_context(Error::Start)?;
+    let mut text = fs::read(path).unwrap_or_default();
     let mut daemon = Daemon::start(settings, log)
         .await
         .change_context(Error::Start)?;
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
+    loop {
+        tokio::select! {
+            _ = interrupt.recv() => break,
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(LOOK) => {}
+        }
+        let now = fs::read(path).unwrap_or_default();
+        if now != text {
+            text = now;
+            match Settings::read(path) {
+                Err(fault) => daemon.refuse_settings(fault.to_string()),
+                Ok(settings) => daemon.reload(&settings),
+            }
+        }
     }
     let again = async {
         tokio::select! {
--- a/crates/hibiscushoistd/src/member.rs
+++ b/crates/hibiscushoistd/src/member.rs
@@ -71,6 +71,15 @@
         self.feed(gossip::Event::Drain)
     }
 
+    /// Has other daemons asked first from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the ring is full.
+    pub fn seek(&self, seeds: Vec<SocketAddr>) -> Result<(), Error> {
+        self.feed(gossip::Event::Seeds(seeds))
+    }
+
     /// Tells the fleet that this host ends.
     ///
     /// # Errors
--- a/crates/hibiscushoistd/tests/processes/mod.rs
+++ b/crates/hibiscushoistd/tests/processes/mod.rs
@@ -153,8 +153,8 @@
         let child = Command::new(program())
             .arg("--settings")
             .arg(&host.settings)
-            .stdout(Stdio::null())
-            .stderr(log.expect("the log can be opened"))
+            .stderr(Stdio::inherit())
+            .stdout(log.expect("the log can be opened"))
             .spawn();
         host.child = Some(child.expect("the daemon can be started"));
     }
--- a/crates/hibiscushoistd/tests/restart.rs
+++ b/crates/hibiscushoistd/tests/restart.rs
@@ -128,8 +128,8 @@
             .arg("--settings")
             .arg(&self.hosts[host].settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log.expect("the log opens"))
+            .stderr(Stdio::inherit())
+            .stdout(log.expect("the log opens"))
             .spawn();
         self.hosts[host].child = Some(child.expect("the daemon starts"));
     }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -18,6 +18,10 @@
     Stopped = 102,
     /// Logs that the daemon ends before its last request because the drain limit has passed.
     DrainLimitPassed = 103,
+    /// Logs that changed settings are in force.
+    SettingsReloaded = 104,
+    /// Logs that changed settings have a fault and that those before stay in force.
+    SettingsRefused = 105,
     /// Logs that a caller's connection ended with an error.
     ConnectionFailed = 110,
     /// Logs that no more connections are accepted for now.
@@ -143,6 +147,7 @@
             | Self::RolloutLost
             | Self::RolloutRefused
             | Self::RolloutStuck
+            | Self::SettingsRefused
             | Self::TableNotSaved => Level::Warning,
             Self::DrainBegun
             | Self::EditRefused
@@ -162,6 +167,7 @@
             | Self::RoutesApplied
             | Self::RoutesRefused
             | Self::RoutesUnanswered
+            | Self::SettingsReloaded
             | Self::Started
             | Self::Stopped
             | Self::TableApplied
--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -26,16 +26,16 @@
     Logger::root(slog::Discard, slog::o!())
 }
 
-/// Returns a logger that writes records of `level` and above to the standard error stream.
+/// Returns a logger that writes records of `level` and above to the standard output stream.
 pub fn root(form: Form, level: Level) -> Logger {
     match form {
         Form::Human => {
-            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let decorator = slog_term::PlainDecorator::new(io::stdout());
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
             attach(drain, level)
         }
         Form::Json => {
-            let drain = slog_json::Json::default(io::stderr()).fuse();
+            let drain = slog_json::Json::default(io::stdout()).fuse();
             attach(drain, level)
         }
     }
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -26,6 +26,8 @@
 use coordination::host::Version;
 use coordination::machine::Answer;
 use coordination::machine::Command;
+use coordination::outlook;
+use coordination::outlook::Outlook;
 use coordination::quarantine;
 use protocol::operator::History;
 use protocol::operator::Voters;
@@ -105,6 +107,14 @@
     async fn settle(self, _: Context, _: Report) {}
 
     async fn hold(self, _: Context, _: Held) {}
+
+    async fn outlook(self, _: Context, _: outlook::Ask) -> Result<Outlook, Rejection> {
+        Err(Rejection::Ended)
+    }
+
+    async fn source(self, _: Context) -> Result<Arc<String>, Rejection> {
+        Err(Rejection::Ended)
+    }
 }
 
 fn message() -> Message {
