Share what hosts have under way, prefer the newest weights, fetch shared prompts

Hosts now report what they have under way to the leading voter and learn the sum of the others; a request names the engine that probably has its shared prompt as the one to fetch it from; prompts under 1,024 tokens choose the less loaded of two engines. Engines with the newest weights come first until work waits 400 ms longer there. An order's version was overwritten by a newer one while it was carried out, so that engines were ordered twice in a row; it no longer is.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -2,7 +2,8 @@
 //!
 //! Each prompt ranks all upstreams by hash, so that every host finds the same order without asking,
 //! and an upstream that is gone moves only its own prompts. A request goes to the first in that
-//! order whose backlog is close to the smallest; without a shared prompt it goes to the smallest.
+//! order whose backlog is close to the smallest; without a shared prompt it goes to the smaller
+//! backlog of two that are drawn by lot.
 
 use crate::rendezvous;
 
@@ -20,7 +21,7 @@
 /// Returns the place of the candidate that should run a request with the shared prompt `key`.
 ///
 /// `worth_ms` is the time that reading the shared prompt again would take, which is how much longer
-/// a request may wait for the upstream that has read it; `draw` breaks ties.
+/// a request may wait for the upstream that has read it; `draw` makes the lot.
 pub fn choose(
     candidates: &[Candidate],
     key: Option<&str>,
@@ -29,7 +30,7 @@
 ) -> Option<usize> {
     let least = candidates.iter().map(|c| c.backlog_ms).min()?;
     let Some(key) = key else {
-        return least_loaded(candidates, least, draw);
+        return less_loaded_of_two(candidates, draw);
     };
     let close = candidates
         .iter()
@@ -39,22 +40,14 @@
     first.map(|(place, _)| place)
 }
 
-fn least_loaded(candidates: &[Candidate], least: u64, draw: u64) -> Option<usize> {
-    let smallest = candidates
-        .iter()
-        .enumerate()
-        .filter(|(_, c)| c.backlog_ms == least);
-    let smallest: Vec<(usize, &Candidate)> = smallest.collect();
-    let near: Vec<usize> = smallest
-        .iter()
-        .filter(|(_, c)| c.near)
-        .map(|(place, _)| *place)
-        .collect();
-    let all: Vec<usize> = smallest.iter().map(|(place, _)| *place).collect();
-    let among = match near.is_empty() {
-        false => near,
-        true => all,
-    };
-    let turn = usize::try_from(draw % among.len().max(1) as u64).ok()?;
-    among.get(turn).copied()
+/// Returns the less loaded of two candidates that are drawn by lot, so that hosts which know the
+/// same loads do not all choose the same upstream.
+fn less_loaded_of_two(candidates: &[Candidate], draw: u64) -> Option<usize> {
+    let count = candidates.len() as u64;
+    let first = draw.checked_rem(count)?;
+    let others = count.saturating_sub(1).max(1);
+    let second = (first + 1 + (draw >> 32) % others) % count;
+    let places = [first as usize, second as usize];
+    let key = |place: &usize| (candidates[*place].backlog_ms, !candidates[*place].near);
+    places.into_iter().min_by_key(key)
 }
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -2,6 +2,7 @@
 //! the fleet's list says, and refuses at once what cannot be served.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use strum::Display;
 use strum::IntoStaticStr;
@@ -11,8 +12,11 @@
 use crate::breaker::Breaker;
 use crate::breaker::Policy;
 use crate::breaker::Standing;
+use crate::rendezvous;
 use crate::silence::Silence;
 use crate::silence::Ticket;
+use crate::tally::Load;
+use crate::tally::Loads;
 use crate::upstream;
 use crate::upstream::Fleet;
 use crate::upstream::Upstream;
@@ -26,7 +30,7 @@
 const NEWEST_MS: u64 = 400;
 /// Gives how much one more running request slows the others down, in milliseconds of waiting.
 const RUNNING_MS: u64 = 3;
-/// Gives how long what an upstream said of its load holds, in milliseconds.
+/// Gives how long what other hosts have under way counts, in milliseconds.
 const LOAD_AGE_MS: u64 = 1_000;
 /// Gives how long an upstream that refused a request gets no other, in milliseconds.
 const REFUSED_MS: u64 = 250;
@@ -65,7 +69,7 @@
     /// Gives the version of the model's weights there.
     pub weights: Option<u64>,
     /// Holds another engine that probably has the shared prompt, where this one does not.
-    pub peer: Option<std::net::SocketAddr>,
+    pub peer: Option<SocketAddr>,
 }
 
 /// Tells why no upstream takes a request.
@@ -86,18 +90,10 @@
     tokens: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Load {
-    /// Counts the requests that this host did not send.
-    others: u32,
-    at: Instant,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Seen {
     /// Gives the version under which prompts were sent here last, and the prompts.
     held: (u64, BTreeMap<String, Instant>),
-    load: Load,
     refused: Option<Instant>,
     running: u32,
     unread_tokens: u64,
@@ -108,6 +104,7 @@
 #[derive(Debug)]
 pub struct Dispatch {
     breaker: Breaker,
+    others: (Instant, Loads),
     seen: BTreeMap<String, Seen>,
     silence: Silence,
 }
@@ -124,6 +121,7 @@
         };
         Self {
             breaker: Breaker::new(policy, seed),
+            others: Default::default(),
             seen: BTreeMap::new(),
             silence: Silence::default(),
         }
@@ -161,6 +159,7 @@
             false => ready,
             true => self.last_resort(fleet, demand),
         };
+        let ready = self.newest(now, ready, demand);
         let candidates: Vec<Candidate> = ready
             .iter()
             .map(|upstream| self.candidate(now, upstream, demand))
@@ -168,7 +167,8 @@
         let shared = demand.shared.as_ref();
         let key = shared.map(|(part, _)| part.as_str());
         let worth = shared.map_or(0, |(_, tokens)| tokens / READ_TOKENS_PER_MS);
-        let place = affinity::choose(&candidates, key, worth * SHARED_FACTOR, demand.draw);
+        let close = worth * SHARED_FACTOR;
+        let place = affinity::choose(&candidates, key, close, demand.draw);
         let place = place.ok_or(Refusal::None)?;
         if candidates[place].backlog_ms > demand.left_ms {
             return Err(Refusal::TooLate);
@@ -179,7 +179,7 @@
             .model
             .as_ref()
             .map(|model| self.weights(&upstream, model));
-        let peer = shared.and_then(|(part, _)| self.peer(&ready, &upstream, weights?, part));
+        let peer = weights.and_then(|weights| self.peer(&ready, &upstream, demand, weights));
         Ok(Choice {
             upstream,
             weights,
@@ -207,17 +207,28 @@
         Run { id, ticket, tokens }
     }
 
-    /// Notes the head of an answer, with how many requests the upstream has in all if it said so.
-    pub fn answered(&mut self, now: Instant, run: &mut Run, total: Option<u32>) {
+    /// Returns what this host has under way at upstreams.
+    pub fn loads(&self) -> Loads {
+        let busy = self.seen.iter().filter(|(_, seen)| seen.running > 0);
+        let load = |seen: &Seen| Load {
+            running: seen.running,
+            unread_tokens: seen.unread_tokens,
+        };
+        busy.map(|(id, seen)| (id.clone(), load(seen))).collect()
+    }
+
+    /// Notes what other hosts have under way at upstreams.
+    pub fn heard_of(&mut self, now: Instant, others: Loads) {
+        self.others = (now, others);
+    }
+
+    /// Notes the head of an answer.
+    pub fn answered(&mut self, now: Instant, run: &mut Run) {
         self.heard(now, run);
         self.silence.ended(&run.id, run.ticket);
         if let Some(seen) = self.seen.get_mut(&run.id) {
             seen.unread_tokens = seen.unread_tokens.saturating_sub(run.tokens);
             run.tokens = 0;
-            if let Some(total) = total {
-                let others = total.saturating_sub(seen.running);
-                seen.load = Load { at: now, others };
-            }
         }
     }
 
@@ -283,23 +294,43 @@
         fleet.upstreams.iter().filter(takes).collect()
     }
 
-    fn candidate(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> Candidate {
-        let seen = self.seen.get(&upstream.id);
-        let (running, unread) = seen.map_or((0, 0), |seen| {
-            let fresh = now.since(seen.load.at) <= LOAD_AGE_MS;
-            let others = if fresh { seen.load.others } else { 0 };
-            (u64::from(seen.running + others), seen.unread_tokens)
-        });
-        let mut backlog_ms = unread / READ_TOKENS_PER_MS + running * RUNNING_MS;
-        let older = demand
-            .model
-            .as_ref()
-            .is_some_and(|model| self.weights(upstream, model) < demand.newest);
-        if older {
-            backlog_ms += NEWEST_MS;
+    /// Returns the upstreams that have the newest weights, unless work waits much longer there.
+    fn newest<'a>(
+        &self,
+        now: Instant,
+        ready: Vec<&'a Upstream>,
+        demand: &Demand,
+    ) -> Vec<&'a Upstream> {
+        let Some(model) = &demand.model else {
+            return ready;
+        };
+        let has = |upstream: &&Upstream| self.weights(upstream, model) >= demand.newest;
+        let (newest, older): (Vec<&Upstream>, Vec<&Upstream>) = ready.iter().partition(|u| has(u));
+        let least = |upstreams: &[&Upstream]| {
+            let backlogs = upstreams.iter().map(|u| self.backlog_ms(now, &u.id));
+            backlogs.min()
+        };
+        match (least(&newest), least(&older)) {
+            (Some(new), Some(old)) if new > old + NEWEST_MS => ready,
+            (None, _) => ready,
+            (Some(_), _) => newest,
         }
+    }
+
+    /// Returns the time that the work of all hosts at an upstream takes, in milliseconds.
+    fn backlog_ms(&self, now: Instant, id: &str) -> u64 {
+        let own = self.seen.get(id);
+        let own = own.map_or((0, 0), |seen| (seen.running, seen.unread_tokens));
+        let fresh = now.since(self.others.0) <= LOAD_AGE_MS;
+        let others = self.others.1.get(id).copied().filter(|_| fresh);
+        let others = others.unwrap_or_default();
+        let running = u64::from(own.0 + others.running);
+        (own.1 + others.unread_tokens) / READ_TOKENS_PER_MS + running * RUNNING_MS
+    }
+
+    fn candidate(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> Candidate {
         Candidate {
-            backlog_ms,
+            backlog_ms: self.backlog_ms(now, &upstream.id),
             id: upstream.id.clone(),
             near: upstream.domain == demand.domain,
         }
@@ -314,24 +345,29 @@
         listed.max(learned.unwrap_or_default())
     }
 
-    /// Returns an engine to which the shared prompt was sent under the same weights, where it was
-    /// not sent to the chosen one.
+    /// Returns another engine of the same weights that probably has the shared prompt: one to which
+    /// this host sent it, or else the one that ranks highest for it.
+    ///
+    /// An engine that has the prompt fetches nothing, and one that lacks it gets it in a tenth of the
+    /// time of reading it.
     fn peer(
         &self,
         ready: &[&Upstream],
         chosen: &Upstream,
+        demand: &Demand,
         weights: u64,
-        part: &str,
-    ) -> Option<std::net::SocketAddr> {
+    ) -> Option<SocketAddr> {
+        let (part, _) = demand.shared.as_ref()?;
+        let model = demand.model.as_ref()?;
         let holds = |id: &str| {
             let seen = self.seen.get(id);
             seen.is_some_and(|seen| seen.held.0 == weights && seen.held.1.contains_key(part))
         };
-        if holds(&chosen.id) {
-            return None;
-        }
-        let holders = ready.iter().filter(|upstream| holds(&upstream.id));
-        let near = holders.max_by_key(|upstream| upstream.domain == chosen.domain);
-        near.map(|upstream| upstream.address)
+        let others = ready.iter().filter(|upstream| {
+            upstream.id != chosen.id && self.weights(upstream, model) == weights
+        });
+        let rank = |id: &str| rendezvous::score(part.as_bytes(), id);
+        let best = others.max_by_key(|upstream| (holds(&upstream.id), rank(&upstream.id)));
+        best.map(|upstream| upstream.address)
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -46,5 +46,6 @@
 pub mod shard;
 pub mod silence;
 pub mod stream;
+pub mod tally;
 pub mod upstream;
 pub mod view;
--- a/crates/coordination/src/outlook.rs
+++ b/crates/coordination/src/outlook.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::tally::Loads;
 use crate::upstream::Edition;
 use crate::upstream::Fleet;
 use state::routing::Table;
@@ -22,6 +23,8 @@
     pub edition: Edition,
     /// Names the host.
     pub host: String,
+    /// Tells what the host has under way at upstreams.
+    pub loads: Loads,
     /// Gives the version of the routed table that the host has.
     pub version: u64,
 }
@@ -31,6 +34,8 @@
 pub struct Outlook {
     /// Holds the upstreams, where the host lacks this edition.
     pub fleet: Option<Fleet>,
+    /// Tells what other hosts have under way at upstreams.
+    pub loads: Loads,
     /// Holds the routed table, where the host lacks this version.
     pub table: Option<Arc<Table>>,
     /// Gives the newest weights version of each model.
--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -31,11 +31,14 @@
 pub struct Policy {
     /// Gives the time after an order in which no engine can have finished it.
     pub load_ms: u64,
+    /// Gives how many engines may reload at once however few there are.
+    pub least: usize,
     /// Gives the time between two reads of an engine that loads.
     pub read_ms: u64,
     /// Tells what becomes of the requests that run.
     pub running: Running,
-    /// Bounds the engines that reload at once, in percent of all.
+    /// Bounds the engines that load at once, in percent of all; half as many more are taken off new
+    /// work beside them, to end what runs there.
     pub share: usize,
     /// Gives the time from when an engine is taken off new work until its order.
     pub spread_ms: u64,
@@ -50,10 +53,11 @@
     /// change within a third of a second.
     fn default() -> Self {
         Self {
+            least: 2,
             load_ms: 1_900,
             read_ms: 200,
             running: Running::Finish,
-            share: 25,
+            share: 20,
             spread_ms: 350,
             retry_ms: 500,
             takeover_ms: 3_500,
@@ -123,6 +127,15 @@
 /// Tells what to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Effect {
+    /// Tells that an engine has the weights that it was ordered to load.
+    Done {
+        /// Names the engine.
+        id: String,
+        /// Gives the time since the order, in milliseconds.
+        took_ms: u64,
+        /// Gives the version of the weights.
+        version: u64,
+    },
     /// Gives an order.
     Order(Order),
     /// Reads what an engine says of itself.
@@ -133,7 +146,7 @@
 enum Phase {
     /// Takes work.
     Settled,
-    /// Gets no new work until the other hosts know of it.
+    /// Gets no new work, until the other hosts know of it and fewer engines load.
     Spreading { until: Instant },
     /// Is being read before its order.
     Reading { again: Instant },
@@ -141,8 +154,16 @@
     Loading { next: Instant, version: u64 },
 }
 
+impl Phase {
+    /// Returns whether an order was given or is about to be.
+    fn is_ordered(self) -> bool {
+        matches!(self, Self::Loading { .. } | Self::Reading { .. })
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Engine {
+    ordered: Instant,
     phase: Phase,
     seen: Seen,
     weights: BTreeMap<String, u64>,
@@ -205,6 +226,7 @@
             let known = old.remove(&seen.id);
             let known = known.filter(|known| known.seen.started == seen.started);
             let mut engine = known.unwrap_or_else(|| Engine {
+                ordered: Instant::default(),
                 phase: Phase::Settled,
                 seen: seen.clone(),
                 weights: BTreeMap::new(),
@@ -246,18 +268,28 @@
         let lagging = engine.lagging(&self.named);
         match (engine.phase, lagging) {
             (Phase::Settled, _) => {}
-            (_, None) => engine.phase = Phase::Settled,
-            (Phase::Loading { version, .. }, Some(_)) if engine.has(version) => {
-                // Others may lag further behind; this one comes in its turn.
+            (Phase::Loading { version, .. }, _) if engine.has(version) => {
+                // Where it lags again, others may lag further; it comes in its turn.
                 engine.phase = Phase::Settled;
+                return vec![Effect::Done {
+                    id: id.to_owned(),
+                    took_ms: now.since(engine.ordered),
+                    version,
+                }];
             }
-            (_, Some((_, version))) if report.loading => {
+            (_, None) => engine.phase = Phase::Settled,
+            (phase, Some((_, newest))) if report.loading => {
+                let version = match phase {
+                    Phase::Loading { version, .. } => version,
+                    _ => newest,
+                };
                 let next = now + policy.read_ms;
                 engine.phase = Phase::Loading { next, version };
             }
             (_, Some((model, version))) => {
                 let next = now + policy.load_ms;
                 engine.phase = Phase::Loading { next, version };
+                engine.ordered = now;
                 return vec![Effect::Order(Order {
                     id: id.to_owned(),
                     model,
@@ -276,6 +308,7 @@
         }
         self.begin(now);
         let policy = self.policy;
+        let mut room = self.most().saturating_sub(self.count(Phase::is_ordered));
         let mut effects = Vec::new();
         for engine in self.engines.values_mut() {
             let due = match engine.phase {
@@ -284,9 +317,11 @@
                 Phase::Reading { again } => again,
                 Phase::Loading { next, .. } => next,
             };
-            if now < due {
+            let waits = matches!(engine.phase, Phase::Spreading { .. });
+            if now < due || waits && room == 0 {
                 continue;
             }
+            room -= usize::from(waits);
             engine.phase = match engine.phase {
                 Phase::Loading { version, .. } => Phase::Loading {
                     next: now + policy.read_ms,
@@ -301,13 +336,22 @@
         effects
     }
 
+    /// Returns how many engines may load at once.
+    fn most(&self) -> usize {
+        let stay = self.engines.values().filter(|engine| !engine.seen.leaving);
+        (stay.count() * self.policy.share / 100).max(self.policy.least)
+    }
+
+    fn count(&self, is: impl Fn(Phase) -> bool) -> usize {
+        let engines = self.engines.values();
+        engines.filter(|engine| is(engine.phase)).count()
+    }
+
     /// Takes the engines that lag furthest off new work, as far as the share allows.
     fn begin(&mut self, now: Instant) {
         let policy = self.policy;
-        let stay = self.engines.values().filter(|engine| !engine.seen.leaving);
-        let most = (stay.count() * policy.share).div_ceil(100).max(1);
-        let busy = self.engines.values();
-        let busy = busy.filter(|engine| engine.phase != Phase::Settled).count();
+        let most = self.most() + self.most().div_ceil(2);
+        let busy = self.count(|phase| phase != Phase::Settled);
         let mut lagging: Vec<(u64, String)> = self
             .engines
             .values()
--- /dev/null
+++ b/crates/coordination/src/tally.rs
@@ -0,0 +1,70 @@
+//! Adds up what all hosts have under way at each upstream, so that each host knows the load that the
+//! others cause.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use state::time::Instant;
+
+/// Gives how long a host's report counts, in milliseconds; hosts report several times a second.
+const REPORT_MS: u64 = 1_000;
+
+/// Counts what is under way at one upstream.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Counts the requests.
+    pub running: u32,
+    /// Counts the prompt tokens of requests that have not begun to answer.
+    pub unread_tokens: u64,
+}
+
+/// Holds the load of upstreams by their names.
+pub type Loads = BTreeMap<String, Load>;
+
+/// Adds up the reports of hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    hosts: BTreeMap<String, (Instant, Loads)>,
+    total: Loads,
+}
+
+impl Tally {
+    /// Takes the report of a host in place of its last one, and returns what the others have under
+    /// way.
+    pub fn report(&mut self, now: Instant, host: impl Into<String>, loads: Loads) -> Loads {
+        let host = host.into();
+        self.forget(now, &host);
+        let others = self.total.clone();
+        for (upstream, load) in &loads {
+            let sum = self.total.entry(upstream.clone()).or_default();
+            sum.running += load.running;
+            sum.unread_tokens += load.unread_tokens;
+        }
+        self.hosts.insert(host, (now, loads));
+        others
+    }
+
+    /// Takes out the last report of `host` and those that are too old.
+    fn forget(&mut self, now: Instant, host: &str) {
+        let old = |name: &String, at: &Instant| name == host || now.since(*at) > REPORT_MS;
+        let gone = self.hosts.iter();
+        let gone = gone.filter(|(name, (at, _))| old(name, at));
+        let gone: Vec<String> = gone.map(|(name, _)| name.clone()).collect();
+        for name in gone {
+            let Some((_, loads)) = self.hosts.remove(&name) else {
+                continue;
+            };
+            for (upstream, load) in loads {
+                if let Some(sum) = self.total.get_mut(&upstream) {
+                    sum.running -= load.running;
+                    sum.unread_tokens -= load.unread_tokens;
+                    if *sum == Load::default() {
+                        self.total.remove(&upstream);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -177,9 +177,11 @@
         }
         let service = peer::Service {
             broker,
+            clock,
             fleet,
             member,
             suspects,
+            tally: Arc::default(),
             voter,
         };
         links.serve(service, &log);
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -49,6 +49,9 @@
 const REJECTIONS: u32 = 3;
 /// Gives when a caller should return after every upstream rejected its request, in milliseconds.
 const REJECTED_MS: u64 = 400;
+/// Gives the length from which a shared prompt is worth sending to the engine that has read it, in
+/// tokens; shorter ones are read within a step of a batch.
+const SHARED_TOKENS: u64 = 1_024;
 /// Bounds an answer that is read whole before it is passed on, in bytes; longer ones pass through.
 const WHOLE_BYTES: usize = 1 << 20;
 
@@ -290,7 +293,7 @@
     let (_, shared) = parts.split_last()?;
     let last = shared.last()?;
     let tokens = shared.iter().map(|part| part.tokens).sum();
-    Some((last.id.clone(), tokens))
+    (tokens >= SHARED_TOKENS).then(|| (last.id.clone(), tokens))
 }
 
 fn choose(context: &Context, gateway: &Gateway, demand: &Demand) -> Result<Choice, Refusal> {
@@ -356,9 +359,8 @@
             reason: retry::Reason::Crossed,
         };
     }
-    let total = facts.load.map(|load| load.running + load.waiting);
     let mut dispatch = gateway.dispatch();
-    dispatch.answered(now, &mut underway.run, total);
+    dispatch.answered(now, &mut underway.run);
     if let Some((model, version)) = demand.model.as_ref().zip(facts.weights) {
         dispatch.learned(&underway.run, model.clone(), version);
     }
--- a/crates/hibiscushoistd/src/outlook.rs
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -126,6 +126,11 @@
         let ask = Ask {
             edition: known.fleet.edition,
             host: context.settings.name.clone(),
+            loads: context
+                .gateway
+                .as_ref()
+                .map(|gateway| gateway.dispatch().loads())
+                .unwrap_or_default(),
             version: known.index.table().version,
         };
         let asked = context.clock.now();
@@ -144,6 +149,10 @@
             Ok(Err(_)) => return Err(None),
             Ok(Ok(outlook)) => outlook,
         };
+        if let Some(gateway) = &context.gateway {
+            let loads = outlook.loads.clone();
+            gateway.dispatch().heard_of(context.clock.now(), loads);
+        }
         self.take(context, &known, outlook);
         let mut freshness = self
             .freshness
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -1,6 +1,8 @@
 //! Answers the calls of other daemons.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 use futures::StreamExt;
 use slog::Logger;
@@ -28,6 +30,7 @@
 use coordination::outlook;
 use coordination::outlook::Outlook;
 use coordination::quarantine;
+use coordination::tally::Tally;
 use coordination::upstream::Fleet;
 use protocol::operator::History;
 use protocol::operator::Voters;
@@ -37,6 +40,7 @@
 use protocol::voter::Packet;
 use protocol::voter::Rejection;
 use protocol::voter::Spread;
+use transport::clock::Clock;
 use transport::event;
 use transport::event::Event;
 use transport::peer_handshake;
@@ -51,10 +55,14 @@
 pub struct Service {
     /// Reaches the broker of the upstreams that this host owns.
     pub broker: Handle,
+    /// Reads the clock.
+    pub clock: Clock,
     /// Shows the upstreams of routed services, as this host published them while it led.
     pub fleet: watch::Receiver<Arc<Fleet>>,
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
+    /// Adds up what hosts have under way at upstreams.
+    pub tally: Arc<Mutex<Tally>>,
     /// Answers for the requests that may crash upstreams.
     pub suspects: Suspects,
     /// Reaches the voters.
@@ -129,8 +137,12 @@
         let fleet = self.fleet.borrow().clone();
         let fleet = (fleet.edition > ask.edition).then(|| (*fleet).clone());
         let table = &reading.routed.table;
+        let now = self.clock.now();
+        let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
+        let loads = tally.report(now, ask.host, ask.loads);
         Ok(Outlook {
             fleet,
+            loads,
             table: (table.version > ask.version).then(|| table.clone()),
             weights: reading.routed.weights.clone(),
         })
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -148,6 +148,15 @@
         let now = self.context.clock.now();
         for effect in self.reload.step(now, event) {
             match effect {
+                Effect::Done {
+                    id,
+                    took_ms,
+                    version,
+                } => {
+                    let details =
+                        slog::o!("upstream" => id, "version" => version, "took_ms" => took_ms);
+                    event::emit(&self.context.log, event::Event::ReloadDone, details);
+                }
                 Effect::Order(order) => self.order(order),
                 Effect::Read(id) => self.read(id),
             }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -118,6 +118,8 @@
     ReloadOrdered = 326,
     /// Logs that a voter did not tell what this host lacks.
     OutlookFailed = 327,
+    /// Logs that an engine has the weights that it was ordered to load.
+    ReloadDone = 328,
 }
 
 impl Event {
@@ -159,6 +161,7 @@
             | Self::HostSuspected
             | Self::LeadershipGained
             | Self::LinkMended
+            | Self::ReloadDone
             | Self::ReloadOrdered
             | Self::Reunited
             | Self::RolloutDone
