Order engines that have ended their work, and send nothing to weights that are too old

As many engines as may load are now taken off new work beside those that load, the least busy first, and an engine is ordered once the hosts have nothing under way there, after 2.5 s at the latest. Beside that a floor goes out with the list of upstreams: two seconds before the limit, older weights get no more work.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -152,6 +152,7 @@
             upstream.service == demand.service
                 && upstream.standing == upstream::Standing::Ready
                 && !demand.tried.contains(&upstream.id)
+                && self.is_current(fleet, upstream, demand)
                 && self.is_usable(now, &upstream.id)
         };
         let ready: Vec<&Upstream> = fleet.upstreams.iter().filter(takes).collect();
@@ -276,6 +277,15 @@
         self.silence.is_silent(now, &run.id)
     }
 
+    /// Returns whether the upstream's weights may still serve the request.
+    fn is_current(&self, fleet: &Fleet, upstream: &Upstream, demand: &Demand) -> bool {
+        let floor = demand.model.as_ref().and_then(|model| {
+            let floor = fleet.floors.get(model)?;
+            Some((self.weights(upstream, model), *floor))
+        });
+        floor.is_none_or(|(weights, floor)| weights >= floor)
+    }
+
     fn is_usable(&self, now: Instant, id: &str) -> bool {
         let refused = self.seen.get(id).and_then(|seen| seen.refused);
         !matches!(self.breaker.peek(now, id), Standing::Open(_))
@@ -290,6 +300,7 @@
             upstream.service == demand.service
                 && upstream.standing == upstream::Standing::Ready
                 && !demand.tried.contains(&upstream.id)
+                && self.is_current(fleet, upstream, demand)
         };
         fleet.upstreams.iter().filter(takes).collect()
     }
--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -7,11 +7,13 @@
 //! A version that was named while an engine waited is skipped. A host that has just begun to lead
 //! waits until no order of the host before it can still be on its way.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use strum::Display;
 use strum::IntoStaticStr;
 
+use crate::tally::Loads;
 use crate::upstream::Seen;
 use state::time::Instant;
 
@@ -33,12 +35,15 @@
     pub load_ms: u64,
     /// Gives how many engines may reload at once however few there are.
     pub least: usize,
+    /// Bounds the time that an engine gets to end its work before its order, which is longer than
+    /// most answers take.
+    pub quiet_ms: u64,
     /// Gives the time between two reads of an engine that loads.
     pub read_ms: u64,
     /// Tells what becomes of the requests that run.
     pub running: Running,
-    /// Bounds the engines that load at once, in percent of all; half as many more are taken off new
-    /// work beside them, to end what runs there.
+    /// Bounds the engines that load at once, in percent of all; as many more are taken off new work
+    /// beside them, to end what runs there.
     pub share: usize,
     /// Gives the time from when an engine is taken off new work until its order.
     pub spread_ms: u64,
@@ -55,7 +60,8 @@
         Self {
             least: 2,
             load_ms: 1_900,
-            read_ms: 200,
+            quiet_ms: 2_500,
+            read_ms: 150,
             running: Running::Finish,
             share: 20,
             spread_ms: 350,
@@ -116,6 +122,8 @@
     Led,
     /// Brings the upstreams of the platform's list.
     Listed(Vec<Seen>),
+    /// Tells what all hosts have under way at engines.
+    Loaded(Loads),
     /// Brings the newest weights versions.
     Named(BTreeMap<String, u64>),
     /// Brings what an engine says, or that it did not answer.
@@ -147,7 +155,7 @@
     /// Takes work.
     Settled,
     /// Gets no new work, until the other hosts know of it and fewer engines load.
-    Spreading { until: Instant },
+    Spreading { since: Instant },
     /// Is being read before its order.
     Reading { again: Instant },
     /// Was given an order for `version` and is read from `next` on.
@@ -173,6 +181,7 @@
 #[derive(Clone, Debug)]
 pub struct Reload {
     engines: BTreeMap<String, Engine>,
+    loads: Loads,
     named: BTreeMap<String, u64>,
     orders_from: Option<Instant>,
     policy: Policy,
@@ -183,6 +192,7 @@
     pub fn new(policy: Policy) -> Self {
         Self {
             engines: BTreeMap::new(),
+            loads: Loads::new(),
             named: BTreeMap::new(),
             orders_from: None,
             policy,
@@ -195,6 +205,7 @@
             Event::Answered(id, outcome) => self.answered(now, &id, outcome),
             Event::Led => self.led(now),
             Event::Listed(seen) => self.listed(seen),
+            Event::Loaded(loads) => self.loads = loads,
             Event::Named(named) => self.named = named,
             Event::Reported(id, report) => return self.reported(now, &id, report),
             Event::Tick => return self.tick(now),
@@ -313,7 +324,10 @@
         for engine in self.engines.values_mut() {
             let due = match engine.phase {
                 Phase::Settled => continue,
-                Phase::Spreading { until } => until,
+                Phase::Spreading { since } if self.loads.contains_key(&engine.seen.id) => {
+                    since + policy.quiet_ms
+                }
+                Phase::Spreading { since } => since + policy.spread_ms,
                 Phase::Reading { again } => again,
                 Phase::Loading { next, .. } => next,
             };
@@ -347,22 +361,25 @@
         engines.filter(|engine| is(engine.phase)).count()
     }
 
-    /// Takes the engines that lag furthest off new work, as far as the share allows.
+    /// Takes the engines that lag furthest, of these the least busy, off new work as far as the share
+    /// allows.
     fn begin(&mut self, now: Instant) {
-        let policy = self.policy;
-        let most = self.most() + self.most().div_ceil(2);
+        let most = self.most() * 2;
         let busy = self.count(|phase| phase != Phase::Settled);
-        let mut lagging: Vec<(u64, String)> = self
+        let running = |id: &str| self.loads.get(id).map_or(0, |load| load.running);
+        let mut lagging: Vec<(Reverse<u64>, u32, String)> = self
             .engines
             .values()
             .filter(|engine| engine.phase == Phase::Settled && !engine.seen.leaving)
-            .filter_map(|engine| Some((engine.behind(&self.named)?, engine.seen.id.clone())))
+            .filter_map(|engine| {
+                let behind = Reverse(engine.behind(&self.named)?);
+                Some((behind, running(&engine.seen.id), engine.seen.id.clone()))
+            })
             .collect();
-        lagging.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        for (_, id) in lagging.into_iter().take(most.saturating_sub(busy)) {
+        lagging.sort();
+        for (_, _, id) in lagging.into_iter().take(most.saturating_sub(busy)) {
             if let Some(engine) = self.engines.get_mut(&id) {
-                let until = now + policy.spread_ms;
-                engine.phase = Phase::Spreading { until };
+                engine.phase = Phase::Spreading { since: now };
             }
         }
     }
--- a/crates/coordination/src/tally.rs
+++ b/crates/coordination/src/tally.rs
@@ -46,6 +46,11 @@
         others
     }
 
+    /// Returns what all hosts have under way.
+    pub fn total(&self) -> &Loads {
+        &self.total
+    }
+
     /// Takes out the last report of `host` and those that are too old.
     fn forget(&mut self, now: Instant, host: &str) {
         let old = |name: &String, at: &Instant| name == host || now.since(*at) > REPORT_MS;
--- a/crates/coordination/src/upstream.rs
+++ b/crates/coordination/src/upstream.rs
@@ -82,6 +82,8 @@
 pub struct Fleet {
     /// Orders this list among others.
     pub edition: Edition,
+    /// Gives the oldest weights version of each model that may still serve requests.
+    pub floors: BTreeMap<String, u64>,
     /// Lists the upstreams.
     pub upstreams: Vec<Upstream>,
 }
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -48,6 +49,7 @@
 use coordination::drain::Drain;
 use coordination::drain::Effect;
 use coordination::drain::Outcome;
+use coordination::tally::Tally;
 use transport::clock::Clock;
 use transport::event;
 use transport::event::Event;
@@ -170,10 +172,11 @@
             tokio::spawn(gateway.follow(context.clone()));
         }
         voter.follow(member.view());
+        let tally: Arc<Mutex<Tally>> = Arc::default();
         let (publish, fleet) = watch::channel(Arc::default());
         let list = settings.gateway.as_ref().and_then(|gateway| gateway.list);
         if let Some(list) = list.filter(|_| settings.plays(Role::Voter)) {
-            tokio::spawn(steward::run(context.clone(), list, publish));
+            tokio::spawn(steward::run(context.clone(), list, publish, tally.clone()));
         }
         let service = peer::Service {
             broker,
@@ -181,7 +184,7 @@
             fleet,
             member,
             suspects,
-            tally: Arc::default(),
+            tally,
             voter,
         };
         links.serve(service, &log);
--- a/crates/hibiscushoistd/src/settings.rs
+++ b/crates/hibiscushoistd/src/settings.rs
@@ -56,6 +56,7 @@
             "readiness",
             "retry_percent",
             "retry_slack",
+            "weights_limit_ms",
         ],
         name: "gateway",
     },
@@ -177,6 +178,8 @@
     pub retry_percent: u64,
     /// Gives the retries that all hosts together may make beside that share.
     pub retry_slack: u64,
+    /// Bounds the time after which no request may begin on weights older than those named.
+    pub weights_limit: Duration,
 }
 
 /// Holds the settings of the log.
@@ -365,6 +368,8 @@
     let accepted = "milliseconds from 1 to 86400000";
     let freshness = number(1, 86_400_000);
     let freshness = file.optional("gateway", "freshness_ms", 4_000, accepted, freshness)?;
+    let limit = number(1, 86_400_000);
+    let limit = file.optional("gateway", "weights_limit_ms", 60_000, accepted, limit)?;
     Ok(Some(Gateway {
         callers: address("callers")?,
         control: file.optional(
@@ -379,6 +384,7 @@
         readiness: address("readiness")?,
         retry_percent: count("retry_percent", 20, 100)?,
         retry_slack: count("retry_slack", 50, 1_000_000)?,
+        weights_limit: Duration::from_millis(limit),
     }))
 }
 
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -1,8 +1,12 @@
 //! Looks after the upstreams of routed services, on the host whose voter leads: reads the
 //! platform's list, has engines reload, and publishes what hosts need to know.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +14,6 @@
 use hyper::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::voter_call::Reading;
@@ -21,6 +24,7 @@
 use coordination::reload::Policy;
 use coordination::reload::Reload;
 use coordination::reload::Report;
+use coordination::tally::Tally;
 use coordination::upstream::Edition;
 use coordination::upstream::Fleet;
 use coordination::upstream::Seen;
@@ -30,6 +34,7 @@
 use platform::header;
 use platform::listing;
 use platform::path;
+use state::time::Instant;
 use transport::event;
 use transport::lane::Body;
 use transport::lane::Lanes;
@@ -39,7 +44,9 @@
 /// Bounds one call to the platform or an engine; they answer within milliseconds.
 const CALL_LIMIT: Duration = Duration::from_millis(600);
 /// Gives the time between two reads of the list, which itself lags by most of a second.
-const LIST_PERIOD: Duration = Duration::from_millis(400);
+const LIST_PERIOD_MS: u64 = 400;
+/// Gives the time that a request may wait at an engine before it begins, in milliseconds.
+const BEGIN_MS: u64 = 2_000;
 /// Bounds the pages of one read of the list, against a list that never ends.
 const PAGES: usize = 64;
 const RING_EVENTS: usize = 1_024;
@@ -55,28 +62,37 @@
     events: mpsc::Sender<Event>,
     lanes: Lanes,
     list: SocketAddr,
+    named: BTreeMap<String, BTreeMap<u64, Instant>>,
     number: u64,
     publish: watch::Sender<Arc<Fleet>>,
     reload: Reload,
     seen: Vec<Seen>,
+    tally: Arc<Mutex<Tally>>,
     term: Option<u64>,
 }
 
 /// Looks after upstreams whenever this host's voter leads, until the task is dropped.
-pub async fn run(context: Arc<Context>, list: SocketAddr, publish: watch::Sender<Arc<Fleet>>) {
+pub async fn run(
+    context: Arc<Context>,
+    list: SocketAddr,
+    publish: watch::Sender<Arc<Fleet>>,
+    tally: Arc<Mutex<Tally>>,
+) {
     let (events, mut arrived) = mpsc::channel(RING_EVENTS);
     let mut steward = Steward {
         context,
         events,
         lanes: Lanes::default(),
         list,
+        named: BTreeMap::new(),
         number: 0,
         publish,
         reload: Reload::new(Policy::default()),
         seen: Vec::new(),
+        tally,
         term: None,
     };
-    let mut list_due = Instant::now();
+    let mut list_due = Instant::default();
     loop {
         let event = tokio::select! {
             Some(event) = arrived.recv() => event,
@@ -85,11 +101,14 @@
         let Some(reading) = steward.lead().await else {
             continue;
         };
-        steward.step(Event::Named(reading.routed.weights.clone()));
-        if Instant::now() >= list_due {
-            list_due = Instant::now() + LIST_PERIOD;
+        steward.name(&reading.routed.weights);
+        let now = steward.context.clock.now();
+        if now >= list_due {
+            list_due = now + LIST_PERIOD_MS;
             steward.read_list().await;
         }
+        let loads = steward.tally().total().clone();
+        steward.step(Event::Loaded(loads));
         steward.step(event);
         steward.show();
     }
@@ -104,6 +123,7 @@
         };
         if self.term != Some(reading.term) {
             self.term = Some(reading.term);
+            self.named.clear();
             self.number = 0;
             self.seen.clear();
             self.step(Event::Led);
@@ -111,6 +131,34 @@
         Some(reading)
     }
 
+    /// Notes the newest weights and since when this host knows of them.
+    fn name(&mut self, weights: &BTreeMap<String, u64>) {
+        let now = self.context.clock.now();
+        for (model, version) in weights {
+            let versions = self.named.entry(model.clone()).or_default();
+            versions.entry(*version).or_insert(now);
+        }
+        self.step(Event::Named(weights.clone()));
+    }
+
+    /// Returns the oldest version of each model that may still serve: the newest of those that were
+    /// named so long ago that no request may begin on an older one.
+    fn floors(&self) -> BTreeMap<String, u64> {
+        let now = self.context.clock.now();
+        let settings = self.context.settings.gateway.as_ref();
+        let limit = settings.map_or(u64::MAX, |gateway| gateway.weights_limit.as_millis() as u64);
+        let limit = limit.saturating_sub(BEGIN_MS);
+        let named = self.named.iter().filter_map(|(model, versions)| {
+            let old = versions.iter().filter(|(_, at)| now.since(**at) >= limit);
+            Some((model.clone(), *old.last()?.0))
+        });
+        named.collect()
+    }
+
+    fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn read_list(&mut self) {
         let mut seen = Vec::new();
         let mut next: Option<String> = None;
@@ -225,7 +273,9 @@
         };
         let upstreams: Vec<Upstream> = self.seen.iter().map(|seen| self.shown(seen)).collect();
         let shown = self.publish.borrow().clone();
-        if shown.edition.term == term && shown.upstreams == upstreams {
+        let floors = self.floors();
+        let same = shown.upstreams == upstreams && shown.floors == floors;
+        if shown.edition.term == term && same {
             return;
         }
         self.number += 1;
@@ -235,8 +285,11 @@
         };
         let details = slog::o!("upstreams" => upstreams.len(), "edition" => self.number);
         event::emit(&self.context.log, event::Event::FleetChanged, details);
-        self.publish
-            .send_replace(Arc::new(Fleet { edition, upstreams }));
+        self.publish.send_replace(Arc::new(Fleet {
+            edition,
+            floors,
+            upstreams,
+        }));
     }
 
     fn shown(&self, seen: &Seen) -> Upstream {
