--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -49,6 +49,8 @@
     pub spread_ms: u64,
     /// Gives the time after an unanswered or refused order until the next try.
     pub retry_ms: u64,
+    /// Gives the time for which an engine that did not answer is left alone.
+    pub unanswered_ms: u64,
     /// Gives the time for which a host that begins to lead gives no orders.
     pub takeover_ms: u64,
 }
@@ -66,6 +68,7 @@
             share: 20,
             spread_ms: 350,
             retry_ms: 500,
+            unanswered_ms: 2_000,
             takeover_ms: 3_500,
         }
     }
@@ -171,6 +174,8 @@
 
 #[derive(Clone, Debug)]
 struct Engine {
+    /// Gives the time before which the engine is left alone, because it did not answer.
+    not_before: Instant,
     ordered: Instant,
     phase: Phase,
     seen: Seen,
@@ -237,6 +242,7 @@
             let known = old.remove(&seen.id);
             let known = known.filter(|known| known.seen.started == seen.started);
             let mut engine = known.unwrap_or_else(|| Engine {
+                not_before: Instant::default(),
                 ordered: Instant::default(),
                 phase: Phase::Settled,
                 seen: seen.clone(),
@@ -271,8 +277,9 @@
             return Vec::new();
         };
         let Some(report) = report else {
-            // An engine that does not answer may be gone; it comes back in its turn.
+            // An engine that does not answer must not keep others from their turn.
             engine.phase = Phase::Settled;
+            engine.not_before = now + policy.unanswered_ms;
             return Vec::new();
         };
         engine.note(&report.weights);
@@ -371,6 +378,7 @@
             .engines
             .values()
             .filter(|engine| engine.phase == Phase::Settled && !engine.seen.leaving)
+            .filter(|engine| now >= engine.not_before)
             .filter_map(|engine| {
                 let behind = Reverse(engine.behind(&self.named)?);
                 Some((behind, running(&engine.seen.id), engine.seen.id.clone()))
