Hold long prompts until an engine has room, late ones behind those in time

A long prompt now goes to the first engine in its order with at most 400 ms of reading ahead, or waits at its host for up to half of its time; one that is late already lets others go first. Hosts ask the leading voter ten times a second on small fleets, since the loads that they share are needed for this.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -2,8 +2,8 @@
 //!
 //! Each prompt ranks all upstreams by hash, so that every host finds the same order without asking,
 //! and an upstream that is gone moves only its own prompts. A request goes to the first in that
-//! order whose backlog is close to the smallest; without a shared prompt it goes to the smaller
-//! backlog of two that are drawn by lot.
+//! order whose backlog leaves room; without a shared prompt it goes to the smaller backlog of two
+//! that are drawn by lot.
 
 use crate::rendezvous;
 
@@ -18,31 +18,18 @@
     pub id: String,
 }
 
-/// Returns the place of the candidate that should run a request with the shared prompt `key`.
-///
-/// `worth_ms` is the time that reading the shared prompt again would take, which is how much longer
-/// a request may wait for the upstream that has read it; `draw` makes the lot.
-pub fn choose(
-    candidates: &[Candidate],
-    key: Option<&str>,
-    worth_ms: u64,
-    draw: u64,
-) -> Option<usize> {
-    let least = candidates.iter().map(|c| c.backlog_ms).min()?;
-    let Some(key) = key else {
-        return less_loaded_of_two(candidates, draw);
-    };
-    let close = candidates
-        .iter()
-        .enumerate()
-        .filter(|(_, c)| c.backlog_ms <= least + worth_ms);
-    let first = close.max_by_key(|(_, c)| rendezvous::score(key.as_bytes(), &c.id));
+/// Returns the place of the candidate that ranks highest for the shared prompt `key` among those
+/// whose backlog is at most `room_ms`.
+pub fn ranked(candidates: &[Candidate], key: &str, room_ms: u64) -> Option<usize> {
+    let open = candidates.iter().enumerate();
+    let open = open.filter(|(_, candidate)| candidate.backlog_ms <= room_ms);
+    let first = open.max_by_key(|(_, c)| rendezvous::score(key.as_bytes(), &c.id));
     first.map(|(place, _)| place)
 }
 
 /// Returns the less loaded of two candidates that are drawn by lot, so that hosts which know the
 /// same loads do not all choose the same upstream.
-fn less_loaded_of_two(candidates: &[Candidate], draw: u64) -> Option<usize> {
+pub fn less_loaded_of_two(candidates: &[Candidate], draw: u64) -> Option<usize> {
     let count = candidates.len() as u64;
     let first = draw.checked_rem(count)?;
     let others = count.saturating_sub(1).max(1);
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -34,17 +34,24 @@
 const LOAD_AGE_MS: u64 = 1_000;
 /// Gives how long an upstream that refused a request gets no other, in milliseconds.
 const REFUSED_MS: u64 = 250;
-/// Gives how much longer a request may wait for an engine that has read its shared prompt than the
-/// reading takes; copies on several engines take memory from other prompts.
-const SHARED_FACTOR: u64 = 2;
+/// Bounds the reading that may be ahead of a long prompt at an engine, in milliseconds: with it, the
+/// reading of the prompt itself and the first step, an answer begins within a second. More prompts
+/// at once would also push cached ones out of the engine's memory.
+const ROOM_MS: u64 = 400;
+/// Bounds it for a request that is late already, so that those which can be in time go first.
+const ROOM_LATE_MS: u64 = 150;
 
 /// Describes what a request needs.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
+    /// Tells that the request has waited long enough for room.
+    pub anyway: bool,
     /// Names the failure domain of this host.
     pub domain: String,
     /// Breaks ties.
     pub draw: u64,
+    /// Tells that the answer cannot begin in time any more.
+    pub late: bool,
     /// Gives the time left, in milliseconds.
     pub left_ms: u64,
     /// Names the model, where engines serve the request.
@@ -76,6 +83,8 @@
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum Refusal {
+    /// Means that every engine has enough to read; the request should wait a little.
+    Busy,
     /// Means that no upstream of the service takes work.
     None,
     /// Means that the work ahead takes longer than the caller waits.
@@ -160,21 +169,7 @@
             false => ready,
             true => self.last_resort(fleet, demand),
         };
-        let ready = self.newest(now, ready, demand);
-        let candidates: Vec<Candidate> = ready
-            .iter()
-            .map(|upstream| self.candidate(now, upstream, demand))
-            .collect();
-        let shared = demand.shared.as_ref();
-        let key = shared.map(|(part, _)| part.as_str());
-        let worth = shared.map_or(0, |(_, tokens)| tokens / READ_TOKENS_PER_MS);
-        let close = worth * SHARED_FACTOR;
-        let place = affinity::choose(&candidates, key, close, demand.draw);
-        let place = place.ok_or(Refusal::None)?;
-        if candidates[place].backlog_ms > demand.left_ms {
-            return Err(Refusal::TooLate);
-        }
-        let upstream = ready[place].clone();
+        let upstream = self.pick(now, &ready, demand)?.clone();
         let _ = self.breaker.claim(now, &upstream.id);
         let weights = demand
             .model
@@ -305,27 +300,58 @@
         fleet.upstreams.iter().filter(takes).collect()
     }
 
-    /// Returns the upstreams that have the newest weights, unless work waits much longer there.
-    fn newest<'a>(
+    /// Picks the upstream of a request: one with the newest weights, unless work waits much longer
+    /// there.
+    fn pick<'a>(
         &self,
         now: Instant,
-        ready: Vec<&'a Upstream>,
+        ready: &[&'a Upstream],
         demand: &Demand,
-    ) -> Vec<&'a Upstream> {
-        let Some(model) = &demand.model else {
-            return ready;
+    ) -> Result<&'a Upstream, Refusal> {
+        let has_newest = |upstream: &Upstream| {
+            let model = demand.model.as_ref();
+            model.is_none_or(|model| self.weights(upstream, model) >= demand.newest)
+        };
+        let (newest, older): (Vec<&Upstream>, Vec<&Upstream>) =
+            ready.iter().partition(|upstream| has_newest(upstream));
+        let candidates = |upstreams: &[&Upstream]| -> Vec<Candidate> {
+            let candidate = |upstream: &&Upstream| self.candidate(now, upstream, demand);
+            upstreams.iter().map(candidate).collect()
         };
-        let has = |upstream: &&Upstream| self.weights(upstream, model) >= demand.newest;
-        let (newest, older): (Vec<&Upstream>, Vec<&Upstream>) = ready.iter().partition(|u| has(u));
-        let least = |upstreams: &[&Upstream]| {
-            let backlogs = upstreams.iter().map(|u| self.backlog_ms(now, &u.id));
-            backlogs.min()
+        let (new, old) = (candidates(&newest), candidates(&older));
+        let Some(least) = new.iter().chain(&old).map(|c| c.backlog_ms).min() else {
+            return Err(Refusal::None);
         };
-        match (least(&newest), least(&older)) {
-            (Some(new), Some(old)) if new > old + NEWEST_MS => ready,
-            (None, _) => ready,
-            (Some(_), _) => newest,
+        if least > demand.left_ms {
+            return Err(Refusal::TooLate);
+        }
+        if let Some((part, _)) = demand.shared.as_ref().filter(|_| !demand.anyway) {
+            let room = match demand.late {
+                false => ROOM_MS,
+                true => ROOM_LATE_MS,
+            };
+            let place = affinity::ranked(&new, part, room).map(|place| newest[place]);
+            let place = place.or_else(|| Some(older[affinity::ranked(&old, part, room)?]));
+            return place.ok_or(Refusal::Busy);
         }
+        let backlog = |candidates: &[Candidate]| candidates.iter().map(|c| c.backlog_ms).min();
+        let keeps_up = match (backlog(&new), backlog(&old)) {
+            (Some(new), Some(old)) => new <= old + NEWEST_MS,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        let (among, candidates) = match keeps_up {
+            false if new.is_empty() => (older, old),
+            false => (ready.to_vec(), self.all(now, ready, demand)),
+            true => (newest, new),
+        };
+        let place = affinity::less_loaded_of_two(&candidates, demand.draw);
+        place.map(|place| among[place]).ok_or(Refusal::None)
+    }
+
+    fn all(&self, now: Instant, ready: &[&Upstream], demand: &Demand) -> Vec<Candidate> {
+        let candidate = |upstream: &&Upstream| self.candidate(now, upstream, demand);
+        ready.iter().map(candidate).collect()
     }
 
     /// Returns the time that the work of all hosts at an upstream takes, in milliseconds.
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -45,6 +45,11 @@
 const IDLE: Duration = Duration::from_millis(4_000);
 /// Gives the time between two looks at whether the upstream has fallen silent.
 const LOOK: Duration = Duration::from_millis(100);
+/// Gives the time between two looks at whether an engine has room.
+const ROOM_LOOK: Duration = Duration::from_millis(20);
+/// Gives the share of its time for which a request waits for room, in percent; the rest is enough to
+/// read a long prompt and to answer.
+const WAIT_PERCENT: u64 = 50;
 /// Bounds the upstreams that may reject a request without running it.
 const REJECTIONS: u32 = 3;
 /// Gives when a caller should return after every upstream rejected its request, in milliseconds.
@@ -122,9 +127,10 @@
         .retries()
         .first(now, routed.service.clone(), routed.service.clone());
     loop {
-        let demand = demand(context, gateway, &routed, &progress);
-        let choice = choose(context, gateway, &demand)
-            .map_err(|refusal| refused(&context.log, &routed, &progress, refusal))?;
+        let (demand, choice) = match place(context, gateway, &routed, &progress).await {
+            Err(refusal) => return Err(refused(&context.log, &routed, &progress, refusal)),
+            Ok(placed) => placed,
+        };
         let sent = attempt(context, gateway, &routed, &demand, &choice).await;
         let failed = match sent {
             Attempt::Answered(answered) => {
@@ -246,7 +252,7 @@
     }
     let reason = match refusal {
         Refusal::None => Reason::NoUpstream,
-        Refusal::TooLate => Reason::Overloaded,
+        Refusal::Busy | Refusal::TooLate => Reason::Overloaded,
     };
     later(reason, REJECTED_MS)
 }
@@ -269,14 +275,37 @@
     event::emit(&context.log, Event::AttemptFailed, details);
 }
 
+/// Waits until an engine has room for a request, but only for as long as an answer is still worth
+/// having, and returns where it goes.
+async fn place(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &Routed,
+    progress: &Progress,
+) -> Result<(Demand, Choice), Refusal> {
+    loop {
+        let demand = demand(context, gateway, routed, progress);
+        match choose(context, gateway, &demand) {
+            Err(Refusal::Busy) => tokio::time::sleep(ROOM_LOOK).await,
+            Err(refusal) => return Err(refusal),
+            Ok(choice) => return Ok((demand, choice)),
+        }
+    }
+}
+
 fn demand(context: &Context, gateway: &Gateway, routed: &Routed, progress: &Progress) -> Demand {
     let model = routed.facts.model.clone();
     let known = gateway.outlook.watch().borrow().clone();
     let newest = model.as_ref().and_then(|model| known.weights.get(model));
+    let now = context.clock.now();
+    let waited = now.since(routed.arrived);
+    let patience = routed.deadline.since(routed.arrived) * WAIT_PERCENT / 100;
     Demand {
+        anyway: waited >= patience,
         domain: context.settings.failure_domain.clone(),
         draw: rand::random(),
-        left_ms: routed.left_ms(context.clock.now()),
+        late: waited >= routed.route.goal_ms,
+        left_ms: routed.left_ms(now),
         newest: newest.copied().unwrap_or_default(),
         model,
         prompt_tokens: routed.facts.prompt_tokens,
--- a/crates/hibiscushoistd/src/outlook.rs
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -23,8 +23,11 @@
 
 /// Bounds one ask; a voter answers within a round trip and a turn of its thread.
 const CALL_LIMIT: Duration = Duration::from_millis(600);
-/// Gives the time between asks: a change is in force everywhere within a fraction of a second.
-const PERIOD: Duration = Duration::from_millis(250);
+/// Gives the least time between asks: what others have under way changes within a tenth of a second.
+const PERIOD_MS: u64 = 100;
+/// Gives how much longer each host waits for every host in the fleet, in milliseconds, so that all
+/// together ask the leading voter at most 200 times a second.
+const PERIOD_PER_HOST_MS: u64 = 5;
 /// Gives the pause after an ask that got no answer.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -109,7 +112,7 @@
             match self.ask(&context, target).await {
                 Ok(()) => {
                     leader = Some(target);
-                    tokio::time::sleep(PERIOD).await;
+                    tokio::time::sleep(period(&context)).await;
                 }
                 Err(hint) => {
                     leader = hint.filter(|hint| *hint != target);
@@ -184,6 +187,12 @@
     }
 }
 
+/// Returns the time between asks.
+fn period(context: &Context) -> Duration {
+    let hosts = context.view().present(Role::Entry).count() as u64;
+    Duration::from_millis(PERIOD_MS.max(hosts * PERIOD_PER_HOST_MS))
+}
+
 /// Lists the voters that this host knows of.
 fn voters(context: &Context) -> Vec<SocketAddr> {
     let view = context.view();
