Keep shared prompts in the store, and fetch them from there

An engine now sends a shared prompt to the store when a host has not had it saved for ten seconds, and fetches it from an engine that the host used for it within four seconds, or else from the store.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -12,7 +12,6 @@
 use crate::breaker::Breaker;
 use crate::breaker::Policy;
 use crate::breaker::Standing;
-use crate::rendezvous;
 use crate::silence::Silence;
 use crate::silence::Ticket;
 use crate::tally::Load;
@@ -32,6 +31,12 @@
 const RUNNING_MS: u64 = 3;
 /// Gives how long what other hosts have under way counts, in milliseconds.
 const LOAD_AGE_MS: u64 = 1_000;
+/// Gives for how long a prompt that was sent to an engine is expected to be cached there, in
+/// milliseconds; under load an engine's memory turns over within seconds.
+const HELD_MS: u64 = 4_000;
+/// Gives the time after which a shared prompt goes to the store again, in milliseconds, as the store
+/// may have dropped it or was down.
+const SAVED_MS: u64 = 10_000;
 /// Gives how long an upstream that refused a request gets no other, in milliseconds.
 const REFUSED_MS: u64 = 250;
 /// Bounds the reading that may be ahead of a long prompt at an engine, in milliseconds: with it, the
@@ -64,8 +69,12 @@
     pub service: String,
     /// Names the part of the prompt that other requests share, and counts the tokens up to its end.
     pub shared: Option<(String, u64)>,
+    /// Holds the store of cached prompts, where there is one.
+    pub store: Option<SocketAddr>,
     /// Lists the upstreams that have failed this request.
     pub tried: Vec<String>,
+    /// Names the workspace whose cached prompts no other may use, where it is the request's.
+    pub wall: Option<String>,
 }
 
 /// Tells where a request goes.
@@ -75,8 +84,10 @@
     pub upstream: Upstream,
     /// Gives the version of the model's weights there.
     pub weights: Option<u64>,
-    /// Holds another engine that probably has the shared prompt, where this one does not.
-    pub peer: Option<SocketAddr>,
+    /// Tells where the engine fetches the shared prompt if it lacks it.
+    pub fetch: Option<SocketAddr>,
+    /// Holds the store that receives the shared prompt.
+    pub save: Option<SocketAddr>,
 }
 
 /// Tells why no upstream takes a request.
@@ -114,6 +125,8 @@
 pub struct Dispatch {
     breaker: Breaker,
     others: (Instant, Loads),
+    /// Tells when each shared prompt went to the store, by the version of the weights.
+    saved: BTreeMap<(u64, String), Instant>,
     seen: BTreeMap<String, Seen>,
     silence: Silence,
 }
@@ -131,6 +144,7 @@
         Self {
             breaker: Breaker::new(policy, seed),
             others: Default::default(),
+            saved: BTreeMap::new(),
             seen: BTreeMap::new(),
             silence: Silence::default(),
         }
@@ -175,11 +189,13 @@
             .model
             .as_ref()
             .map(|model| self.weights(&upstream, model));
-        let peer = weights.and_then(|weights| self.peer(&ready, &upstream, demand, weights));
+        let fetch = weights.and_then(|weights| self.source(now, fleet, &upstream, demand, weights));
+        let saves = weights.is_some_and(|weights| self.saves(now, demand, weights));
         Ok(Choice {
             upstream,
             weights,
-            peer,
+            fetch,
+            save: demand.store.filter(|_| saves),
         })
     }
 
@@ -189,11 +205,12 @@
         let seen = self.seen.entry(id.clone()).or_default();
         seen.running += 1;
         let mut tokens = demand.prompt_tokens;
-        if let Some(((part, shared), weights)) = demand.shared.as_ref().zip(choice.weights) {
+        let shared = demand.shared.as_ref().zip(demand.cached());
+        if let Some((((_, shared), key), weights)) = shared.zip(choice.weights) {
             if seen.held.0 != weights {
                 seen.held = (weights, BTreeMap::new());
             }
-            if seen.held.1.insert(part.clone(), now).is_some() {
+            if seen.held.1.insert(key, now).is_some() {
                 tokens = tokens.saturating_sub(*shared);
             }
         }
@@ -382,29 +399,57 @@
         listed.max(learned.unwrap_or_default())
     }
 
-    /// Returns another engine of the same weights that probably has the shared prompt: one to which
-    /// this host sent it, or else the one that ranks highest for it.
+    /// Returns where an engine fetches a shared prompt that it may lack: an engine of the same weights
+    /// to which this host sent it lately, or else the store.
     ///
-    /// An engine that has the prompt fetches nothing, and one that lacks it gets it in a tenth of the
-    /// time of reading it.
-    fn peer(
+    /// An engine that has the prompt fetches nothing, and one that lacks it gets it in a fraction of
+    /// the time of reading it.
+    fn source(
         &self,
-        ready: &[&Upstream],
+        now: Instant,
+        fleet: &Fleet,
         chosen: &Upstream,
         demand: &Demand,
         weights: u64,
     ) -> Option<SocketAddr> {
-        let (part, _) = demand.shared.as_ref()?;
-        let model = demand.model.as_ref()?;
-        let holds = |id: &str| {
-            let seen = self.seen.get(id);
-            seen.is_some_and(|seen| seen.held.0 == weights && seen.held.1.contains_key(part))
+        let key = demand.cached()?;
+        let sent_at = |upstream: &Upstream| {
+            let seen = self.seen.get(&upstream.id)?;
+            let held = seen.held.1.get(&key).filter(|_| seen.held.0 == weights)?;
+            (now.since(*held) <= HELD_MS).then_some(*held)
         };
-        let others = ready.iter().filter(|upstream| {
-            upstream.id != chosen.id && self.weights(upstream, model) == weights
+        let others = fleet.upstreams.iter().filter(|upstream| {
+            upstream.id != chosen.id
+                && upstream.service == chosen.service
+                && upstream.standing == upstream::Standing::Ready
         });
-        let rank = |id: &str| rendezvous::score(part.as_bytes(), id);
-        let best = others.max_by_key(|upstream| (holds(&upstream.id), rank(&upstream.id)));
-        best.map(|upstream| upstream.address)
+        let held = others.filter_map(|upstream| Some((sent_at(upstream)?, upstream.address)));
+        held.max().map(|(_, address)| address).or(demand.store)
+    }
+
+    /// Returns whether a shared prompt should go to the store, and notes that it does.
+    fn saves(&mut self, now: Instant, demand: &Demand, weights: u64) -> bool {
+        let Some(key) = demand.cached().filter(|_| demand.store.is_some()) else {
+            return false;
+        };
+        let key = (weights, key);
+        let saved = self.saved.get(&key);
+        let due = saved.is_none_or(|at| now.since(*at) > SAVED_MS);
+        if due {
+            self.saved.retain(|_, at| now.since(*at) <= SAVED_MS);
+            self.saved.insert(key, now);
+        }
+        due
+    }
+}
+
+impl Demand {
+    /// Names the shared prompt with the workspace that it must not leave, where there is one.
+    fn cached(&self) -> Option<String> {
+        let (part, _) = self.shared.as_ref()?;
+        Some(match &self.wall {
+            None => part.clone(),
+            Some(workspace) => format!("{part}@{workspace}"),
+        })
     }
 }
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -1,5 +1,6 @@
 //! Sends a routed request to one upstream after another until one answers or none may be tried.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use crate::gateway::Routed;
 use crate::gateway::later;
 use crate::gateway_body;
+use crate::outlook::Known;
 use coordination::dispatch::Choice;
 use coordination::dispatch::Demand;
 use coordination::dispatch::Refusal;
@@ -311,10 +313,24 @@
         prompt_tokens: routed.facts.prompt_tokens,
         service: routed.service.clone(),
         shared: shared(routed),
+        store: store(&known, &context.settings.failure_domain),
         tried: progress.tried.clone(),
+        wall: routed
+            .workspace
+            .as_ref()
+            .filter(|workspace| workspace.isolated)
+            .map(|workspace| workspace.name.clone()),
     }
 }
 
+/// Returns the store of cached prompts, one in this host's failure domain first.
+fn store(known: &Known, domain: &str) -> Option<SocketAddr> {
+    let services = known.index.table().services.iter();
+    let stores = services.filter_map(|service| service.store.as_ref());
+    let best = stores.max_by_key(|store| store.domain == domain);
+    best.map(|store| store.address)
+}
+
 /// Returns the last part of the prompt that other requests share and the tokens up to its end; the
 /// very last part belongs to the request itself.
 fn shared(routed: &Routed) -> Option<(String, u64)> {
@@ -451,12 +467,12 @@
     Forward {
         expect_upstream: choice.upstream.id.clone(),
         expect_weights: choice.weights,
-        fetch: choice.peer,
+        fetch: choice.fetch,
         left_ms,
         rank: None,
         resume_after: routed.facts.resumed_after,
         salt,
-        save: None,
+        save: choice.save,
         workspace: workspace.map(|workspace| workspace.name.clone()),
     }
 }
