--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -34,14 +34,14 @@
 /// Gives for how long a prompt that was sent to an engine is expected to be cached there, in
 /// milliseconds; under load an engine's memory turns over within seconds.
 const HELD_MS: u64 = 4_000;
-/// Gives the time after which a shared prompt goes to the store again, in milliseconds, as the store
-/// may have dropped it or was down.
+/// Gives the time after which a shared prompt goes to the store again, in milliseconds, as the
+/// store may have dropped it or was down.
 const SAVED_MS: u64 = 10_000;
 /// Gives how long an upstream that refused a request gets no other, in milliseconds.
 const REFUSED_MS: u64 = 250;
-/// Bounds the reading that may be ahead of a long prompt at an engine, in milliseconds: with it, the
-/// reading of the prompt itself and the first step, an answer begins within a second. More prompts
-/// at once would also push cached ones out of the engine's memory.
+/// Bounds the reading that may be ahead of a long prompt at an engine, in milliseconds: with it,
+/// the reading of the prompt itself and the first step, an answer begins within a second. More
+/// prompts at once would also push cached ones out of the engine's memory.
 const ROOM_MS: u64 = 400;
 /// Bounds it for a request that is late already, so that those which can be in time go first.
 const ROOM_LATE_MS: u64 = 150;
@@ -399,11 +399,11 @@
         listed.max(learned.unwrap_or_default())
     }
 
-    /// Returns where an engine fetches a shared prompt that it may lack: an engine of the same weights
-    /// to which this host sent it lately, or else the store.
+    /// Returns where an engine fetches a shared prompt that it may lack: an engine of the same
+    /// weights to which this host sent it lately, or else the store.
     ///
-    /// An engine that has the prompt fetches nothing, and one that lacks it gets it in a fraction of
-    /// the time of reading it.
+    /// An engine that has the prompt fetches nothing, and one that lacks it gets it in a fraction
+    /// of the time of reading it.
     fn source(
         &self,
         now: Instant,
--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -155,14 +155,14 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
+    /// Was given an order for `version` and is read from `next` on.
+    Loading { next: Instant, version: u64 },
+    /// Is being read before its order.
+    Reading { again: Instant },
     /// Takes work.
     Settled,
     /// Gets no new work, until the other hosts know of it and fewer engines load.
     Spreading { since: Instant },
-    /// Is being read before its order.
-    Reading { again: Instant },
-    /// Was given an order for `version` and is read from `next` on.
-    Loading { next: Instant, version: u64 },
 }
 
 impl Phase {
@@ -368,8 +368,8 @@
         engines.filter(|engine| is(engine.phase)).count()
     }
 
-    /// Takes the engines that lag furthest, of these the least busy, off new work as far as the share
-    /// allows.
+    /// Takes the engines that lag furthest, of these the least busy, off new work as far as the
+    /// share allows.
     fn begin(&mut self, now: Instant) {
         let most = self.most() * 2;
         let busy = self.count(|phase| phase != Phase::Settled);
--- a/crates/coordination/src/silence.rs
+++ b/crates/coordination/src/silence.rs
@@ -1,8 +1,8 @@
 //! Silence: tells an upstream that answers nobody from one that is busy.
 //!
-//! An upstream that answers any request is alive. One that leaves requests without a byte for longer
-//! than their work can take, and answers no other meanwhile, is silent: it crashed without closing
-//! its connections, or it is cut off.
+//! An upstream that answers any request is alive. One that leaves requests without a byte for
+//! longer than their work can take, and answers no other meanwhile, is silent: it crashed without
+//! closing its connections, or it is cut off.
 
 use std::collections::BTreeMap;
 
--- a/crates/coordination/src/tally.rs
+++ b/crates/coordination/src/tally.rs
@@ -1,5 +1,5 @@
-//! Adds up what all hosts have under way at each upstream, so that each host knows the load that the
-//! others cause.
+//! Adds up what all hosts have under way at each upstream, so that each host knows the load that
+//! the others cause.
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/coordination/tests/clockwork/mod.rs
@@ -0,0 +1,52 @@
+//! Upstreams for the tests of routed services.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use coordination::upstream::Edition;
+use coordination::upstream::Fleet;
+use coordination::upstream::Seen;
+use coordination::upstream::Standing;
+use coordination::upstream::Upstream;
+
+/// Returns an address that differs by `id`.
+pub fn address(id: &str) -> SocketAddr {
+    let sum = id
+        .bytes()
+        .fold(0_u32, |sum, byte| (sum * 31 + u32::from(byte)) % 60_000);
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + sum as u16))
+}
+
+/// Returns an engine as the platform's list shows it.
+pub fn seen(id: &str, model: &str, version: u64) -> Seen {
+    Seen {
+        address: address(id),
+        domain: "a".to_owned(),
+        id: id.to_owned(),
+        leaving: false,
+        service: "engines".to_owned(),
+        slots: 64,
+        started: 1,
+        weights: BTreeMap::from([(model.to_owned(), version)]),
+    }
+}
+
+/// Returns a fleet of engines that are ready, with the version of their weights.
+pub fn fleet(engines: &[(&str, u64)]) -> Fleet {
+    let upstream = |(id, version): &(&str, u64)| Upstream {
+        address: address(id),
+        domain: "a".to_owned(),
+        id: (*id).to_owned(),
+        service: "engines".to_owned(),
+        slots: 64,
+        standing: Standing::Ready,
+        weights: BTreeMap::from([("m".to_owned(), *version)]),
+    };
+    Fleet {
+        edition: Edition { term: 1, number: 1 },
+        floors: BTreeMap::new(),
+        upstreams: engines.iter().map(upstream).collect(),
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/dispatch.rs
@@ -0,0 +1,259 @@
+//! Where routed requests go, under the loads that decide it.
+
+mod clockwork;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use assert_matches::assert_matches;
+
+use clockwork::address;
+use clockwork::fleet;
+use coordination::dispatch::Choice;
+use coordination::dispatch::Demand;
+use coordination::dispatch::Dispatch;
+use coordination::dispatch::Refusal;
+use coordination::tally::Load;
+use coordination::upstream::Standing;
+use state::time::Instant;
+
+const STORE: &str = "store";
+
+fn long(part: &str) -> Demand {
+    Demand {
+        left_ms: 12_000,
+        model: Some("m".to_owned()),
+        newest: 1,
+        prompt_tokens: 17_000,
+        service: "engines".to_owned(),
+        shared: Some((part.to_owned(), 13_300)),
+        store: Some(address(STORE)),
+        ..Demand::default()
+    }
+}
+
+fn short(draw: u64) -> Demand {
+    Demand {
+        draw,
+        left_ms: 6_000,
+        model: Some("m".to_owned()),
+        newest: 1,
+        prompt_tokens: 380,
+        service: "engines".to_owned(),
+        ..Demand::default()
+    }
+}
+
+fn unread(tokens: u64) -> Load {
+    Load {
+        running: 1,
+        unread_tokens: tokens,
+    }
+}
+
+fn id(choice: &Choice) -> &str {
+    &choice.upstream.id
+}
+
+#[test]
+fn hosts_that_know_nothing_of_each_other_send_a_prompt_to_one_engine() {
+    let fleet = fleet(&[("a", 1), ("b", 1), ("c", 1), ("d", 1)]);
+    for prompt in ["p1", "p2", "p3", "p4", "p5"] {
+        let chosen: BTreeSet<String> = (0..8)
+            .map(|seed| {
+                let mut host = Dispatch::new(seed);
+                let choice = host.choose(Instant(0), &fleet, &long(prompt)).unwrap();
+                choice.upstream.id
+            })
+            .collect();
+        assert_eq!(chosen.len(), 1, "{prompt}");
+    }
+}
+
+#[test]
+fn a_prompt_moves_on_while_its_engine_has_much_to_read_and_is_fetched_from_it() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = long("p");
+    let first = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let _ = host.sent(Instant(0), &first, &demand);
+    let others = BTreeMap::from([(first.upstream.id.clone(), unread(40_000))]);
+    host.heard_of(Instant(1), others);
+    let second = host.choose(Instant(2), &fleet, &demand).unwrap();
+    assert_ne!(id(&first), id(&second));
+    assert_eq!(second.fetch, Some(first.upstream.address));
+}
+
+#[test]
+fn a_prompt_waits_while_all_engines_have_much_to_read() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let busy = ["a", "b"].map(|id| (id.to_owned(), unread(40_000)));
+    host.heard_of(Instant(0), BTreeMap::from(busy));
+    let refusal = host.choose(Instant(1), &fleet, &long("p"));
+    assert_eq!(refusal, Err(Refusal::Busy));
+    let patient = Demand {
+        anyway: true,
+        ..long("p")
+    };
+    assert_matches!(host.choose(Instant(1), &fleet, &patient), Ok(_));
+}
+
+#[test]
+fn a_prompt_that_is_late_lets_those_in_time_go_first() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let busy = BTreeMap::from([("a".to_owned(), unread(15_000))]);
+    host.heard_of(Instant(0), busy);
+    let late = Demand {
+        late: true,
+        ..long("p")
+    };
+    assert_eq!(host.choose(Instant(1), &fleet, &late), Err(Refusal::Busy));
+    assert_matches!(host.choose(Instant(1), &fleet, &long("p")), Ok(_));
+}
+
+#[test]
+fn what_cannot_begin_before_the_caller_leaves_is_refused_at_once() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let busy = BTreeMap::from([("a".to_owned(), unread(200_000))]);
+    host.heard_of(Instant(0), busy);
+    let hurried = Demand {
+        left_ms: 1_000,
+        ..short(0)
+    };
+    let refusal = host.choose(Instant(1), &fleet, &hurried);
+    assert_eq!(refusal, Err(Refusal::TooLate));
+}
+
+#[test]
+fn what_others_have_under_way_is_forgotten_when_nobody_tells_it_again() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let busy = BTreeMap::from([("a".to_owned(), unread(40_000))]);
+    host.heard_of(Instant(0), busy);
+    assert_matches!(host.choose(Instant(1_001), &fleet, &long("p")), Ok(_));
+}
+
+#[test]
+fn short_prompts_spread_over_the_engines() {
+    let fleet = fleet(&[("a", 1), ("b", 1), ("c", 1), ("d", 1)]);
+    let mut host = Dispatch::new(0);
+    let mut sent: BTreeMap<String, u32> = BTreeMap::new();
+    for place in 0..400_u64 {
+        let draw = place.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let demand = short(draw);
+        let choice = host.choose(Instant(0), &fleet, &demand).unwrap();
+        let _ = host.sent(Instant(0), &choice, &demand);
+        *sent.entry(choice.upstream.id).or_default() += 1;
+    }
+    assert!(
+        sent.values().all(|count| (80..=120).contains(count)),
+        "{sent:?}"
+    );
+}
+
+#[test]
+fn engines_with_the_newest_weights_come_first() {
+    let fleet = fleet(&[("a", 1), ("b", 2), ("c", 1)]);
+    let mut host = Dispatch::new(0);
+    for draw in 0..20 {
+        let demand = Demand {
+            newest: 2,
+            ..short(draw)
+        };
+        let choice = host.choose(Instant(0), &fleet, &demand).unwrap();
+        assert_eq!((id(&choice), choice.weights), ("b", Some(2)));
+    }
+}
+
+#[test]
+fn no_request_goes_to_weights_below_the_floor() {
+    let mut fleet = fleet(&[("a", 1), ("b", 1)]);
+    fleet.floors.insert("m".to_owned(), 2);
+    let mut host = Dispatch::new(0);
+    let refusal = host.choose(Instant(0), &fleet, &short(0));
+    assert_eq!(refusal, Err(Refusal::None));
+}
+
+#[test]
+fn engines_that_load_or_leave_get_no_work() {
+    let mut fleet = fleet(&[("a", 1), ("b", 1), ("c", 1)]);
+    fleet.upstreams[0].standing = Standing::Leaving;
+    fleet.upstreams[1].standing = Standing::Loading;
+    let mut host = Dispatch::new(0);
+    for draw in 0..20 {
+        let choice = host.choose(Instant(0), &fleet, &short(draw)).unwrap();
+        assert_eq!(id(&choice), "c");
+    }
+}
+
+#[test]
+fn a_shared_prompt_goes_to_the_store_once_and_comes_from_there() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let first = host.choose(Instant(0), &fleet, &long("p")).unwrap();
+    assert_eq!(first.save, Some(address(STORE)));
+    assert_eq!(first.fetch, Some(address(STORE)));
+    let second = host.choose(Instant(1_000), &fleet, &long("p")).unwrap();
+    assert_eq!(second.save, None);
+    let isolated = Demand {
+        wall: Some("w".to_owned()),
+        ..long("p")
+    };
+    let other = host.choose(Instant(1_000), &fleet, &isolated).unwrap();
+    assert_eq!(other.save, Some(address(STORE)));
+}
+
+#[test]
+fn a_prompt_is_not_fetched_from_an_engine_that_had_it_under_other_weights() {
+    let old = fleet(&[("a", 1), ("b", 1)]);
+    let new = fleet(&[("a", 2), ("b", 2)]);
+    let mut host = Dispatch::new(0);
+    let demand = long("p");
+    let choice = host.choose(Instant(0), &old, &demand).unwrap();
+    let _ = host.sent(Instant(0), &choice, &demand);
+    let busy = BTreeMap::from([(choice.upstream.id.clone(), unread(40_000))]);
+    host.heard_of(Instant(1), busy);
+    let next = host.choose(Instant(2), &new, &demand).unwrap();
+    assert_ne!(id(&next), id(&choice));
+    assert_eq!(next.fetch, Some(address(STORE)));
+}
+
+#[test]
+fn an_upstream_that_failed_a_request_does_not_get_it_again() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = Demand {
+        tried: vec!["a".to_owned()],
+        ..short(0)
+    };
+    assert_eq!(id(&host.choose(Instant(0), &fleet, &demand).unwrap()), "b");
+}
+
+#[test]
+fn a_silent_engine_is_left_and_used_again_once_it_answers() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = short(0);
+    let only_a = Demand {
+        tried: vec!["b".to_owned()],
+        ..demand.clone()
+    };
+    let choice = host.choose(Instant(0), &fleet, &only_a).unwrap();
+    let mut run = host.sent(Instant(0), &choice, &demand);
+    for draw in 0..20 {
+        let late = host.choose(Instant(2_000), &fleet, &short(draw)).unwrap();
+        assert_eq!(id(&late), "b");
+    }
+    host.answered(Instant(2_001), &mut run);
+    host.ended(&run);
+    let used: BTreeSet<String> = (0..20)
+        .map(|draw| {
+            let choice = host.choose(Instant(2_002), &fleet, &short(draw)).unwrap();
+            choice.upstream.id
+        })
+        .collect();
+    assert_eq!(used.len(), 2);
+}
--- /dev/null
+++ b/crates/coordination/tests/reload.rs
@@ -0,0 +1,288 @@
+//! Rolling reloads of engines whose weights lag.
+
+mod clockwork;
+
+use std::collections::BTreeMap;
+
+use clockwork::seen;
+use coordination::reload::Effect;
+use coordination::reload::Event;
+use coordination::reload::Outcome;
+use coordination::reload::Policy;
+use coordination::reload::Reload;
+use coordination::reload::Report;
+use coordination::tally::Load;
+use state::time::Instant;
+
+const MODEL: &str = "m";
+
+/// Drives a reload against engines that load as long as the policy expects.
+struct Test {
+    at: u64,
+    dark: Vec<String>,
+    engines: BTreeMap<String, Engine>,
+    log: Vec<(u64, Effect)>,
+    reload: Reload,
+    running: BTreeMap<String, Load>,
+}
+
+#[derive(Default)]
+struct Engine {
+    loads: Option<(u64, u64)>,
+    orders: u64,
+    version: u64,
+}
+
+impl Test {
+    fn new(engines: usize) -> Self {
+        let names = (0..engines).map(|place| format!("e{place:02}"));
+        let engines: BTreeMap<String, Engine> = names
+            .map(|name| {
+                let version = 1;
+                let engine = Engine {
+                    version,
+                    ..Engine::default()
+                };
+                (name, engine)
+            })
+            .collect();
+        let mut test = Self {
+            at: 0,
+            dark: Vec::new(),
+            engines,
+            log: Vec::new(),
+            reload: Reload::new(Policy::default()),
+            running: BTreeMap::new(),
+        };
+        test.list();
+        test.step(Event::Led);
+        test
+    }
+
+    fn dark(mut self, id: &str) -> Self {
+        self.dark.push(id.to_owned());
+        self
+    }
+
+    fn running(mut self, id: &str) -> Self {
+        let load = Load {
+            running: 1,
+            unread_tokens: 0,
+        };
+        self.running.insert(id.to_owned(), load);
+        self
+    }
+
+    fn name(mut self, version: u64) -> Self {
+        self.step(Event::Named(BTreeMap::from([(MODEL.to_owned(), version)])));
+        self
+    }
+
+    /// Lets time pass in steps of a tenth of a second.
+    fn pass(mut self, millis: u64) -> Self {
+        let until = self.at + millis;
+        while self.at < until {
+            self.at += 100;
+            for engine in self.engines.values_mut() {
+                if let Some((due, version)) = engine.loads
+                    && self.at >= due
+                {
+                    engine.version = version;
+                    engine.loads = None;
+                }
+            }
+            self.step(Event::Loaded(self.running.clone()));
+            self.step(Event::Tick);
+        }
+        self
+    }
+
+    fn list(&mut self) {
+        let listed = self.engines.iter();
+        let listed = listed.map(|(id, engine)| seen(id, MODEL, engine.version));
+        let listed = listed.collect();
+        self.step(Event::Listed(listed));
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut effects = self.reload.step(Instant(self.at), event);
+        while let Some(effect) = effects.pop() {
+            self.log.push((self.at, effect.clone()));
+            let next = match effect {
+                Effect::Done { .. } => continue,
+                Effect::Order(order) => {
+                    let outcome = self.order(&order.id, order.orders, order.version);
+                    Event::Answered(order.id, outcome)
+                }
+                Effect::Read(id) => {
+                    let report = self.report(&id);
+                    Event::Reported(id, report)
+                }
+            };
+            effects.extend(self.reload.step(Instant(self.at), next));
+        }
+    }
+
+    fn order(&mut self, id: &str, orders: u64, version: u64) -> Outcome {
+        let at = self.at;
+        let engine = self.engines.get_mut(id).unwrap();
+        if engine.loads.is_some() || engine.orders != orders {
+            return Outcome::Refused;
+        }
+        engine.orders += 1;
+        engine.loads = Some((at + 1_900, version));
+        Outcome::Accepted
+    }
+
+    fn report(&self, id: &str) -> Option<Report> {
+        let engine = &self.engines[id];
+        (!self.dark.iter().any(|dark| dark == id)).then(|| Report {
+            loading: engine.loads.is_some(),
+            orders: engine.orders,
+            running: 0,
+            weights: BTreeMap::from([(MODEL.to_owned(), engine.version)]),
+        })
+    }
+
+    fn orders(&self) -> Vec<(u64, String, u64)> {
+        let orders = self.log.iter().filter_map(|(at, effect)| match effect {
+            Effect::Order(order) => Some((*at, order.id.clone(), order.version)),
+            Effect::Done { .. } | Effect::Read(_) => None,
+        });
+        orders.collect()
+    }
+
+    fn most_at_once(&self) -> usize {
+        let mut most = 0;
+        for (at, _, _) in self.orders() {
+            let near = self.orders().into_iter();
+            let near = near.filter(|(other, _, _)| *other <= at && at < *other + 1_900);
+            most = most.max(near.count());
+        }
+        most
+    }
+
+    fn versions(&self) -> Vec<u64> {
+        self.engines.values().map(|engine| engine.version).collect()
+    }
+}
+
+#[test]
+fn all_engines_get_the_newest_weights_a_fifth_at_once() {
+    let test = Test::new(18).pass(4_000).name(2).pass(15_000);
+    assert_eq!(test.versions(), vec![2; 18]);
+    assert_eq!(test.orders().len(), 18);
+    assert_eq!(test.most_at_once(), 3);
+}
+
+#[test]
+fn nobody_is_ordered_while_the_host_before_may_still_order() {
+    let test = Test::new(4).name(2).pass(10_000);
+    let first = test.orders()[0].0;
+    assert!(first >= Policy::default().takeover_ms, "{first}");
+}
+
+#[test]
+fn a_version_that_was_overtaken_is_skipped_by_those_that_still_wait() {
+    let test = Test::new(18)
+        .pass(4_000)
+        .name(2)
+        .pass(4_000)
+        .name(3)
+        .pass(25_000);
+    assert_eq!(test.versions(), vec![3; 18]);
+    let twice = test.orders().iter().filter(|(_, _, v)| *v == 2).count();
+    assert!(twice < 9, "{twice} engines were loaded twice");
+}
+
+#[test]
+fn the_engine_that_lags_furthest_comes_before_one_that_has_just_loaded() {
+    let test = Test::new(4)
+        .pass(4_000)
+        .name(2)
+        .pass(2_600)
+        .name(3)
+        .pass(20_000);
+    let orders = test.orders();
+    let ids: Vec<&String> = orders.iter().map(|(_, id, _)| id).collect();
+    assert_eq!(ids[..4], ["e01", "e00", "e03", "e02"], "{orders:?}");
+}
+
+#[test]
+fn an_engine_that_answers_nobody_keeps_no_other_from_its_turn() {
+    let test = Test::new(10)
+        .dark("e00")
+        .dark("e01")
+        .dark("e02")
+        .dark("e03")
+        .pass(4_000)
+        .name(2)
+        .pass(12_000);
+    assert_eq!(test.versions()[4..], [2; 6]);
+}
+
+#[test]
+fn an_engine_is_ordered_when_its_work_has_ended_or_after_a_while() {
+    let test = Test::new(4)
+        .running("e00")
+        .running("e01")
+        .pass(4_000)
+        .name(2)
+        .pass(1_000);
+    let ids: Vec<String> = test.orders().into_iter().map(|(_, id, _)| id).collect();
+    assert!(ids.iter().all(|id| id == "e02" || id == "e03"), "{ids:?}");
+    let test = test.pass(14_000);
+    assert_eq!(test.versions(), vec![2; 4]);
+}
+
+#[test]
+fn an_order_without_an_answer_is_given_again_under_the_same_condition() {
+    let mut reload = Reload::new(Policy::default());
+    let mut at = 0;
+    let mut step = |reload: &mut Reload, wait: u64, event: Event| {
+        at += wait;
+        reload.step(Instant(at), event)
+    };
+    let report = || {
+        Some(Report {
+            orders: 7,
+            weights: BTreeMap::from([(MODEL.to_owned(), 1)]),
+            ..Report::default()
+        })
+    };
+    step(&mut reload, 0, Event::Led);
+    step(&mut reload, 0, Event::Listed(vec![seen("e", MODEL, 1)]));
+    let named = BTreeMap::from([(MODEL.to_owned(), 2)]);
+    step(&mut reload, 0, Event::Named(named));
+    step(&mut reload, 4_000, Event::Tick);
+    assert_eq!(
+        step(&mut reload, 400, Event::Tick),
+        [Effect::Read("e".to_owned())]
+    );
+    let first = step(&mut reload, 1, Event::Reported("e".to_owned(), report()));
+    let answered = Event::Answered("e".to_owned(), Outcome::Unknown);
+    step(&mut reload, 600, answered);
+    assert_eq!(
+        step(&mut reload, 500, Event::Tick),
+        [Effect::Read("e".to_owned())]
+    );
+    let again = step(&mut reload, 1, Event::Reported("e".to_owned(), report()));
+    assert_eq!(first, again);
+    let Effect::Order(order) = &again[0] else {
+        panic!("{again:?} is no order");
+    };
+    assert_eq!(order.orders, 7);
+}
+
+#[test]
+fn an_engine_that_was_started_again_is_known_by_its_start() {
+    let mut reload = Reload::new(Policy::default());
+    let mut listed = seen("e", MODEL, 3);
+    reload.step(Instant(0), Event::Listed(vec![listed.clone()]));
+    listed.weights.insert(MODEL.to_owned(), 2);
+    reload.step(Instant(1), Event::Listed(vec![listed.clone()]));
+    assert_eq!(reload.weights("e").unwrap()[MODEL], 3);
+    listed.started += 1;
+    reload.step(Instant(2), Event::Listed(vec![listed]));
+    assert_eq!(reload.weights("e").unwrap()[MODEL], 2);
+}
--- /dev/null
+++ b/crates/coordination/tests/routed.rs
@@ -0,0 +1,77 @@
+//! The small parts of routed services: silence, sums of loads, freshness.
+
+use std::collections::BTreeMap;
+
+use coordination::outlook::Freshness;
+use coordination::silence::LIMIT_MS;
+use coordination::silence::Silence;
+use coordination::tally::Load;
+use coordination::tally::Loads;
+use coordination::tally::Tally;
+use state::time::Instant;
+
+fn loads(entries: &[(&str, u32)]) -> Loads {
+    let load = |running: u32| Load {
+        running,
+        unread_tokens: u64::from(running) * 10,
+    };
+    let entries = entries.iter();
+    entries
+        .map(|(id, running)| ((*id).to_owned(), load(*running)))
+        .collect()
+}
+
+#[test]
+fn an_upstream_is_silent_when_it_answers_no_request_for_longer_than_its_work_takes() {
+    let mut silence = Silence::default();
+    let slow = silence.sent(Instant(0), "u", 500);
+    assert!(!silence.is_silent(Instant(500 + LIMIT_MS), "u"));
+    assert!(silence.is_silent(Instant(501 + LIMIT_MS), "u"));
+    silence.heard(Instant(600), "u");
+    assert!(!silence.is_silent(Instant(600 + LIMIT_MS), "u"));
+    silence.ended("u", slow);
+    assert!(!silence.is_silent(Instant(10_000), "u"));
+}
+
+#[test]
+fn an_upstream_without_requests_is_not_silent() {
+    let silence = Silence::default();
+    assert!(!silence.is_silent(Instant(10_000), "u"));
+}
+
+#[test]
+fn a_host_learns_what_the_others_have_under_way_and_not_its_own() {
+    let mut tally = Tally::default();
+    assert_eq!(
+        tally.report(Instant(0), "h1", loads(&[("u", 2)])),
+        Loads::new()
+    );
+    assert_eq!(
+        tally.report(Instant(1), "h2", loads(&[("u", 3), ("v", 1)])),
+        loads(&[("u", 2)])
+    );
+    assert_eq!(
+        tally.report(Instant(2), "h1", loads(&[("v", 5)])),
+        loads(&[("u", 3), ("v", 1)])
+    );
+    assert_eq!(tally.total(), &loads(&[("u", 3), ("v", 6)]));
+}
+
+#[test]
+fn the_report_of_a_host_that_is_gone_no_longer_counts() {
+    let mut tally = Tally::default();
+    tally.report(Instant(0), "h1", loads(&[("u", 2)]));
+    let others = tally.report(Instant(1_001), "h2", loads(&[("u", 1)]));
+    assert_eq!(others, BTreeMap::new());
+}
+
+#[test]
+fn a_host_counts_the_age_of_what_it_knows_from_when_it_asked() {
+    let mut freshness = Freshness::new(4_000);
+    assert!(!freshness.holds(Instant(0)));
+    freshness.confirm(Instant(1_000));
+    assert!(freshness.holds(Instant(4_999)));
+    assert!(!freshness.holds(Instant(5_000)));
+    freshness.confirm(Instant(500));
+    assert_eq!(freshness.age_ms(Instant(1_500)), Some(500));
+}
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -223,8 +223,8 @@
         &self.context.voter
     }
 
-    /// Takes over what settings may change while the daemon runs: the daemons to ask first. The rest
-    /// counts from the next start.
+    /// Takes over what settings may change while the daemon runs: the daemons to ask first. The
+    /// rest counts from the next start.
     pub fn reload(&self, settings: &Settings) {
         let seeds = settings.peer.as_ref().map(|peer| peer.seeds.clone());
         let seeds = seeds.unwrap_or_default();
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -38,7 +38,8 @@
 use transport::lane::Lane;
 use transport::metric;
 
-/// Bounds the time to connect to an upstream; a connection within a region takes a few milliseconds.
+/// Bounds the time to connect to an upstream; a connection within a region takes a few
+/// milliseconds.
 const CONNECT: Duration = Duration::from_millis(400);
 /// Bounds the idle time of a connection that carries an order, which cannot be sent again when the
 /// upstream closes the connection at that moment.
@@ -49,8 +50,8 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Gives the time between two looks at whether an engine has room.
 const ROOM_LOOK: Duration = Duration::from_millis(20);
-/// Gives the share of its time for which a request waits for room, in percent; the rest is enough to
-/// read a long prompt and to answer.
+/// Gives the share of its time for which a request waits for room, in percent; the rest is enough
+/// to read a long prompt and to answer.
 const WAIT_PERCENT: u64 = 50;
 /// Bounds the upstreams that may reject a request without running it.
 const REJECTIONS: u32 = 3;
@@ -296,8 +297,10 @@
 }
 
 fn demand(context: &Context, gateway: &Gateway, routed: &Routed, progress: &Progress) -> Demand {
-    let model = routed.facts.model.clone();
     let known = gateway.outlook.watch().borrow().clone();
+    let service = known.index.service(&routed.service);
+    let engine = service.is_some_and(|service| service.engine);
+    let model = routed.facts.model.clone().filter(|_| engine);
     let newest = model.as_ref().and_then(|model| known.weights.get(model));
     let now = context.clock.now();
     let waited = now.since(routed.arrived);
--- a/crates/hibiscushoistd/src/outlook.rs
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -23,7 +23,8 @@
 
 /// Bounds one ask; a voter answers within a round trip and a turn of its thread.
 const CALL_LIMIT: Duration = Duration::from_millis(600);
-/// Gives the least time between asks: what others have under way changes within a tenth of a second.
+/// Gives the least time between asks: what others have under way changes within a tenth of a
+/// second.
 const PERIOD_MS: u64 = 100;
 /// Gives how much longer each host waits for every host in the fleet, in milliseconds, so that all
 /// together ask the leading voter at most 200 times a second.
--- /dev/null
+++ b/crates/state/tests/routing.rs
@@ -0,0 +1,118 @@
+//! Routed tables: what is refused, and what is found in them.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+
+use state::routing::Fault;
+use state::routing::Held;
+use state::routing::Kind;
+use state::routing::Route;
+use state::routing::Service;
+use state::routing::Table;
+use state::routing::Target;
+use state::routing::Workspace;
+use state::routing_index::Index;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        attempts: 2,
+        gap_ms: 400,
+        goal_ms: 1_000,
+        host: host.to_owned(),
+        kind: Kind::Stream,
+        prefix: prefix.to_owned(),
+        public: false,
+        rank: 0,
+        resumable: true,
+        targets: vec![Target {
+            service: "engines".to_owned(),
+            weight: 1,
+        }],
+        timeout_ms: 12_000,
+    }
+}
+
+fn workspace(name: &str, key: &str) -> Workspace {
+    Workspace {
+        isolated: false,
+        keys: vec![*blake3::hash(key.as_bytes()).as_bytes()],
+        name: name.to_owned(),
+        rank: 0,
+    }
+}
+
+fn table(version: u64) -> Table {
+    Table {
+        routes: vec![route("h.example", "/a/"), route("h.example", "/a/b/")],
+        services: vec![Service {
+            connections: 10,
+            engine: true,
+            name: "engines".to_owned(),
+            store: None,
+        }],
+        version,
+        workspaces: vec![workspace("w1", "k1"), workspace("w2", "k2")],
+    }
+}
+
+#[test]
+fn a_sound_table_passes() {
+    assert_eq!(table(1).check(), Ok(()));
+}
+
+#[test]
+fn each_fault_is_named() {
+    let mut unknown = table(1);
+    unknown.routes[0].targets[0].service = "gone".to_owned();
+    assert_matches!(unknown.check(), Err(Fault::Service { .. }));
+    let mut twice = table(1);
+    twice.routes[1].prefix = "/a/".to_owned();
+    assert_matches!(twice.check(), Err(Fault::Place { .. }));
+    let mut weightless = table(1);
+    weightless.routes[0].targets[0].weight = 0;
+    assert_matches!(weightless.check(), Err(Fault::Weight { .. }));
+    let mut timeless = table(1);
+    timeless.routes[0].timeout_ms = 0;
+    assert_matches!(timeless.check(), Err(Fault::Timeout { .. }));
+    let mut shared = table(1);
+    shared.workspaces[1].keys = shared.workspaces[0].keys.clone();
+    assert_matches!(shared.check(), Err(Fault::Key { .. }));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_found() {
+    let index = Index::new(Arc::new(table(1)));
+    let prefix = |host: &str, path: &str| index.route(host, path).map(|r| r.prefix.clone());
+    assert_eq!(prefix("h.example", "/a/x"), Some("/a/".to_owned()));
+    assert_eq!(prefix("H.Example", "/a/b/x"), Some("/a/b/".to_owned()));
+    assert_eq!(prefix("h.example", "/b/x"), None);
+    assert_eq!(prefix("other.example", "/a/x"), None);
+}
+
+#[test]
+fn a_key_belongs_to_one_workspace() {
+    let index = Index::new(Arc::new(table(1)));
+    assert_eq!(index.workspace("k2").map(|w| w.name.as_str()), Some("w2"));
+    assert!(index.workspace("k3").is_none());
+}
+
+#[test]
+fn only_a_higher_version_replaces_a_table() {
+    let mut held = Held::default();
+    let source = |text: &str| Arc::new(text.to_owned());
+    assert!(held.replace(source("two"), Arc::new(table(2))));
+    assert!(!held.replace(source("other"), Arc::new(table(2))));
+    assert!(!held.replace(source("one"), Arc::new(table(1))));
+    assert_eq!(*held.source, "two");
+    assert!(held.replace(source("three"), Arc::new(table(3))));
+    assert_eq!(held.table.version, 3);
+}
+
+#[test]
+fn weights_never_go_back() {
+    let mut held = Held::default();
+    held.name_weights("m", 2);
+    held.name_weights("m", 1);
+    assert_eq!(held.weights["m"], 2);
+}
