--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -45,8 +45,9 @@
 const CALL_LIMIT: Duration = Duration::from_millis(600);
 /// Gives the time between two reads of the list, which itself lags by most of a second.
 const LIST_PERIOD_MS: u64 = 400;
-/// Gives the time that a request may wait at an engine before it begins, in milliseconds.
-const BEGIN_MS: u64 = 2_000;
+/// Gives the time that a request may wait at an engine under load before it begins, in
+/// milliseconds.
+const BEGIN_MS: u64 = 4_000;
 /// Bounds the pages of one read of the list, against a list that never ends.
 const PAGES: usize = 64;
 const RING_EVENTS: usize = 1_024;
@@ -149,8 +150,8 @@
         let limit = settings.map_or(u64::MAX, |gateway| gateway.weights_limit.as_millis() as u64);
         let limit = limit.saturating_sub(BEGIN_MS);
         let named = self.named.iter().filter_map(|(model, versions)| {
-            let old = versions.iter().filter(|(_, at)| now.since(**at) >= limit);
-            Some((model.clone(), *old.last()?.0))
+            let mut old = versions.iter().filter(|(_, at)| now.since(**at) >= limit);
+            Some((model.clone(), *old.next_back()?.0))
         });
         named.collect()
     }
