Replace voters whose hosts are gone or end

The leading voter's host now takes in a sound host with the role voter while fewer members than wanted stay, lets it vote, and only then removes the one that is gone; 'tolerate' says how many losses the group should bear.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -49,3 +49,4 @@
 pub mod tally;
 pub mod upstream;
 pub mod view;
+pub mod voters;
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -172,6 +172,7 @@
             tokio::spawn(gateway.follow(context.clone()));
         }
         voter.follow(member.view());
+        voter_start::keep_up(&settings, &voter, member.view(), &log);
         let tally: Arc<Mutex<Tally>> = Arc::default();
         let (publish, fleet) = watch::channel(Arc::default());
         let list = settings.gateway.as_ref().and_then(|gateway| gateway.list);
--- a/crates/hibiscushoistd/src/settings.rs
+++ b/crates/hibiscushoistd/src/settings.rs
@@ -84,7 +84,7 @@
         name: "platform",
     },
     Section {
-        keys: &["found", "members", "seeds"],
+        keys: &["found", "members", "seeds", "tolerate"],
         name: "voters",
     },
 ];
@@ -130,6 +130,8 @@
     pub region: String,
     /// Holds the roles that the daemon plays.
     pub roles: BTreeSet<Role>,
+    /// Gives how many voters may be lost at once, where the group should grow to bear it.
+    pub tolerate: Option<usize>,
     /// Lists the first voters of the fleet.
     pub voters: Vec<Voter>,
 }
@@ -264,6 +266,12 @@
         self.roles.contains(&role)
     }
 
+    /// Returns how many voters the group should have.
+    pub fn voter_target(&self) -> usize {
+        let tolerated = self.tolerate.map(|lost| 2 * lost + 1);
+        tolerated.unwrap_or(self.voters.len())
+    }
+
     fn checked(file: &File) -> Result<Self, Error> {
         let settings = Self {
             data: file.get("daemon", "data").map(PathBuf::from),
@@ -286,6 +294,7 @@
                 "a list of broker, entry and voter",
                 roles,
             )?,
+            tolerate: tolerate(file)?,
             voters: voters(file)?,
         };
         settings.agree(file)?;
@@ -447,6 +456,12 @@
     Ok(named.collect())
 }
 
+fn tolerate(file: &File) -> Result<Option<usize>, Error> {
+    let accepted = "a whole number from 0 to 3";
+    let parse = |text: &str| number(0, 3)(text).map(|lost| Some(lost as usize));
+    file.optional("voters", "tolerate", None, accepted, parse)
+}
+
 fn flag(text: &str) -> Option<bool> {
     text.parse().ok()
 }
--- a/crates/hibiscushoistd/src/voter_start.rs
+++ b/crates/hibiscushoistd/src/voter_start.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 
 use error_stack::Report;
@@ -29,6 +30,7 @@
 use coordination::raft::Raft;
 use coordination::raft_entry::Recovered;
 use coordination::raft_settings;
+use coordination::view::View;
 use transport::clock::Clock;
 use transport::disk;
 use transport::event;
@@ -124,21 +126,34 @@
             votes: true,
         }));
     }
-    if let Some(pool) = handle.pool.as_ref().filter(|_| !settings.voters.is_empty()) {
-        let upkeep = Upkeep {
-            calls: calls.clone(),
-            founded: handle.table.borrow().revision() > 0 || !settings.found,
-            log: log.clone(),
-            name: settings.name.clone(),
-            pool: pool.clone(),
-            status: status.clone(),
-            voters: settings.voters.clone(),
-        };
-        tokio::spawn(upkeep.run());
-    }
     Ok(Local { calls, status })
 }
 
+/// Keeps the group of voters up from now on, where this host has a voter that belongs to one.
+pub fn keep_up(
+    settings: &Settings,
+    handle: &Handle,
+    view: watch::Receiver<Arc<View>>,
+    log: &Logger,
+) {
+    let local = handle.local.as_ref().zip(handle.pool.as_ref());
+    let Some((local, pool)) = local.filter(|_| !settings.voters.is_empty()) else {
+        return;
+    };
+    let upkeep = Upkeep {
+        calls: local.calls.clone(),
+        founded: handle.table.borrow().revision() > 0 || !settings.found,
+        log: log.clone(),
+        name: settings.name.clone(),
+        pool: pool.clone(),
+        status: local.status.clone(),
+        target: settings.voter_target(),
+        view,
+        voters: settings.voters.clone(),
+    };
+    tokio::spawn(upkeep.run());
+}
+
 fn open(folder: std::path::PathBuf, log: &Logger) -> Result<Store<disk::Folder>, Report<Start>> {
     let locked = disk::Folder::open(folder).change_context(Start::Folder)?;
     let opened = Store::open(locked, Identity(rand::random()));
--- a/crates/hibiscushoistd/src/voter_upkeep.rs
+++ b/crates/hibiscushoistd/src/voter_upkeep.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use slog::Logger;
@@ -15,6 +16,8 @@
 use coordination::quorum::Change;
 use coordination::quorum::Identity;
 use coordination::quorum::Member;
+use coordination::view::View;
+use coordination::voters;
 use protocol::voter::Folder;
 use transport::event;
 use transport::event::Event;
@@ -38,6 +41,10 @@
     pub pool: Pool,
     /// Shows the voter of this host.
     pub status: watch::Receiver<Status>,
+    /// Gives how many voters the group should have.
+    pub target: usize,
+    /// Shows the fleet.
+    pub view: watch::Receiver<Arc<View>>,
     /// Lists the first voters.
     pub voters: Vec<settings::Voter>,
 }
@@ -88,17 +95,21 @@
         if let Some((id, _)) = members.iter().find(|(_, member)| !member.votes) {
             return Some(Change::Promote(*id));
         }
-        let mut hosts: BTreeMap<&String, SocketAddr> = BTreeMap::new();
-        hosts.extend(
-            members
-                .values()
-                .map(|member| (&member.name, member.address)),
-        );
+        let view = self.view.borrow().clone();
+        if let Some(gone) = voters::surplus(&status.config, &view, self.target) {
+            return Some(Change::Remove(gone));
+        }
+        let mut hosts: BTreeMap<String, SocketAddr> = members
+            .values()
+            .map(|member| (member.name.clone(), member.address))
+            .collect();
         if members.len() < self.voters.len() {
-            hosts.extend(self.voters.iter().map(|voter| (&voter.name, voter.address)));
+            let listed = self.voters.iter();
+            hosts.extend(listed.map(|voter| (voter.name.clone(), voter.address)));
         }
-        for (name, address) in hosts.into_iter().filter(|(name, _)| **name != self.name) {
-            let folder = self.folder(address).await.filter(|f| f.name == *name);
+        hosts.extend(voters::successors(&status.config, &view, self.target));
+        for (name, address) in hosts.into_iter().filter(|(name, _)| *name != self.name) {
+            let folder = self.folder(address).await.filter(|f| f.name == name);
             let change = folder.and_then(|folder| self.fitting(status, &folder, address));
             if change.is_some() {
                 return change;
