Refuse a long prompt that found no room in the time in which its answer should begin

It now waits for as long as its answer should take to begin and is then refused, not run, with a time to come back that spreads over 1.5 s.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -44,13 +44,11 @@
 /// prompts at once would also push cached ones out of the engine's memory.
 const ROOM_MS: u64 = 400;
 /// Bounds it for a request that is late already, so that those which can be in time go first.
-const ROOM_LATE_MS: u64 = 150;
+const ROOM_LATE_MS: u64 = 250;
 
 /// Describes what a request needs.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
-    /// Tells that the request has waited long enough for room.
-    pub anyway: bool,
     /// Names the failure domain of this host.
     pub domain: String,
     /// Breaks ties.
@@ -342,7 +340,7 @@
         if least > demand.left_ms {
             return Err(Refusal::TooLate);
         }
-        if let Some((part, _)) = demand.shared.as_ref().filter(|_| !demand.anyway) {
+        if let Some((part, _)) = &demand.shared {
             let room = match demand.late {
                 false => ROOM_MS,
                 true => ROOM_LATE_MS,
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -48,11 +48,16 @@
 const IDLE: Duration = Duration::from_millis(4_000);
 /// Gives the time between two looks at whether the upstream has fallen silent.
 const LOOK: Duration = Duration::from_millis(100);
+/// Gives when a caller should return at the earliest after no engine had room, in milliseconds; a
+/// burst is over or read within seconds.
+const BUSY_MS: u64 = 1_000;
+/// Gives the time over which callers return after no engine had room, in milliseconds.
+const BUSY_SPREAD_MS: u64 = 1_500;
 /// Gives the time between two looks at whether an engine has room.
 const ROOM_LOOK: Duration = Duration::from_millis(20);
-/// Gives the share of its time for which a request waits for room, in percent; the rest is enough
-/// to read a long prompt and to answer.
-const WAIT_PERCENT: u64 = 50;
+/// Gives how long a request waits for room, as a multiple of the time in which its answer should
+/// begin; callers leave at four times that, and reading takes about one.
+const WAIT_GOALS: u64 = 1;
 /// Bounds the upstreams that may reject a request without running it.
 const REJECTIONS: u32 = 3;
 /// Gives when a caller should return after every upstream rejected its request, in milliseconds.
@@ -253,11 +258,13 @@
             retry_after_ms: None,
         };
     }
-    let reason = match refusal {
-        Refusal::None => Reason::NoUpstream,
-        Refusal::Busy | Refusal::TooLate => Reason::Overloaded,
-    };
-    later(reason, REJECTED_MS)
+    match refusal {
+        Refusal::None => later(Reason::NoUpstream, REJECTED_MS),
+        Refusal::Busy | Refusal::TooLate => {
+            let spread = rand::random_range(0..=BUSY_SPREAD_MS);
+            later(Reason::Overloaded, BUSY_MS + spread)
+        }
+    }
 }
 
 fn note(
@@ -289,13 +296,19 @@
     loop {
         let demand = demand(context, gateway, routed, progress);
         match choose(context, gateway, &demand) {
-            Err(Refusal::Busy) => tokio::time::sleep(ROOM_LOOK).await,
+            Err(Refusal::Busy) if waits(context, routed) => tokio::time::sleep(ROOM_LOOK).await,
             Err(refusal) => return Err(refusal),
             Ok(choice) => return Ok((demand, choice)),
         }
     }
 }
 
+/// Returns whether a request may wait for room any longer.
+fn waits(context: &Context, routed: &Routed) -> bool {
+    let waited = context.clock.now().since(routed.arrived);
+    waited < routed.route.goal_ms * WAIT_GOALS
+}
+
 fn demand(context: &Context, gateway: &Gateway, routed: &Routed, progress: &Progress) -> Demand {
     let known = gateway.outlook.watch().borrow().clone();
     let service = known.index.service(&routed.service);
@@ -304,9 +317,7 @@
     let newest = model.as_ref().and_then(|model| known.weights.get(model));
     let now = context.clock.now();
     let waited = now.since(routed.arrived);
-    let patience = routed.deadline.since(routed.arrived) * WAIT_PERCENT / 100;
     Demand {
-        anyway: waited >= patience,
         domain: context.settings.failure_domain.clone(),
         draw: rand::random(),
         late: waited >= routed.route.goal_ms,
