Fetch a shared prompt from an engine only once that engine has read it

Cause of some prompts read twice: a request that moved on to another engine was told to fetch its prompt from the first while that one was still reading it, and missed. For the first 700 ms the store is named instead.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -34,6 +34,9 @@
 /// Gives for how long a prompt that was sent to an engine is expected to be cached there, in
 /// milliseconds; under load an engine's memory turns over within seconds.
 const HELD_MS: u64 = 4_000;
+/// Gives the time after which a prompt that was sent to an engine has been read there, in
+/// milliseconds: what may be ahead of it, and its own reading.
+const READ_MS: u64 = 700;
 /// Gives the time after which a shared prompt goes to the store again, in milliseconds, as the
 /// store may have dropped it or was down.
 const SAVED_MS: u64 = 10_000;
@@ -414,7 +417,8 @@
         let sent_at = |upstream: &Upstream| {
             let seen = self.seen.get(&upstream.id)?;
             let held = seen.held.1.get(&key).filter(|_| seen.held.0 == weights)?;
-            (now.since(*held) <= HELD_MS).then_some(*held)
+            let age = now.since(*held);
+            (READ_MS..=HELD_MS).contains(&age).then_some(*held)
         };
         let others = fleet.upstreams.iter().filter(|upstream| {
             upstream.id != chosen.id
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -79,9 +79,12 @@
     let _ = host.sent(Instant(0), &first, &demand);
     let others = BTreeMap::from([(first.upstream.id.clone(), unread(40_000))]);
     host.heard_of(Instant(1), others);
-    let second = host.choose(Instant(2), &fleet, &demand).unwrap();
-    assert_ne!(id(&first), id(&second));
-    assert_eq!(second.fetch, Some(first.upstream.address));
+    let early = host.choose(Instant(2), &fleet, &demand).unwrap();
+    assert_ne!(id(&first), id(&early));
+    assert_eq!(early.fetch, Some(address(STORE)));
+    let later = host.choose(Instant(900), &fleet, &demand).unwrap();
+    assert_ne!(id(&first), id(&later));
+    assert_eq!(later.fetch, Some(first.upstream.address));
 }
 
 #[test]
