--- a/crates/coordination/tests/voters.rs
+++ b/crates/coordination/tests/voters.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use common::name;
 use common::profile;
 use coordination::host::Record;
 use coordination::host::Role;
@@ -25,7 +26,7 @@
     view::Member {
         reachable: true,
         record: Record {
-            host: format!("h{place}"),
+            host: name(place),
             profile,
             standing,
             version: Version::default(),
@@ -38,7 +39,7 @@
     View {
         hosts: places.iter().map(sound).collect(),
         isolated: false,
-        me: "h0".to_owned(),
+        me: name(0),
     }
 }
 
@@ -46,7 +47,7 @@
     let member = |place: &usize| {
         let member = Member {
             address: profile(*place, 3).peer,
-            name: format!("h{place}"),
+            name: name(*place),
             votes: true,
         };
         (Identity(*place as u64), member)
@@ -73,7 +74,7 @@
 fn a_voter_whose_host_is_gone_stays_until_another_votes_in_its_place() {
     let mut view = sound(&[0, 1, 2, 3]);
     view.hosts[2] = host(2, Standing::Dead, false);
-    assert_eq!(successors(&view), ["h3"]);
+    assert_eq!(successors(&view), [name(3)]);
     assert_eq!(voters::surplus(&members(&[0, 1, 2]), &view, TARGET), None);
     let all = members(&[0, 1, 2, 3]);
     let gone = Some(Identity(2));
@@ -85,7 +86,7 @@
 fn a_voter_whose_host_ends_is_replaced_before_it_has_ended() {
     let mut view = sound(&[0, 1, 2, 3]);
     view.hosts[1] = host(1, Standing::Alive, true);
-    assert_eq!(successors(&view), ["h3"]);
+    assert_eq!(successors(&view), [name(3)]);
 }
 
 #[test]
