--- a/crates/coordination/src/voters.rs
+++ b/crates/coordination/src/voters.rs
@@ -1,8 +1,8 @@
 //! Which hosts should vote: replaces voters whose hosts are gone for good or end, one at a time.
 //!
-//! A successor is added and votes before the one that it replaces is removed, so that the group never
-//! has fewer sound voters than before the change. A voter that is only unreachable stays a member
-//! until a successor votes in its place.
+//! A successor is added and votes before the one that it replaces is removed, so that the group
+//! never has fewer sound voters than before the change. A voter that is only unreachable stays a
+//! member until a successor votes in its place.
 
 use std::net::SocketAddr;
 
@@ -13,7 +13,8 @@
 use crate::quorum::Member;
 use crate::view::View;
 
-/// Returns a voter that can be removed because more than `target` vote and its host is gone or ends.
+/// Returns a voter that can be removed, because more than `target` vote and its host is gone or
+/// ends.
 pub fn surplus(config: &Config, view: &View, target: usize) -> Option<Identity> {
     if config.voters().count() <= target {
         return None;
--- a/crates/coordination/tests/voters.rs
+++ b/crates/coordination/tests/voters.rs
@@ -6,6 +6,7 @@
 
 use common::name;
 use common::profile;
+
 use coordination::host::Record;
 use coordination::host::Role;
 use coordination::host::Standing;
