Have a stream that breaks off go on at another engine of the same weights

Where the route allows it, the gateway now passes whole events only, and on a break or a pause of three times the longest that is on time it has the stream go on after the last event that passed, at an engine of the same weights, within the route's attempts and the retry budget. Repeated events are left out, and a stream that cannot go on still does not look complete.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -56,6 +56,8 @@
     pub domain: String,
     /// Breaks ties.
     pub draw: u64,
+    /// Gives the weights version that must serve the request, where an answer goes on.
+    pub exact_weights: Option<u64>,
     /// Tells that the answer cannot begin in time any more.
     pub late: bool,
     /// Gives the time left, in milliseconds.
@@ -296,7 +298,9 @@
             let floor = fleet.floors.get(model)?;
             Some((self.weights(upstream, model), *floor))
         });
+        let exact = demand.model.as_ref().zip(demand.exact_weights);
         floor.is_none_or(|(weights, floor)| weights >= floor)
+            && exact.is_none_or(|(model, exact)| self.weights(upstream, model) == exact)
     }
 
     fn is_usable(&self, now: Instant, id: &str) -> bool {
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -136,6 +136,8 @@
     pub headers: HeaderMap,
     /// Holds the method.
     pub method: Method,
+    /// Gives the last event that the caller has, where a stream goes on.
+    pub resume_after: Option<u64>,
     /// Holds the route.
     pub route: Route,
     /// Names the service.
@@ -210,6 +212,7 @@
         arrived,
         body: body.map_err(Failure::before_run)?,
         deadline,
+        resume_after: facts.resumed_after,
         facts,
         headers: request.headers,
         method: request.method,
--- /dev/null
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -0,0 +1,259 @@
+//! Sends a routed request to one upstream and judges the head of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderMap;
+use hyper::http;
+
+use crate::context::Context;
+use crate::gateway::Gateway;
+use crate::gateway::Routed;
+use coordination::dispatch::Choice;
+use coordination::dispatch::Demand;
+use coordination::dispatch::Run;
+use coordination::retry;
+use platform::answer::Facts;
+use platform::caller;
+use platform::caller::Forward;
+use state::routing::Kind;
+use transport::lane;
+use transport::lane::Lane;
+
+/// Bounds the time to connect to an upstream; a connection within a region takes a few
+/// milliseconds.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Bounds the idle time of a connection that carries an order, which cannot be sent again when the
+/// upstream closes the connection at that moment.
+const IDLE_ORDER: Duration = Duration::from_millis(1_500);
+/// Bounds the idle time of a connection that carries other requests.
+const IDLE: Duration = Duration::from_millis(4_000);
+/// Gives the time between two looks at whether the upstream has fallen silent.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Keeps a request noted as under way until it is dropped.
+pub struct Underway {
+    gateway: Arc<Gateway>,
+    /// Names the request to the dispatch.
+    pub run: Run,
+}
+
+impl Underway {
+    /// Returns what has seen the request.
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+}
+
+impl Drop for Underway {
+    fn drop(&mut self) {
+        self.gateway.dispatch().ended(&self.run);
+    }
+}
+
+/// Tells how an attempt went.
+pub enum Attempt {
+    /// Means that the upstream answered for the request.
+    Answered(Box<Answered>),
+    /// Means that no answer came that counts.
+    Failed {
+        /// Tells whether the request may have run.
+        may_have_run: bool,
+        /// Tells why.
+        reason: retry::Reason,
+    },
+    /// Means that the upstream did not run the request.
+    Rejected,
+}
+
+/// Holds the answer of an upstream whose body is still to come.
+pub struct Answered {
+    facts: Facts,
+    lane: Lane,
+    response: Response<Incoming>,
+    /// Keeps the request noted as under way.
+    pub underway: Underway,
+    /// Names the upstream.
+    pub upstream: String,
+    /// Gives the weights version that makes the answer, where an engine does.
+    pub weights: Option<u64>,
+}
+
+impl Answered {
+    /// Returns the head of the answer as the caller gets it.
+    pub fn returned_head(&self) -> http::response::Parts {
+        let mut response = Response::new(());
+        *response.status_mut() = self.response.status();
+        *response.headers_mut() = caller::returned(self.response.headers());
+        response.into_parts().0
+    }
+
+    /// Returns the body with its connection, how long that may be kept, and the request under way.
+    pub fn into_stream(self) -> (Incoming, Lane, Option<Duration>, Underway) {
+        let keep = keep(&self.facts);
+        (self.response.into_body(), self.lane, keep, self.underway)
+    }
+
+    /// Returns the status of the answer.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(&self, routed: &Routed) -> bool {
+        routed.route.kind == Kind::Stream && self.response.status().is_success()
+    }
+
+    /// Returns whether the stream may go on at another upstream; one of a stated length may not,
+    /// since its bytes are counted.
+    pub fn is_resumable(&self, routed: &Routed) -> bool {
+        let counted = self.response.headers().contains_key(CONTENT_LENGTH);
+        routed.route.resumable && !counted
+    }
+}
+
+/// Sends a request to the upstream that was chosen, and returns how that went once the head of an
+/// answer is there.
+pub async fn attempt(
+    context: &Context,
+    gateway: &Arc<Gateway>,
+    routed: &Routed,
+    demand: &Demand,
+    choice: &Choice,
+) -> Attempt {
+    let now = context.clock.now();
+    let headers = caller::forwarded(&routed.headers, &forward(routed, choice, demand.left_ms));
+    let Some(request) = request(routed, headers) else {
+        return Attempt::Rejected;
+    };
+    let run = gateway.dispatch().sent(now, choice, demand);
+    let mut underway = Underway {
+        gateway: gateway.clone(),
+        run,
+    };
+    let limits = lane::Limits {
+        connect: CONNECT,
+        idle: match routed.route.is_repeatable() {
+            false => IDLE_ORDER,
+            true => IDLE,
+        },
+    };
+    let sending = gateway.lanes.send(choice.upstream.address, request, limits);
+    let sent = tokio::select! {
+        sent = sending => sent,
+        reason = given_up(context, routed, &underway) => {
+            if reason == retry::Reason::Idle {
+                gateway.dispatch().failed(context.clock.now(), &underway.run);
+            }
+            return Attempt::Failed { may_have_run: true, reason };
+        }
+    };
+    let now = context.clock.now();
+    let (response, lane) = match sent {
+        Err(error) => {
+            gateway.dispatch().failed(now, &underway.run);
+            let reason = match error.not_sent() {
+                false => retry::Reason::Cut,
+                true => retry::Reason::Connect,
+            };
+            let may_have_run = !error.not_sent();
+            return Attempt::Failed {
+                may_have_run,
+                reason,
+            };
+        }
+        Ok(sent) => sent,
+    };
+    let facts = Facts::read(response.status(), response.headers());
+    if facts.is_foreign(&routed.facts.id) {
+        return Attempt::Failed {
+            may_have_run: true,
+            reason: retry::Reason::Crossed,
+        };
+    }
+    let mut dispatch = gateway.dispatch();
+    dispatch.answered(now, &mut underway.run);
+    if let Some((model, version)) = demand.model.as_ref().zip(facts.weights) {
+        dispatch.learned(&underway.run, model.clone(), version);
+    }
+    if facts.not_run {
+        dispatch.refused(now, &underway.run);
+        return Attempt::Rejected;
+    }
+    if !facts.stamped {
+        dispatch.failed(now, &underway.run);
+        return Attempt::Failed {
+            may_have_run: true,
+            reason: retry::Reason::Format,
+        };
+    }
+    drop(dispatch);
+    Attempt::Answered(Box::new(Answered {
+        facts,
+        lane,
+        response,
+        underway,
+        upstream: choice.upstream.id.clone(),
+        weights: choice.weights,
+    }))
+}
+
+/// Returns once the caller's time has passed or, for a request that may run again, the upstream
+/// has fallen silent.
+async fn given_up(context: &Context, routed: &Routed, underway: &Underway) -> retry::Reason {
+    loop {
+        let left = routed.left_ms(context.clock.now());
+        if left == 0 {
+            return retry::Reason::Idle;
+        }
+        tokio::time::sleep(LOOK.min(Duration::from_millis(left))).await;
+        let now = context.clock.now();
+        let silent = underway.gateway.dispatch().is_silent(now, &underway.run);
+        if silent && routed.route.is_repeatable() {
+            return retry::Reason::Idle;
+        }
+    }
+}
+
+fn request(routed: &Routed, headers: HeaderMap) -> Option<hyper::Request<lane::Body>> {
+    let mut request = hyper::Request::new(Full::new(routed.body.clone()));
+    *request.method_mut() = routed.method.clone();
+    let path = routed.uri.path_and_query()?.as_str();
+    *request.uri_mut() = path.parse().ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+fn forward(routed: &Routed, choice: &Choice, left_ms: u64) -> Forward {
+    let workspace = routed.workspace.as_ref();
+    let salt = choice.weights.map(|version| {
+        let isolated = workspace.filter(|workspace| workspace.isolated);
+        match isolated {
+            None => format!("w{version}"),
+            Some(workspace) => format!("w{version}-{}", workspace.name),
+        }
+    });
+    Forward {
+        expect_upstream: choice.upstream.id.clone(),
+        expect_weights: choice.weights,
+        fetch: choice.fetch,
+        left_ms,
+        rank: None,
+        resume_after: routed.resume_after,
+        salt,
+        save: choice.save,
+        workspace: workspace.map(|workspace| workspace.name.clone()),
+    }
+}
+
+/// Returns how long the connection may be kept after the answer, if at all.
+fn keep(facts: &Facts) -> Option<Duration> {
+    let stated = facts.keep_alive_s.map(Duration::from_secs);
+    let idle = stated.map_or(IDLE, |stated| (stated * 4 / 5).min(IDLE));
+    (!facts.last).then_some(idle)
+}
--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -16,7 +16,7 @@
 use tokio::time::Sleep;
 
 use crate::context::Context;
-use crate::gateway_run::Underway;
+use crate::gateway_attempt::Underway;
 use state::time::Instant;
 use transport::lane::Lane;
 
--- /dev/null
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -0,0 +1,99 @@
+//! Finds the upstream of a routed request, and waits until one has room for a long prompt.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::context::Context;
+use crate::gateway::Gateway;
+use crate::gateway::Routed;
+use crate::gateway_run::Progress;
+use crate::outlook::Known;
+use coordination::dispatch::Choice;
+use coordination::dispatch::Demand;
+use coordination::dispatch::Refusal;
+
+/// Gives the time between two looks at whether an engine has room.
+const ROOM_LOOK: Duration = Duration::from_millis(20);
+/// Gives how long a request waits for room, as a multiple of the time in which its answer should
+/// begin; callers leave at four times that, and reading takes about one.
+const WAIT_GOALS: u64 = 1;
+/// Gives the length from which a shared prompt is worth sending to the engine that has read it, in
+/// tokens; shorter ones are read within a step of a batch.
+const SHARED_TOKENS: u64 = 1_024;
+
+/// Waits until an engine has room for a request, but only for as long as an answer is still worth
+/// having, and returns where it goes.
+pub async fn place(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &Routed,
+    progress: &Progress,
+) -> Result<(Demand, Choice), Refusal> {
+    loop {
+        let demand = demand(context, gateway, routed, progress);
+        match choose(context, gateway, &demand) {
+            Err(Refusal::Busy) if waits(context, routed) => tokio::time::sleep(ROOM_LOOK).await,
+            Err(refusal) => return Err(refusal),
+            Ok(choice) => return Ok((demand, choice)),
+        }
+    }
+}
+
+/// Returns whether a request may wait for room any longer.
+fn waits(context: &Context, routed: &Routed) -> bool {
+    let waited = context.clock.now().since(routed.arrived);
+    waited < routed.route.goal_ms * WAIT_GOALS
+}
+
+fn demand(context: &Context, gateway: &Gateway, routed: &Routed, progress: &Progress) -> Demand {
+    let known = gateway.outlook.watch().borrow().clone();
+    let service = known.index.service(&routed.service);
+    let engine = service.is_some_and(|service| service.engine);
+    let model = routed.facts.model.clone().filter(|_| engine);
+    let newest = model.as_ref().and_then(|model| known.weights.get(model));
+    let now = context.clock.now();
+    let waited = now.since(routed.arrived);
+    Demand {
+        domain: context.settings.failure_domain.clone(),
+        exact_weights: progress.exact_weights,
+        draw: rand::random(),
+        late: waited >= routed.route.goal_ms,
+        left_ms: routed.left_ms(now),
+        newest: newest.copied().unwrap_or_default(),
+        model,
+        prompt_tokens: routed.facts.prompt_tokens,
+        service: routed.service.clone(),
+        shared: shared(routed).filter(|_| progress.exact_weights.is_none()),
+        store: store(&known, &context.settings.failure_domain),
+        tried: progress.tried.clone(),
+        wall: routed
+            .workspace
+            .as_ref()
+            .filter(|workspace| workspace.isolated)
+            .map(|workspace| workspace.name.clone()),
+    }
+}
+
+/// Returns the store of cached prompts, one in this host's failure domain first.
+fn store(known: &Known, domain: &str) -> Option<SocketAddr> {
+    let services = known.index.table().services.iter();
+    let stores = services.filter_map(|service| service.store.as_ref());
+    let best = stores.max_by_key(|store| store.domain == domain);
+    best.map(|store| store.address)
+}
+
+/// Returns the last part of the prompt that other requests share and the tokens up to its end; the
+/// very last part belongs to the request itself.
+fn shared(routed: &Routed) -> Option<(String, u64)> {
+    let parts = &routed.facts.parts;
+    let (_, shared) = parts.split_last()?;
+    let last = shared.last()?;
+    let tokens = shared.iter().map(|part| part.tokens).sum();
+    (tokens >= SHARED_TOKENS).then(|| (last.id.clone(), tokens))
+}
+
+fn choose(context: &Context, gateway: &Gateway, demand: &Demand) -> Result<Choice, Refusal> {
+    let known = gateway.outlook.watch().borrow().clone();
+    let now = context.clock.now();
+    gateway.dispatch().choose(now, &known.fleet, demand)
+}
--- /dev/null
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -0,0 +1,196 @@
+//! Passes a stream that may be resumed to a caller, and has it go on at another upstream of the same
+//! weights where its upstream breaks off or falls silent.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+
+use crate::context::Context;
+use crate::gateway::Gateway;
+use crate::gateway::Routed;
+use crate::gateway_attempt::Answered;
+use crate::gateway_run;
+use crate::gateway_run::Missed;
+use crate::gateway_run::Progress;
+use coordination::retry::Reason;
+use protocol::event_stream::Splitter;
+use transport::event;
+use transport::event::Event;
+use transport::http::Body;
+
+/// Bounds the parts of an answer that wait for the caller.
+const WAITING: usize = 16;
+/// Gives the pause between events after which an upstream is left, as a multiple of the longest pause
+/// that is on time; callers leave after eight times that.
+const SILENT_GAPS: u32 = 3;
+/// Gives the least such pause, which an engine needs to read a long prompt beside its runs.
+const SILENT: Duration = Duration::from_millis(1_200);
+
+type Part = Result<Frame<Bytes>, io::Error>;
+
+/// Tells how the stream of one upstream ended.
+enum End {
+    /// Means that the upstream did not complete it.
+    Broken(Reason),
+    /// Means that the caller is gone or has no time left.
+    Caller,
+    /// Means that the stream is complete.
+    Complete,
+}
+
+struct Pump {
+    caller: mpsc::Sender<Part>,
+    context: Arc<Context>,
+    gateway: Arc<Gateway>,
+    routed: Routed,
+    splitter: Splitter,
+    until: Instant,
+}
+
+/// Passes the stream of `answered` on, and returns the response with its head.
+pub fn start(
+    context: &Arc<Context>,
+    gateway: &Arc<Gateway>,
+    routed: Routed,
+    progress: Progress,
+    answered: Answered,
+) -> Response<Body> {
+    let (caller, parts) = mpsc::channel::<Part>(WAITING);
+    let left = Duration::from_millis(routed.left_ms(context.clock.now()));
+    let head = answered.returned_head();
+    let pump = Pump {
+        caller,
+        context: context.clone(),
+        gateway: gateway.clone(),
+        splitter: Splitter::new(routed.resume_after),
+        routed,
+        until: Instant::now() + left,
+    };
+    tokio::spawn(pump.run(progress, answered));
+    let parts = stream::unfold(parts, |mut parts| async {
+        let part = parts.recv().await?;
+        Some((part, parts))
+    });
+    Response::from_parts(head, Body::new(StreamBody::new(parts.boxed())))
+}
+
+impl Pump {
+    async fn run(mut self, mut progress: Progress, mut answered: Answered) {
+        let weights = answered.weights;
+        loop {
+            let upstream = answered.upstream.clone();
+            let reason = match self.pass(answered).await {
+                End::Caller => return self.give_up().await,
+                End::Complete => return,
+                End::Broken(reason) => reason,
+            };
+            self.splitter.restart();
+            self.routed.resume_after = self.splitter.last();
+            progress.exact_weights = weights;
+            let missed = Missed {
+                may_have_run: true,
+                reason,
+                upstream,
+            };
+            let (context, gateway) = (&self.context, &self.gateway);
+            let resumed =
+                gateway_run::resume(context, gateway, &self.routed, &mut progress, missed);
+            let next = tokio::select! {
+                next = resumed => next,
+                () = self.caller.closed() => return,
+            };
+            let details = slog::o!(
+                "request" => self.routed.facts.id.clone(),
+                "reason" => reason.to_string(),
+                "after" => self.routed.resume_after,
+                "resumed" => next.is_some(),
+            );
+            event::emit(&self.context.log, Event::StreamBroken, details);
+            answered = match next {
+                None => return self.give_up().await,
+                Some(next) => next,
+            };
+        }
+    }
+
+    /// Ends the caller's connection without an end mark, so that the answer does not look complete.
+    async fn give_up(&self) {
+        let error = io::Error::from(io::ErrorKind::UnexpectedEof);
+        let _ = self.caller.send(Err(error)).await;
+    }
+
+    async fn pass(&mut self, answered: Answered) -> End {
+        let (mut body, lane, keep, underway) = answered.into_stream();
+        let gap = Duration::from_millis(self.routed.route.gap_ms);
+        let silent = SILENT.max(gap * SILENT_GAPS);
+        loop {
+            let frame = tokio::select! {
+                frame = next(&mut body) => frame,
+                () = tokio::time::sleep(silent) => {
+                    let now = self.context.clock.now();
+                    self.gateway.dispatch().failed(now, &underway.run);
+                    return End::Broken(Reason::Idle);
+                }
+                () = sleep_until(self.until) => return End::Caller,
+                () = self.caller.closed() => return End::Caller,
+            };
+            let now = self.context.clock.now();
+            let bytes = match frame {
+                None => {
+                    self.gateway.dispatch().succeeded(&underway.run);
+                    let rest = self.splitter.finish();
+                    if let Some(idle) = keep {
+                        tokio::spawn(lane.keep(idle));
+                    }
+                    return match rest.is_empty() || self.send(rest).await {
+                        false => End::Caller,
+                        true => End::Complete,
+                    };
+                }
+                Some(Err(_)) => {
+                    self.gateway.dispatch().failed(now, &underway.run);
+                    return End::Broken(Reason::Cut);
+                }
+                Some(Ok(bytes)) => bytes,
+            };
+            self.gateway.dispatch().heard(now, &underway.run);
+            let whole = self.splitter.push(&bytes);
+            if !whole.is_empty() && !self.send(whole).await {
+                return End::Caller;
+            }
+        }
+    }
+
+    async fn send(&self, bytes: Bytes) -> bool {
+        tokio::select! {
+            sent = self.caller.send(Ok(Frame::data(bytes))) => sent.is_ok(),
+            () = sleep_until(self.until) => false,
+        }
+    }
+}
+
+/// Returns the next bytes of a body.
+async fn next(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+    loop {
+        match body.frame().await? {
+            Err(error) => return Some(Err(error)),
+            Ok(frame) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Some(Ok(bytes));
+                }
+            }
+        }
+    }
+}
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -311,6 +311,27 @@
     assert!(answer.body.is_err() || answer.status == 502);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_off_goes_on_at_the_other_upstream() {
+    let bench = Bench::serving("engines").await;
+    for place in 0..6 {
+        bench.first.behave(Manner::Cut);
+        let answer = bench.send(&format!("/stream/{place}"), "k1").await;
+        let whole = standin::events(0, standin::EVENTS);
+        assert_eq!(answer.body.expect("the stream ends"), whole);
+    }
+    let resumed = bench.second.received();
+    let resumed = resumed
+        .iter()
+        .filter(|r| r.headers.contains_key("last-event-id"));
+    let after: Vec<_> = resumed
+        .map(|r| r.headers["last-event-id"].clone())
+        .collect();
+    assert!(after.iter().all(|after| after == "2"), "{after:?}");
+    let sent = (bench.first.received().len(), bench.second.received().len());
+    assert!(!after.is_empty(), "{sent:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_stops_when_the_caller_leaves() {
     let bench = Bench::serving("desk").await;
--- a/crates/hibiscushoistd/tests/standin/mod.rs
+++ b/crates/hibiscushoistd/tests/standin/mod.rs
@@ -26,6 +26,9 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+/// Counts the events of a whole stream.
+pub const EVENTS: u64 = 6;
+
 type Body = StreamBody<stream::BoxStream<'static, Result<Frame<Bytes>, std::io::Error>>>;
 type Answer = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
@@ -211,12 +214,16 @@
         });
         shared.manner
     };
+    let streams = head.uri.path().starts_with("/stream/");
+    let after = text("last-event-id").and_then(|id| id.parse().ok());
+    let after: u64 = after.unwrap_or_default();
     let mut watch = Watch {
         answered: false,
         shared,
     };
     let mut response = match manner {
         Manner::Crossed => whole(200, "answer".to_owned()),
+        Manner::Cut if streams => parts(200, vec![Ok(events(after, after + 2)), Err(())]),
         Manner::Cut => parts(200, vec![Ok("ans".to_owned()), Err(())]),
         Manner::Failing => whole(500, "failure".to_owned()),
         Manner::Mute => {
@@ -224,6 +231,7 @@
             whole(200, "late".to_owned())
         }
         Manner::Rejecting => whole(503, String::new()),
+        Manner::Sound if streams => whole(200, events(after, EVENTS)),
         Manner::Sound => whole(200, format!("answer of {id}")),
     };
     watch.answered = true;
@@ -240,16 +248,26 @@
     response
 }
 
+/// Returns the events after one up to another; what follows the last is cut short on the way.
+pub fn events(after: u64, last: u64) -> String {
+    let events = (after + 1..=last).map(|id| format!("id: {id}\ndata: token {id}\n\n"));
+    events.collect()
+}
+
 fn whole(status: u16, text: String) -> Response<Body> {
     parts(status, vec![Ok(text)])
 }
 
 fn parts(status: u16, parts: Vec<Result<String, ()>>) -> Response<Body> {
-    let frame = |part: Result<String, ()>| match part {
-        Err(()) => Err(std::io::Error::other("cut")),
+    let frame = async |part: Result<String, ()>| match part {
+        Err(()) => {
+            // What was sent before has to leave before the connection breaks.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            Err(std::io::Error::other("cut"))
+        }
         Ok(text) => Ok(Frame::data(Bytes::from(text))),
     };
-    let frames = stream::iter(parts.into_iter().map(frame)).boxed();
+    let frames = stream::iter(parts).then(frame).boxed();
     let mut response = Response::new(StreamBody::new(frames));
     *response.status_mut() = status.try_into().unwrap();
     response
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod block;
 pub mod completion;
 pub mod engine;
+pub mod event_stream;
 pub mod header;
 pub mod kv;
 pub mod operator;
--- /dev/null
+++ b/crates/protocol/tests/event_stream.rs
@@ -0,0 +1,69 @@
+//! Streams of events that break off anywhere and go on from another source.
+
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+use protocol::event_stream::Splitter;
+
+fn events(from: u64, to: u64) -> String {
+    (from..=to)
+        .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
+        .collect()
+}
+
+#[test]
+fn only_whole_events_pass() {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n"), "");
+    assert_eq!(splitter.push(b"\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    assert_eq!(splitter.last(), Some(1));
+    assert_eq!(splitter.push(b"ta: b\n\n"), "id: 2\ndata: b\n\n");
+}
+
+#[test]
+fn events_that_passed_before_are_left_out() {
+    let mut splitter = Splitter::new(Some(2));
+    assert_eq!(splitter.push(events(1, 4).as_bytes()), events(3, 4));
+}
+
+#[test]
+fn what_follows_the_last_event_passes_at_the_end() {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(b"id: 1\n\n: end"), "id: 1\n\n");
+    assert_eq!(splitter.finish(), ": end");
+}
+
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..proptest::test_runner::Config::default()
+    })]
+
+    #[test]
+    fn a_stream_from_two_sources_is_the_whole_stream(
+        count in 1_u64..40,
+        cut in any::<prop::sample::Index>(),
+        sizes in prop::collection::vec(1_usize..50, 1..40),
+        overlap in 0_u64..3,
+    ) {
+        let whole = events(1, count);
+        let mut splitter = Splitter::default();
+        let mut passed = String::new();
+        let mut rest = &whole.as_bytes()[..cut.index(whole.len())];
+        for size in sizes.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (part, more) = rest.split_at((*size).min(rest.len()));
+            passed += std::str::from_utf8(&splitter.push(part)).unwrap();
+            rest = more;
+        }
+        splitter.restart();
+        let from = splitter.last().unwrap_or(0).saturating_sub(overlap) + 1;
+        let again = events(from, count);
+        passed += std::str::from_utf8(&splitter.push(again.as_bytes())).unwrap();
+        prop_assert_eq!(passed, whole);
+    }
+}
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -34,6 +34,8 @@
     RoutedRefused = 122,
     /// Logs that a routed request was refused because the host's table may be out of date.
     OutlookStale = 123,
+    /// Logs that a routed stream broke off, and whether it goes on at another upstream.
+    StreamBroken = 124,
     /// Logs that an accepted edit is in force here.
     TableApplied = 200,
     /// Logs that an edit was refused.
@@ -132,7 +134,8 @@
             | Self::HostLoaded
             | Self::OutlookStale
             | Self::RequestRefused
-            | Self::RoutedRefused => Level::Debug,
+            | Self::RoutedRefused
+            | Self::StreamBroken => Level::Debug,
             Self::ConnectionLimit
             | Self::DiskFull
             | Self::DrainLimitPassed
