--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -72,6 +72,7 @@
         .first(now, routed.service.clone(), routed.service.clone());
     loop {
         let answered = answered(context, gateway, &routed, &mut progress).await?;
+        tell(context, gateway, &routed, &progress, &answered);
         if answered.is_stream(&routed) {
             return Ok(match answered.is_resumable(&routed) {
                 false => passed(context, &routed, answered),
@@ -96,6 +97,33 @@
     }
 }
 
+/// Logs which upstream answered a request, and by what it was chosen.
+fn tell(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &Routed,
+    progress: &Progress,
+    answered: &Answered,
+) {
+    let known = gateway.outlook.watch().borrow().clone();
+    let workspace = routed.workspace.as_ref().map(|w| w.name.clone());
+    let details = slog::o!(
+        "request" => routed.facts.id.clone(),
+        "workspace" => workspace,
+        "service" => routed.service.clone(),
+        "upstream" => answered.upstream.clone(),
+        "weights" => answered.weights,
+        "status" => answered.status().as_u16(),
+        "attempts" => progress.attempts + 1,
+        "rejections" => progress.rejections,
+        "after_ms" => context.clock.now().since(routed.arrived),
+        "table" => known.index.table().version,
+        "edition" => known.fleet.edition.number,
+        "age_ms" => gateway.outlook.age_ms(context),
+    );
+    event::emit(&context.log, Event::RequestAnswered, details);
+}
+
 /// Has a stream go on at another upstream, after the events that were passed on, where the route
 /// and the budget allow it.
 pub async fn resume(
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -36,6 +36,8 @@
     OutlookStale = 123,
     /// Logs that a routed stream broke off, and whether it goes on at another upstream.
     StreamBroken = 124,
+    /// Logs which upstream answered a routed request, and by what it was chosen.
+    RequestAnswered = 125,
     /// Logs that an accepted edit is in force here.
     TableApplied = 200,
     /// Logs that an edit was refused.
@@ -133,6 +135,7 @@
             | Self::FleetChanged
             | Self::HostLoaded
             | Self::OutlookStale
+            | Self::RequestAnswered
             | Self::RequestRefused
             | Self::RoutedRefused
             | Self::StreamBroken => Level::Debug,
--- /dev/null
+++ b/crates/transport/tests/lane.rs
@@ -0,0 +1,124 @@
+//! Kept connections to upstreams that keep, close and refuse them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use hyper::Request;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use transport::lane::Body;
+use transport::lane::Error;
+use transport::lane::Lanes;
+use transport::lane::Limits;
+
+const LIMIT: Duration = Duration::from_secs(20);
+const LIMITS: Limits = Limits {
+    connect: LIMIT,
+    idle: LIMIT,
+};
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Starts an upstream that sends `answer` for each request and counts its connections.
+async fn upstream(answer: &'static [u8], closes: bool) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let opened = Arc::new(AtomicU32::new(0));
+    let count = opened.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            count.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(serve(stream, answer, closes));
+        }
+    });
+    (address, opened)
+}
+
+async fn serve(mut stream: TcpStream, answer: &'static [u8], closes: bool) {
+    let mut request = Vec::new();
+    let mut bytes = [0; 1_024];
+    while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+        request.extend_from_slice(&bytes[..count]);
+        if request.ends_with(b"\r\n\r\n") {
+            request.clear();
+            let _ = stream.write_all(answer).await;
+            if closes {
+                return;
+            }
+        }
+    }
+}
+
+fn request() -> Request<Body> {
+    let request = Request::get("/x").header("host", "u");
+    request.body(Body::default()).unwrap()
+}
+
+async fn exchange(lanes: &Lanes, address: SocketAddr, limits: Limits) -> Result<u16, Error> {
+    let answer = lanes.exchange(address, request(), limits, LIMIT).await;
+    answer.map(|response| response.status().as_u16())
+}
+
+#[tokio::test]
+async fn a_connection_is_used_again() {
+    let (address, opened) = upstream(ANSWER, false).await;
+    let lanes = Lanes::default();
+    for _ in 0..5 {
+        assert_matches!(exchange(&lanes, address, LIMITS).await, Ok(200));
+    }
+    assert_eq!(opened.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn a_connection_that_was_idle_for_too_long_is_not_used() {
+    let (address, opened) = upstream(ANSWER, false).await;
+    let lanes = Lanes::default();
+    let limits = Limits {
+        idle: Duration::ZERO,
+        ..LIMITS
+    };
+    for _ in 0..3 {
+        assert_matches!(exchange(&lanes, address, limits).await, Ok(200));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(opened.load(Ordering::SeqCst), 3);
+}
+
+#[tokio::test]
+async fn a_connection_to_an_upstream_that_is_gone_is_dropped() {
+    let (address, opened) = upstream(ANSWER, false).await;
+    let lanes = Lanes::default();
+    assert_matches!(exchange(&lanes, address, LIMITS).await, Ok(200));
+    lanes.retain(&[]);
+    assert_matches!(exchange(&lanes, address, LIMITS).await, Ok(200));
+    assert_eq!(opened.load(Ordering::SeqCst), 2);
+}
+
+#[tokio::test]
+async fn a_refused_connection_shows_that_nothing_was_sent() {
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let failure = exchange(&Lanes::default(), address, LIMITS).await;
+    assert!(failure.is_err_and(|error| error.not_sent()));
+}
+
+#[tokio::test]
+async fn a_connection_that_ends_without_an_answer_may_have_carried_the_request() {
+    let (address, _) = upstream(b"", true).await;
+    let failure = exchange(&Lanes::default(), address, LIMITS).await;
+    assert_matches!(failure, Err(Error::Cut { .. }));
+}
+
+#[tokio::test]
+async fn an_answer_that_ends_early_does_not_pass_for_a_whole_one() {
+    let (address, _) = upstream(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok", true).await;
+    let failure = exchange(&Lanes::default(), address, LIMITS).await;
+    assert_matches!(failure, Err(Error::Cut { .. }));
+}
