--- a/crates/hibiscushoistd/tests/secrets.rs
+++ b/crates/hibiscushoistd/tests/secrets.rs
@@ -50,14 +50,13 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_hibiscushoistd"))
             .arg("--settings")
             .arg(path)
-            .stderr(Stdio::piped())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let stdout = BufReader::new(child.stdout.take().unwrap());
         let (sender, lines) = mpsc::channel();
         thread::spawn(move || {
-            stderr
+            stdout
                 .lines()
                 .map_while(Result::ok)
                 .try_for_each(|l| sender.send(l))
--- a/crates/hibiscushoistd/tests/settings.rs
+++ b/crates/hibiscushoistd/tests/settings.rs
@@ -65,8 +65,8 @@
 #[test]
 fn unknown_section_is_named() {
     Test::new().append("[entrance]\n").fails(
-        "a.ini: [entrance]: unknown; accepted are daemon, entry, log, operator, peer, platform, \
-         voters",
+        "a.ini: [entrance]: unknown; accepted are daemon, entry, gateway, log, operator, peer, \
+         platform, voters",
     );
 }
 
