--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -49,6 +49,17 @@
 /// Bounds it for a request that is late already, so that those which can be in time go first.
 const ROOM_LATE_MS: u64 = 250;
 
+/// Bounds ejections: three failures in a row are rarely chance where one answer in seven fails; a
+/// pause ends in time for an upstream that was started again, and doubles while it is still down; two
+/// fifths of the upstreams stay, since a fleet that fails as a whole is not to be left.
+const EJECTION: Policy = Policy {
+    failures: 3,
+    pause: 500,
+    pause_limit: 4_000,
+    probe: 1_000,
+    share: 60,
+};
+
 /// Describes what a request needs.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
@@ -137,15 +148,8 @@
 impl Dispatch {
     /// Returns a dispatch that has seen nothing; `seed` fixes the jitter.
     pub fn new(seed: u64) -> Self {
-        let policy = Policy {
-            failures: 3,
-            pause: 500,
-            pause_limit: 4_000,
-            probe: 1_000,
-            share: 60,
-        };
         Self {
-            breaker: Breaker::new(policy, seed),
+            breaker: Breaker::new(EJECTION, seed),
             others: Default::default(),
             saved: BTreeMap::new(),
             seen: BTreeMap::new(),
--- a/crates/coordination/src/upstream.rs
+++ b/crates/coordination/src/upstream.rs
@@ -7,13 +7,6 @@
 use serde::Serialize;
 use strum::Display;
 
-/// Describes an upstream as the platform's list shows it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Listed {
-    /// Lists the upstreams.
-    pub upstreams: Vec<Seen>,
-}
-
 /// Describes one upstream as the platform's list shows it, which may be late.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Seen {
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -1,5 +1,5 @@
-//! Passes a stream that may be resumed to a caller, and has it go on at another upstream of the same
-//! weights where its upstream breaks off or falls silent.
+//! Passes a stream that may be resumed to a caller, and has it go on at another upstream of the
+//! same weights where its upstream breaks off or falls silent.
 
 use std::io;
 use std::sync::Arc;
@@ -32,8 +32,8 @@
 
 /// Bounds the parts of an answer that wait for the caller.
 const WAITING: usize = 16;
-/// Gives the pause between events after which an upstream is left, as a multiple of the longest pause
-/// that is on time; callers leave after eight times that.
+/// Gives the pause between events after which an upstream is left, as a multiple of the longest
+/// pause that is on time; callers leave after eight times that.
 const SILENT_GAPS: u32 = 3;
 /// Gives the least such pause, which an engine needs to read a long prompt beside its runs.
 const SILENT: Duration = Duration::from_millis(1_200);
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -53,6 +53,8 @@
 const RING_EVENTS: usize = 1_024;
 const TICK: Duration = Duration::from_millis(100);
 
+/// Bounds the connections to the platform and to engines: opening one takes milliseconds, and
+/// engines close idle ones after a few seconds.
 const LIMITS: Limits = Limits {
     connect: Duration::from_millis(300),
     idle: Duration::from_millis(2_000),
--- a/crates/protocol/src/event_stream.rs
+++ b/crates/protocol/src/event_stream.rs
@@ -22,8 +22,8 @@
         }
     }
 
-    /// Takes bytes of the stream and returns the events that they complete; an event that was passed
-    /// on before is left out.
+    /// Takes bytes of the stream and returns the events that they complete; an event that was
+    /// passed on before is left out.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.held.extend_from_slice(bytes);
         let mut whole = BytesMut::new();
