--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -50,8 +50,8 @@
 const ROOM_LATE_MS: u64 = 250;
 
 /// Bounds ejections: three failures in a row are rarely chance where one answer in seven fails; a
-/// pause ends in time for an upstream that was started again, and doubles while it is still down; two
-/// fifths of the upstreams stay, since a fleet that fails as a whole is not to be left.
+/// pause ends in time for an upstream that was started again, and doubles while it is still down;
+/// two fifths of the upstreams stay, since a fleet that fails as a whole is not to be left.
 const EJECTION: Policy = Policy {
     failures: 3,
     pause: 500,
