Replace a voter as soon as its host is suspected and another can vote

Their logs show the window: a voter's host was lost at 7.7 s, its successor started at 9.0 s, and the group was whole only at 18.0 s, because a host is held dead seven seconds after it is lost; the next loss came at 18.03 s. A suspected host's voter is now replaced where a sound successor is there; where none is, nothing changes. A test shows it, failing first.

--- a/crates/coordination/src/voters.rs
+++ b/crates/coordination/src/voters.rs
@@ -2,7 +2,8 @@
 //!
 //! A successor is added and votes before the one that it replaces is removed, so that the group
 //! never has fewer sound voters than before the change. A voter that is only unreachable stays a
-//! member until a successor votes in its place.
+//! member until a successor votes in its place, but does not have to be held dead for that: the
+//! next loss may come before it is.
 
 use std::net::SocketAddr;
 
@@ -40,8 +41,8 @@
         .collect()
 }
 
-/// Returns whether the host of a member is there and does not end.
+/// Returns whether the host of a member answers and does not end.
 fn stays(member: &Member, view: &View) -> bool {
-    let host = view.get(&member.name);
-    host.is_some_and(|host| host.record.takes_work())
+    let host = view.get(&member.name).map(|host| &host.record);
+    host.is_some_and(|host| host.standing == Standing::Alive && !host.profile.draining)
 }
--- a/crates/coordination/tests/voters.rs
+++ b/crates/coordination/tests/voters.rs
@@ -83,6 +83,20 @@
     assert!(voters::successors(&all, &view, TARGET).is_empty());
 }
 
+#[test]
+fn a_voter_whose_host_is_suspected_is_replaced_where_another_can_vote() {
+    let mut view = sound(&[0, 1, 2, 3]);
+    view.hosts[2] = host(2, Standing::Suspect, false);
+    assert_eq!(successors(&view), [name(3)]);
+    let all = members(&[0, 1, 2, 3]);
+    let gone = Some(Identity(2));
+    assert_eq!(voters::surplus(&all, &view, TARGET), gone);
+    let mut alone = sound(&[0, 1, 2]);
+    alone.hosts[2] = host(2, Standing::Suspect, false);
+    assert!(successors(&alone).is_empty());
+    assert_eq!(voters::surplus(&members(&[0, 1, 2]), &alone, TARGET), None);
+}
+
 #[test]
 fn a_voter_whose_host_ends_is_replaced_before_it_has_ended() {
     let mut view = sound(&[0, 1, 2, 3]);
