Give no order when the voter cannot confirm that it leads

Found by reading the change: an order was refused only when the voter led in another term, and went out when the read failed, which is what a voter that has lost its lead answers. The comment already said otherwise.

--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -323,7 +323,7 @@
     term: u64,
 ) -> Outcome {
     let reading = context.voter.read_here().await;
-    if reading.is_ok_and(|reading| reading.term != term) {
+    if !reading.is_ok_and(|reading| reading.term == term) {
         return Outcome::Refused;
     }
     let Ok(body) = engine::order(order, &context.settings.name, term) else {
