Trace the two red tests: ports taken by others, and hosts that follow each other

The tests drew a free port, closed it and named it in the settings; an outgoing connection of another test took it meanwhile. Ruled out: the stream itself, whose code was never reached. The daemon now takes port 0 for routed services, binds all of its addresses before it tells other hosts of them, and shows what was bound. The command line's fleet binds addresses of its own, as the other fleets do.

The known red test, a herd of restarts with the voters away, stood at "host 6 lacks the table". A host followed the same source as long as it answered, also when it answered with nothing newer. Two hosts without a disk that begin with each other (one case in 49) then wait for each other for ever; so does any host that follows a voter which is cut off from the others. Ruled out: a table that was not written in time, as hosts 3 to 5 had it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod roster;
+pub mod rotation;
 pub mod rumor;
 pub mod shard;
 pub mod silence;
--- a/crates/hibiscushoist/tests/cli/fleet.rs
+++ b/crates/hibiscushoist/tests/cli/fleet.rs
@@ -1,6 +1,7 @@
 //! The command line against three daemons with stand-in engines.
 
 use std::fs;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -121,8 +122,11 @@
     }
 }
 
+/// Returns addresses of this process's own, which no outgoing connection takes meanwhile.
 fn free_ports() -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    let ip = Ipv4Addr::new(127, high | 128, low, 1);
+    let bind = |_| TcpListener::bind((ip, 0)).unwrap();
     let listeners: Vec<_> = HOSTS.iter().map(bind).collect();
     let address = |listener: &TcpListener| listener.local_addr().unwrap();
     listeners.iter().map(address).collect()
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -31,6 +31,8 @@
 use crate::health::Health;
 use crate::journal::Journal;
 use crate::links::Links;
+use crate::listeners::Bound;
+use crate::listeners::Listeners;
 use crate::load;
 use crate::member;
 use crate::outlook;
@@ -84,6 +86,7 @@
 
 /// Runs a daemon until it is told to stop.
 pub struct Daemon {
+    bound: Bound,
     context: Arc<Context>,
     drain: watch::Sender<bool>,
     feeds: JoinHandle<()>,
@@ -108,10 +111,12 @@
         let (stop, stopped) = watch::channel(false);
         let clock = Clock::default();
         let address = advertised(&settings, listener.as_ref());
+        let listeners = Listeners::open(&settings).await?;
+        let bound = listeners.bound();
         let mut links = Links::open(&settings).await?;
         let voter = voter_start::start(&settings, links.address, links.pool.clone(), clock, &log)
             .change_context(Error::Duty { duty: "voter" })?;
-        let options = links.membership(&settings, address);
+        let options = links.membership(&settings, address, bound.callers);
         let member = member::start(options, links.pool.clone(), clock, log.clone())
             .change_context(Error::Duty { duty: "member" })?;
         let pool = links.pool.clone();
@@ -127,11 +132,7 @@
                 .map(|g| g.freshness)
                 .unwrap_or_default(),
         );
-        let takes_callers = settings
-            .gateway
-            .as_ref()
-            .and_then(|gateway| gateway.callers);
-        let gateway = takes_callers.map(|_| Arc::new(Gateway::new(shown)));
+        let gateway = bound.callers.map(|_| Arc::new(Gateway::new(shown)));
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone());
         let context = Arc::new(Context {
             address,
@@ -165,7 +166,7 @@
             }));
         }
         if let Some(entry) = &settings.entry {
-            servers.extend(edges(&context, entry, &stopped).await?);
+            servers.extend(edges(&context, entry, listeners, &stopped));
         }
         if let Some(gateway) = gateway {
             tokio::spawn(outlook.run(context.clone()));
@@ -200,6 +201,7 @@
         );
         event::emit(&log, Event::Started, details);
         Ok(Self {
+            bound,
             context,
             drain,
             feeds,
@@ -214,6 +216,11 @@
         self.context.address
     }
 
+    /// Returns the addresses for routed services.
+    pub fn bound(&self) -> &Bound {
+        &self.bound
+    }
+
     /// Returns the address that other daemons are told.
     pub fn peer_address(&self) -> SocketAddr {
         self.peer
@@ -358,37 +365,28 @@
     }
 }
 
-/// Opens the addresses for routed services.
-async fn edges(
+/// Serves the addresses for routed services.
+fn edges(
     context: &Arc<Context>,
     entry: &Entry,
+    listeners: Listeners,
     stopped: &watch::Receiver<bool>,
-) -> Result<Vec<JoinHandle<()>>, Report<Error>> {
-    let Some(gateway) = &context.settings.gateway else {
-        return Ok(Vec::new());
-    };
-    let mut open: Vec<(SocketAddr, &'static str, routes::Endpoint)> = Vec::new();
-    open.extend(
-        gateway
-            .callers
-            .map(|at| (at, "routed", gateway::answer as routes::Endpoint)),
-    );
-    open.extend(
-        gateway
-            .readiness
-            .map(|at| (at, "readiness", edge::readiness as routes::Endpoint)),
-    );
-    for address in &gateway.control {
-        open.push((*address, "control", edge::control));
+) -> Vec<JoinHandle<()>> {
+    let mut open: Vec<(TcpListener, &'static str, routes::Endpoint)> = Vec::new();
+    if let Some(listener) = listeners.callers {
+        open.push((listener, "routed", gateway::answer));
     }
-    let mut servers = Vec::new();
-    for (address, path, endpoint) in open {
-        let listener = bind(address).await?;
-        let server = server(context, entry, routes::whole(path, endpoint));
-        let stopped = stopped.clone();
-        servers.push(tokio::spawn(server.run(listener, stopped)));
+    if let Some(listener) = listeners.readiness {
+        open.push((listener, "readiness", edge::readiness));
     }
-    Ok(servers)
+    for listener in listeners.control {
+        open.push((listener, "control", edge::control));
+    }
+    let serve = |(listener, path, endpoint)| {
+        let server = server(context, entry, routes::whole(path, endpoint));
+        tokio::spawn(server.run(listener, stopped.clone()))
+    };
+    open.into_iter().map(serve).collect()
 }
 
 fn server<H>(context: &Arc<Context>, entry: &Entry, handler: H) -> Server<H> {
--- a/crates/hibiscushoistd/src/follow.rs
+++ b/crates/hibiscushoistd/src/follow.rs
@@ -9,6 +9,8 @@
 use crate::pool::Pool;
 use crate::voter_call::Status;
 use coordination::host::Role;
+use coordination::rotation::Outcome;
+use coordination::rotation::Rotation;
 use coordination::view::View;
 use protocol::voter::Spread;
 use state::table::Table;
@@ -38,22 +40,23 @@
 impl Follower {
     /// Follows for ever.
     pub async fn run(self) {
-        let mut turn = rand::random::<u32>() as usize;
+        let mut rotation = Rotation::new(rand::random::<u32>() as usize);
         loop {
-            turn = turn.wrapping_add(1);
-            let sources = self.sources();
-            if sources.is_empty() || self.has_leader() {
+            let source = rotation.source(&self.sources());
+            let Some(source) = source.filter(|_| !self.has_leader()) else {
                 tokio::time::sleep(PAUSE).await;
                 continue;
+            };
+            let outcome = self.fetch(source).await;
+            rotation.asked(outcome);
+            if outcome == Outcome::Nothing {
+                tokio::time::sleep(PAUSE).await;
             }
-            let source = sources[turn % sources.len()];
-            while self.fetch(source).await && !self.has_leader() {}
-            tokio::time::sleep(PAUSE).await;
         }
     }
 
-    /// Fetches what `source` has, and returns whether it answered.
-    async fn fetch(&self, source: SocketAddr) -> bool {
+    /// Fetches what `source` has.
+    async fn fetch(&self, source: SocketAddr) -> Outcome {
         let table = self.table.borrow().clone();
         let after = table.revision();
         let client = self.pool.client(source, None);
@@ -61,18 +64,18 @@
             peer.table(context, after).await
         });
         let Ok(spread) = spread.await else {
-            return false;
+            return Outcome::Nothing;
         };
         let newer = match spread {
             Spread::Edits(edits) => {
                 let mut next = (*table).clone();
                 let applied = edits.iter().try_for_each(|e| next.apply(e).map(drop));
                 match applied {
-                    Err(_) => return false,
+                    Err(_) => return Outcome::Nothing,
                     Ok(()) => Arc::new(next),
                 }
             }
-            Spread::Same => return true,
+            Spread::Same => return Outcome::Same,
             Spread::Whole(table) => table,
         };
         let revision = newer.revision();
@@ -81,7 +84,7 @@
             let arrived = table.wait_for(|table| table.revision() >= revision);
             let _ = tokio::time::timeout(CALL_LIMIT, arrived).await;
         }
-        true
+        Outcome::Newer
     }
 
     fn has_leader(&self) -> bool {
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod journal;
 pub mod keeper;
 pub mod links;
+pub mod listeners;
 pub mod load;
 pub mod member;
 pub mod options;
--- a/crates/hibiscushoistd/src/links.rs
+++ b/crates/hibiscushoistd/src/links.rs
@@ -56,8 +56,14 @@
         })
     }
 
-    /// Returns the options of the failure detector; callers reach this host at `entry`.
-    pub fn membership(&self, settings: &Settings, entry: SocketAddr) -> membership::Options {
+    /// Returns the options of the failure detector; callers reach this host at `entry`, those of
+    /// routed services at `gateway`.
+    pub fn membership(
+        &self,
+        settings: &Settings,
+        entry: SocketAddr,
+        gateway: Option<SocketAddr>,
+    ) -> membership::Options {
         let peer = settings.peer.as_ref();
         membership::Options {
             host: settings.name.clone(),
@@ -65,10 +71,7 @@
                 domain: settings.failure_domain.clone(),
                 draining: false,
                 entry: settings.entry.as_ref().map(|_| entry),
-                gateway: settings
-                    .gateway
-                    .as_ref()
-                    .and_then(|gateway| gateway.callers),
+                gateway,
                 load: Load::default(),
                 peer: self.address,
                 region: settings.region.clone(),
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -40,11 +40,6 @@
     status: u16,
 }
 
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn configuration(version: u64, key: &str) -> Value {
     let route = |prefix: &str, kind: &str, attempts: u32, service: &str| {
         json!({
@@ -76,24 +71,25 @@
         let first = Upstream::start("i-1", service).await;
         let second = Upstream::start("i-2", service).await;
         let list = standin::list(vec![first.clone(), second.clone()]).await;
-        let (control, readiness, routed, peer) = (free(), free(), free(), free());
         let text = format!(
             "[daemon]\nname = a\nfleet = test\nfailure_domain = one\nroles = broker, entry, voter\n\
              data = {}\n[entry]\nlisten = 127.0.0.1:0\naddress_lifetime_ms = 1\n\
-             [gateway]\ncallers = {routed}\ncontrol = {control}\nlist = {list}\n\
-             readiness = {readiness}\n[peer]\nlisten = {peer}\nkey = {}\n",
+             [gateway]\ncallers = 127.0.0.1:0\ncontrol = 127.0.0.1:0\nlist = {list}\n\
+             readiness = 127.0.0.1:0\n[peer]\nlisten = 127.0.0.1:0\nkey = {}\n",
             tempfile::tempdir().unwrap().keep().display(),
             "5a".repeat(32),
         );
         let settings = Settings::parse("a.ini", text).expect("the settings are good");
         let daemon = Daemon::start(settings, log::discard()).await;
+        let daemon = daemon.expect("the daemon starts");
+        let bound = daemon.bound().clone();
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
-            control,
-            daemon: daemon.expect("the daemon starts"),
+            control: bound.control[0],
+            daemon,
             first,
-            readiness,
-            routed,
+            readiness: bound.readiness.unwrap(),
+            routed: bound.callers.unwrap(),
             second,
         }
     }
