Tell how the answer to a routed request ended, not only that it began

It is now written when the answer ends, with the outcome (whole, cut, left, deadline) and both times.

--- /dev/null
+++ b/crates/hibiscushoistd/src/gateway_account.rs
@@ -0,0 +1,108 @@
+//! Accounts for a routed request that an upstream began to answer: one line when its answer ends,
+//! with what it was chosen by.
+
+use std::sync::Arc;
+
+use strum::Display;
+
+use crate::context::Context;
+use crate::gateway::Gateway;
+use crate::gateway::Routed;
+use crate::gateway_attempt::Answered;
+use state::time::Instant;
+use transport::event;
+use transport::event::Event;
+
+/// Tells how an answer ended.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// Means that the upstream broke it off and no other went on with it.
+    Cut,
+    /// Means that the caller's time passed first.
+    Deadline,
+    /// Means that the caller left first.
+    Left,
+    /// Means that the caller got all of it.
+    Whole,
+}
+
+/// Logs how the answer to a request ended once it is dropped.
+pub struct Account {
+    age_ms: Option<u64>,
+    arrived: Instant,
+    attempts: u32,
+    context: Arc<Context>,
+    edition: u64,
+    head_ms: u64,
+    outcome: Outcome,
+    request: String,
+    service: String,
+    status: u16,
+    table: u64,
+    upstream: String,
+    weights: Option<u64>,
+    workspace: Option<String>,
+}
+
+impl Account {
+    /// Opens the account of a request whose answer begins; until it is told otherwise, the caller
+    /// is held to have left.
+    pub fn open(
+        context: &Arc<Context>,
+        gateway: &Gateway,
+        routed: &Routed,
+        answered: &Answered,
+        attempts: u32,
+    ) -> Self {
+        let known = gateway.outlook.watch().borrow().clone();
+        Self {
+            age_ms: gateway.outlook.age_ms(context),
+            arrived: routed.arrived,
+            attempts,
+            context: context.clone(),
+            edition: known.fleet.edition.number,
+            head_ms: context.clock.now().since(routed.arrived),
+            outcome: Outcome::Left,
+            request: routed.facts.id.clone(),
+            service: routed.service.clone(),
+            status: answered.status().as_u16(),
+            table: known.index.table().version,
+            upstream: answered.upstream.clone(),
+            weights: answered.weights,
+            workspace: routed.workspace.as_ref().map(|w| w.name.clone()),
+        }
+    }
+
+    /// Notes that another upstream goes on with the answer.
+    pub fn resumed(&mut self, answered: &Answered) {
+        self.attempts += 1;
+        self.upstream.clone_from(&answered.upstream);
+    }
+
+    /// Notes how the answer ended.
+    pub fn end(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        let details = slog::o!(
+            "request" => std::mem::take(&mut self.request),
+            "workspace" => self.workspace.take(),
+            "service" => std::mem::take(&mut self.service),
+            "upstream" => std::mem::take(&mut self.upstream),
+            "weights" => self.weights,
+            "status" => self.status,
+            "attempts" => self.attempts,
+            "head_ms" => self.head_ms,
+            "took_ms" => self.context.clock.now().since(self.arrived),
+            "outcome" => self.outcome.to_string(),
+            "table" => self.table,
+            "edition" => self.edition,
+            "age_ms" => self.age_ms,
+        );
+        event::emit(&self.context.log, Event::RequestAnswered, details);
+    }
+}
--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -16,12 +16,16 @@
 use tokio::time::Sleep;
 
 use crate::context::Context;
+use crate::gateway_account::Account;
+use crate::gateway_account::Outcome;
+use crate::gateway_attempt::Answered;
 use crate::gateway_attempt::Underway;
 use state::time::Instant;
 use transport::lane::Lane;
 
 /// Passes the body of an answer on.
 pub struct Pass {
+    account: Account,
     context: Arc<Context>,
     body: Incoming,
     end: Option<(Lane, Option<Duration>)>,
@@ -30,17 +34,17 @@
 }
 
 impl Pass {
-    /// Returns a body that ends with an error at `deadline` and keeps the connection for `keep`.
+    /// Returns the body of an answer, which ends with an error at `deadline`.
     pub fn new(
         context: &Arc<Context>,
-        body: Incoming,
-        lane: Lane,
-        keep: Option<Duration>,
-        underway: Underway,
+        answered: Answered,
         deadline: Instant,
+        account: Account,
     ) -> Self {
         let left = deadline.since(context.clock.now());
+        let (body, lane, keep, underway) = answered.into_stream();
         Self {
+            account,
             context: context.clone(),
             body,
             end: Some((lane, keep)),
@@ -49,7 +53,8 @@
         }
     }
 
-    fn keep(&mut self) {
+    fn complete(&mut self) {
+        self.account.end(Outcome::Whole);
         if let Some((lane, Some(idle))) = self.end.take() {
             tokio::spawn(lane.keep(idle));
         }
@@ -65,18 +70,20 @@
         task: &mut Task<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         if self.late.poll_unpin(task).is_ready() {
+            self.account.end(Outcome::Deadline);
             return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
         }
         match Pin::new(&mut self.body).poll_frame(task) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(None) => {
-                self.keep();
+                self.complete();
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(error))) => {
                 let now = self.context.clock.now();
                 let gateway = self.underway.gateway().clone();
                 gateway.dispatch().failed(now, &self.underway.run);
+                self.account.end(Outcome::Cut);
                 Poll::Ready(Some(Err(io::Error::other(error))))
             }
             Poll::Ready(Some(Ok(frame))) => {
@@ -84,7 +91,7 @@
                 let gateway = self.underway.gateway().clone();
                 gateway.dispatch().heard(now, &self.underway.run);
                 if self.body.is_end_stream() {
-                    self.keep();
+                    self.complete();
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -15,6 +15,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::Routed;
 use crate::gateway::later;
+use crate::gateway_account::Account;
+use crate::gateway_account::Outcome;
 use crate::gateway_attempt::Answered;
 use crate::gateway_attempt::Attempt;
 use crate::gateway_attempt::attempt;
@@ -72,58 +74,35 @@
         .first(now, routed.service.clone(), routed.service.clone());
     loop {
         let answered = answered(context, gateway, &routed, &mut progress).await?;
-        tell(context, gateway, &routed, &progress, &answered);
+        let attempts = progress.attempts + 1;
+        let mut account = Account::open(context, gateway, &routed, &answered, attempts);
         if answered.is_stream(&routed) {
             return Ok(match answered.is_resumable(&routed) {
-                false => passed(context, &routed, answered),
-                true => gateway_stream::start(context, gateway, routed, progress, answered),
+                false => passed(context, &routed, answered, account),
+                true => {
+                    gateway_stream::start(context, gateway, routed, progress, answered, account)
+                }
             });
         }
         let upstream = answered.upstream.clone();
         match whole(context, &routed, answered).await {
-            Ok(response) => return Ok(response),
-            Err(reason) => failed(
-                context,
-                gateway,
-                &routed,
-                &mut progress,
-                Missed {
+            Ok(response) => {
+                account.end(Outcome::Whole);
+                return Ok(response);
+            }
+            Err(reason) => {
+                account.end(Outcome::Cut);
+                let missed = Missed {
                     may_have_run: true,
                     reason,
                     upstream,
-                },
-            )?,
+                };
+                failed(context, gateway, &routed, &mut progress, missed)?;
+            }
         }
     }
 }
 
-/// Logs which upstream answered a request, and by what it was chosen.
-fn tell(
-    context: &Context,
-    gateway: &Gateway,
-    routed: &Routed,
-    progress: &Progress,
-    answered: &Answered,
-) {
-    let known = gateway.outlook.watch().borrow().clone();
-    let workspace = routed.workspace.as_ref().map(|w| w.name.clone());
-    let details = slog::o!(
-        "request" => routed.facts.id.clone(),
-        "workspace" => workspace,
-        "service" => routed.service.clone(),
-        "upstream" => answered.upstream.clone(),
-        "weights" => answered.weights,
-        "status" => answered.status().as_u16(),
-        "attempts" => progress.attempts + 1,
-        "rejections" => progress.rejections,
-        "after_ms" => context.clock.now().since(routed.arrived),
-        "table" => known.index.table().version,
-        "edition" => known.fleet.edition.number,
-        "age_ms" => gateway.outlook.age_ms(context),
-    );
-    event::emit(&context.log, Event::RequestAnswered, details);
-}
-
 /// Has a stream go on at another upstream, after the events that were passed on, where the route
 /// and the budget allow it.
 pub async fn resume(
@@ -315,12 +294,16 @@
 }
 
 /// Passes a stream on as it arrives.
-fn passed(context: &Arc<Context>, routed: &Routed, answered: Answered) -> Response<Body> {
+fn passed(
+    context: &Arc<Context>,
+    routed: &Routed,
+    answered: Answered,
+    account: Account,
+) -> Response<Body> {
     let head = answered.returned_head();
     let gateway = answered.underway.gateway().clone();
     gateway.dispatch().succeeded(&answered.underway.run);
-    let (body, lane, keep, underway) = answered.into_stream();
-    let body = gateway_body::Pass::new(context, body, lane, keep, underway, routed.deadline);
+    let body = gateway_body::Pass::new(context, answered, routed.deadline, account);
     Response::from_parts(head, Body::new(body))
 }
 
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -20,6 +20,8 @@
 use crate::context::Context;
 use crate::gateway::Gateway;
 use crate::gateway::Routed;
+use crate::gateway_account::Account;
+use crate::gateway_account::Outcome;
 use crate::gateway_attempt::Answered;
 use crate::gateway_run;
 use crate::gateway_run::Missed;
@@ -44,13 +46,16 @@
 enum End {
     /// Means that the upstream did not complete it.
     Broken(Reason),
-    /// Means that the caller is gone or has no time left.
+    /// Means that the caller is gone.
     Caller,
     /// Means that the stream is complete.
     Complete,
+    /// Means that the caller has no time left.
+    Deadline,
 }
 
 struct Pump {
+    account: Account,
     caller: mpsc::Sender<Part>,
     context: Arc<Context>,
     gateway: Arc<Gateway>,
@@ -66,11 +71,13 @@
     routed: Routed,
     progress: Progress,
     answered: Answered,
+    account: Account,
 ) -> Response<Body> {
     let (caller, parts) = mpsc::channel::<Part>(WAITING);
     let left = Duration::from_millis(routed.left_ms(context.clock.now()));
     let head = answered.returned_head();
     let pump = Pump {
+        account,
         caller,
         context: context.clone(),
         gateway: gateway.clone(),
@@ -92,8 +99,9 @@
         loop {
             let upstream = answered.upstream.clone();
             let reason = match self.pass(answered).await {
-                End::Caller => return self.give_up().await,
-                End::Complete => return,
+                End::Caller => return self.give_up(Outcome::Left).await,
+                End::Complete => return self.account.end(Outcome::Whole),
+                End::Deadline => return self.give_up(Outcome::Deadline).await,
                 End::Broken(reason) => reason,
             };
             self.splitter.restart();
@@ -119,14 +127,16 @@
             );
             event::emit(&self.context.log, Event::StreamBroken, details);
             answered = match next {
-                None => return self.give_up().await,
+                None => return self.give_up(Outcome::Cut).await,
                 Some(next) => next,
             };
+            self.account.resumed(&answered);
         }
     }
 
     /// Ends the caller's connection without an end mark, so that the answer does not look complete.
-    async fn give_up(&self) {
+    async fn give_up(&mut self, outcome: Outcome) {
+        self.account.end(outcome);
         let error = io::Error::from(io::ErrorKind::UnexpectedEof);
         let _ = self.caller.send(Err(error)).await;
     }
@@ -143,7 +153,7 @@
                     self.gateway.dispatch().failed(now, &underway.run);
                     return End::Broken(Reason::Idle);
                 }
-                () = sleep_until(self.until) => return End::Caller,
+                () = sleep_until(self.until) => return End::Deadline,
                 () = self.caller.closed() => return End::Caller,
             };
             let now = self.context.clock.now();
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod feed;
 pub mod follow;
 pub mod gateway;
+pub mod gateway_account;
 pub mod gateway_attempt;
 pub mod gateway_body;
 pub mod gateway_place;
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -36,7 +36,7 @@
     OutlookStale = 123,
     /// Logs that a routed stream broke off, and whether it goes on at another upstream.
     StreamBroken = 124,
-    /// Logs which upstream answered a routed request, and by what it was chosen.
+    /// Logs how the answer to a routed request ended, and by what its upstream was chosen.
     RequestAnswered = 125,
     /// Logs that an accepted edit is in force here.
     TableApplied = 200,
