Have hosts tell each other which engines have read a shared prompt

Cause: a host knew only where it had sent a prompt itself, so seven of eight requests for a prompt that some engine had were pointed at the store, whose one link needs 98 ms for a prompt, and each host saved each prompt to it every ten seconds.

A host now notes a prompt when an engine begins to answer with it (coordination::holders), and the leading steward passes that on with the loads (coordination::bulletin). An engine that lacks the prompt fetches it from the last usable engine that read it, in its own failure domain first; one host of all saves it to the store. A silent engine is not fetched from any more. The test that took a prompt as read 700 ms after it was sent now takes it as read when the answer begins.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -12,6 +12,10 @@
 use crate::breaker::Breaker;
 use crate::breaker::Policy;
 use crate::breaker::Standing;
+use crate::holders::Holders;
+use crate::holders::Holding;
+use crate::holders::Place;
+use crate::holders::Prompt;
 use crate::silence::Silence;
 use crate::silence::Ticket;
 use crate::tally::Load;
@@ -31,15 +35,6 @@
 const RUNNING_MS: u64 = 3;
 /// Gives how long what other hosts have under way counts, in milliseconds.
 const LOAD_AGE_MS: u64 = 1_000;
-/// Gives for how long a prompt that was sent to an engine is expected to be cached there, in
-/// milliseconds; under load an engine's memory turns over within seconds.
-const HELD_MS: u64 = 4_000;
-/// Gives the time after which a prompt that was sent to an engine has been read there, in
-/// milliseconds: what may be ahead of it, and its own reading.
-const READ_MS: u64 = 700;
-/// Gives the time after which a shared prompt goes to the store again, in milliseconds, as the
-/// store may have dropped it or was down.
-const SAVED_MS: u64 = 10_000;
 /// Gives how long an upstream that refused a request gets no other, in milliseconds.
 const REFUSED_MS: u64 = 250;
 /// Bounds the reading that may be ahead of a long prompt at an engine, in milliseconds: with it,
@@ -120,6 +115,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     id: String,
+    prompt: Option<Prompt>,
     ticket: Ticket,
     tokens: u64,
 }
@@ -138,9 +134,8 @@
 #[derive(Debug)]
 pub struct Dispatch {
     breaker: Breaker,
+    holders: Holders,
     others: (Instant, Loads),
-    /// Tells when each shared prompt went to the store, by the version of the weights.
-    saved: BTreeMap<(u64, String), Instant>,
     seen: BTreeMap<String, Seen>,
     silence: Silence,
 }
@@ -150,8 +145,8 @@
     pub fn new(seed: u64) -> Self {
         Self {
             breaker: Breaker::new(EJECTION, seed),
+            holders: Holders::default(),
             others: Default::default(),
-            saved: BTreeMap::new(),
             seen: BTreeMap::new(),
             silence: Silence::default(),
         }
@@ -196,8 +191,13 @@
             .model
             .as_ref()
             .map(|model| self.weights(&upstream, model));
-        let fetch = weights.and_then(|weights| self.source(now, fleet, &upstream, demand, weights));
-        let saves = weights.is_some_and(|weights| self.saves(now, demand, weights));
+        let prompt = weights.and_then(|weights| demand.prompt(weights));
+        let fetch = prompt.as_ref().and_then(|prompt| {
+            let peer = self.source(now, fleet, &upstream, prompt);
+            peer.or(demand.store)
+        });
+        let saves = prompt.filter(|_| demand.store.is_some());
+        let saves = saves.is_some_and(|prompt| self.holders.save(now, &prompt));
         Ok(Choice {
             upstream,
             weights,
@@ -224,7 +224,12 @@
         seen.unread_tokens += tokens;
         let work_ms = 2 * seen.unread_tokens / READ_TOKENS_PER_MS;
         let ticket = self.silence.sent(now, id.clone(), work_ms);
-        Run { id, ticket, tokens }
+        Run {
+            id,
+            prompt: choice.weights.and_then(|weights| demand.prompt(weights)),
+            ticket,
+            tokens,
+        }
     }
 
     /// Returns what this host has under way at upstreams.
@@ -242,6 +247,17 @@
         self.others = (now, others);
     }
 
+    /// Notes where other hosts have seen shared prompts.
+    pub fn heard_where(&mut self, now: Instant, holdings: Vec<Holding>) {
+        self.holders.heard(now, holdings);
+        self.holders.forget(now);
+    }
+
+    /// Returns where this host has seen shared prompts since it was asked last.
+    pub fn tell(&mut self) -> Vec<Holding> {
+        self.holders.tell()
+    }
+
     /// Notes the head of an answer.
     pub fn answered(&mut self, now: Instant, run: &mut Run) {
         self.heard(now, run);
@@ -252,6 +268,14 @@
         }
     }
 
+    /// Notes that the upstream has read the request's prompt, since it began to answer.
+    pub fn read(&mut self, now: Instant, run: &mut Run) {
+        if let Some(prompt) = run.prompt.take() {
+            let place = Place::Engine(run.id.clone());
+            self.holders.saw(now, Holding { place, prompt });
+        }
+    }
+
     /// Notes a byte of an answer.
     pub fn heard(&mut self, now: Instant, run: &Run) {
         self.silence.heard(now, &run.id);
@@ -408,8 +432,8 @@
         listed.max(learned.unwrap_or_default())
     }
 
-    /// Returns where an engine fetches a shared prompt that it may lack: an engine of the same
-    /// weights to which this host sent it lately, or else the store.
+    /// Returns the engine from which another fetches a shared prompt that it may lack: one that read
+    /// it for the same weights, in the same failure domain first.
     ///
     /// An engine that has the prompt fetches nothing, and one that lacks it gets it in a fraction
     /// of the time of reading it.
@@ -418,42 +442,33 @@
         now: Instant,
         fleet: &Fleet,
         chosen: &Upstream,
-        demand: &Demand,
-        weights: u64,
+        prompt: &Prompt,
     ) -> Option<SocketAddr> {
-        let key = demand.cached()?;
-        let sent_at = |upstream: &Upstream| {
-            let seen = self.seen.get(&upstream.id)?;
-            let held = seen.held.1.get(&key).filter(|_| seen.held.0 == weights)?;
-            let age = now.since(*held);
-            (READ_MS..=HELD_MS).contains(&age).then_some(*held)
-        };
-        let others = fleet.upstreams.iter().filter(|upstream| {
-            upstream.id != chosen.id
+        let holds = |id: &&str| {
+            let upstream = fleet.upstreams.iter().find(|upstream| upstream.id == *id)?;
+            let fits = upstream.id != chosen.id
                 && upstream.service == chosen.service
                 && upstream.standing == upstream::Standing::Ready
-        });
-        let held = others.filter_map(|upstream| Some((sent_at(upstream)?, upstream.address)));
-        held.max().map(|(_, address)| address).or(demand.store)
-    }
-
-    /// Returns whether a shared prompt should go to the store, and notes that it does.
-    fn saves(&mut self, now: Instant, demand: &Demand, weights: u64) -> bool {
-        let Some(key) = demand.cached().filter(|_| demand.store.is_some()) else {
-            return false;
+                && self.is_usable(now, id);
+            fits.then_some(upstream)
         };
-        let key = (weights, key);
-        let saved = self.saved.get(&key);
-        let due = saved.is_none_or(|at| now.since(*at) > SAVED_MS);
-        if due {
-            self.saved.retain(|_, at| now.since(*at) <= SAVED_MS);
-            self.saved.insert(key, now);
-        }
-        due
+        let engines = self.holders.engines(now, prompt);
+        let holding: Vec<&Upstream> = engines.iter().filter_map(holds).collect();
+        let near = holding
+            .iter()
+            .find(|upstream| upstream.domain == chosen.domain);
+        let best = near.or(holding.first());
+        best.map(|upstream| upstream.address)
     }
 }
 
 impl Demand {
+    /// Names the shared prompt as engines with a version of the weights cache it.
+    fn prompt(&self, weights: u64) -> Option<Prompt> {
+        let part = self.cached()?;
+        Some(Prompt { part, weights })
+    }
+
     /// Names the shared prompt with the workspace that it must not leave, where there is one.
     fn cached(&self) -> Option<String> {
         let (part, _) = self.shared.as_ref()?;
--- a/crates/coordination/src/outlook.rs
+++ b/crates/coordination/src/outlook.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::bulletin::Mark;
+use crate::holders::Holding;
 use crate::tally::Loads;
 use crate::upstream::Edition;
 use crate::upstream::Fleet;
@@ -21,10 +23,14 @@
 pub struct Ask {
     /// Gives the edition of the fleet that the host has.
     pub edition: Edition,
+    /// Names the last entry of the bulletin that the host has.
+    pub heard: Mark,
     /// Names the host.
     pub host: String,
     /// Tells what the host has under way at upstreams.
     pub loads: Loads,
+    /// Tells where the host has seen shared prompts since it asked last.
+    pub told: Vec<Holding>,
     /// Gives the version of the routed table that the host has.
     pub version: u64,
 }
@@ -34,8 +40,12 @@
 pub struct Outlook {
     /// Holds the upstreams, where the host lacks this edition.
     pub fleet: Option<Fleet>,
+    /// Tells where other hosts have seen shared prompts.
+    pub holdings: Vec<Holding>,
     /// Tells what other hosts have under way at upstreams.
     pub loads: Loads,
+    /// Names the last entry of the bulletin.
+    pub mark: Mark,
     /// Holds the routed table, where the host lacks this version.
     pub table: Option<Arc<Table>>,
     /// Gives the newest weights version of each model.
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -76,15 +76,37 @@
     let mut host = Dispatch::new(0);
     let demand = long("p");
     let first = host.choose(Instant(0), &fleet, &demand).unwrap();
-    let _ = host.sent(Instant(0), &first, &demand);
+    let mut run = host.sent(Instant(0), &first, &demand);
     let others = BTreeMap::from([(first.upstream.id.clone(), unread(40_000))]);
-    host.heard_of(Instant(1), others);
+    host.heard_of(Instant(1), others.clone());
     let early = host.choose(Instant(2), &fleet, &demand).unwrap();
     assert_ne!(id(&first), id(&early));
-    assert_eq!(early.fetch, Some(address(STORE)));
-    let later = host.choose(Instant(900), &fleet, &demand).unwrap();
+    assert_eq!(early.fetch, Some(address(STORE)), "it is not read yet");
+    host.read(Instant(300), &mut run);
+    let later = host.choose(Instant(301), &fleet, &demand).unwrap();
     assert_ne!(id(&first), id(&later));
     assert_eq!(later.fetch, Some(first.upstream.address));
+    let mut other = Dispatch::new(1);
+    other.heard_of(Instant(400), others);
+    other.heard_where(Instant(400), host.tell());
+    let told = other.choose(Instant(401), &fleet, &demand).unwrap();
+    assert_ne!(id(&first), id(&told));
+    assert_eq!(told.fetch, Some(first.upstream.address));
+}
+
+#[test]
+fn a_prompt_is_not_fetched_from_a_silent_engine() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = long("p");
+    let first = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let mut run = host.sent(Instant(0), &first, &demand);
+    host.answered(Instant(300), &mut run);
+    host.read(Instant(300), &mut run);
+    let _ = host.sent(Instant(300), &first, &short(0));
+    let next = host.choose(Instant(2_000), &fleet, &demand).unwrap();
+    assert_ne!(id(&first), id(&next));
+    assert_eq!(next.fetch, Some(address(STORE)));
 }
 
 #[test]
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -182,6 +182,7 @@
         }
         let service = peer::Service {
             broker,
+            bulletin: Arc::default(),
             clock,
             fleet,
             member,
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -192,6 +192,9 @@
             reason: retry::Reason::Format,
         };
     }
+    if response.status().is_success() {
+        dispatch.read(now, &mut underway.run);
+    }
     drop(dispatch);
     Attempt::Answered(Box::new(Answered {
         facts,
--- a/crates/hibiscushoistd/src/outlook.rs
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
+use coordination::bulletin::Mark;
 use coordination::host::Role;
 use coordination::outlook::Ask;
 use coordination::outlook::Freshness;
@@ -98,6 +99,7 @@
 impl Keeper {
     /// Asks until the task is dropped.
     pub async fn run(self, context: Arc<Context>) {
+        let mut heard = Mark::default();
         let mut leader: Option<SocketAddr> = None;
         let mut turn = rand::random::<u32>() as usize;
         loop {
@@ -110,7 +112,7 @@
                 tokio::time::sleep(PAUSE).await;
                 continue;
             };
-            match self.ask(&context, target).await {
+            match self.ask(&context, target, &mut heard).await {
                 Ok(()) => {
                     leader = Some(target);
                     tokio::time::sleep(period(&context)).await;
@@ -124,17 +126,25 @@
     }
 
     /// Asks one voter; an error names the one that leads, if the voter knew it.
-    async fn ask(&self, context: &Context, target: SocketAddr) -> Result<(), Option<SocketAddr>> {
+    async fn ask(
+        &self,
+        context: &Context,
+        target: SocketAddr,
+        heard: &mut Mark,
+    ) -> Result<(), Option<SocketAddr>> {
         let pool = context.pool.as_ref().ok_or(None)?;
         let known = self.publish.borrow().clone();
+        let shared = context.gateway.as_ref().map(|gateway| {
+            let mut dispatch = gateway.dispatch();
+            (dispatch.loads(), dispatch.tell())
+        });
+        let (loads, told) = shared.unwrap_or_default();
         let ask = Ask {
             edition: known.fleet.edition,
+            heard: *heard,
             host: context.settings.name.clone(),
-            loads: context
-                .gateway
-                .as_ref()
-                .map(|gateway| gateway.dispatch().loads())
-                .unwrap_or_default(),
+            loads,
+            told,
             version: known.index.table().version,
         };
         let asked = context.clock.now();
@@ -142,7 +152,7 @@
         let call = client.call(CALL_LIMIT, |peer, call| async move {
             peer.outlook(call, ask).await
         });
-        let outlook = match call.await {
+        let mut outlook = match call.await {
             Err(error) => {
                 metrics::counter!(metric::OUTLOOK_FAILURES).increment(1);
                 let details = slog::o!("voter" => target.to_string(), "error" => error.to_string());
@@ -154,9 +164,14 @@
             Ok(Ok(outlook)) => outlook,
         };
         if let Some(gateway) = &context.gateway {
-            let loads = outlook.loads.clone();
-            gateway.dispatch().heard_of(context.clock.now(), loads);
+            let now = context.clock.now();
+            let loads = std::mem::take(&mut outlook.loads);
+            let holdings = std::mem::take(&mut outlook.holdings);
+            let mut dispatch = gateway.dispatch();
+            dispatch.heard_of(now, loads);
+            dispatch.heard_where(now, holdings);
         }
+        *heard = outlook.mark;
         self.take(context, &known, outlook);
         let mut freshness = self
             .freshness
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -24,6 +24,7 @@
 use coordination::broker::Grant;
 use coordination::broker::Held;
 use coordination::broker::Report;
+use coordination::bulletin::Bulletin;
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
@@ -55,6 +56,8 @@
 pub struct Service {
     /// Reaches the broker of the upstreams that this host owns.
     pub broker: Handle,
+    /// Passes what hosts have seen on to the others while this one leads.
+    pub bulletin: Arc<Mutex<Bulletin>>,
     /// Reads the clock.
     pub clock: Clock,
     /// Shows the upstreams of routed services, as this host published them while it led.
@@ -138,11 +141,16 @@
         let fleet = (fleet.edition > ask.edition).then(|| (*fleet).clone());
         let table = &reading.routed.table;
         let now = self.clock.now();
+        let mut bulletin = self.bulletin.lock().unwrap_or_else(PoisonError::into_inner);
+        let (holdings, mark) = bulletin.exchange(reading.term, &ask.host, ask.told, ask.heard);
+        drop(bulletin);
         let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
         let loads = tally.report(now, ask.host, ask.loads);
         Ok(Outlook {
             fleet,
+            holdings,
             loads,
+            mark,
             table: (table.version > ask.version).then(|| table.clone()),
             weights: reading.routed.weights.clone(),
         })
