Send a long prompt where its answer can begin in time, not where 400 ms are ahead

Cause: a fixed bound of 400 ms on the work ahead let a prompt that had to be read whole join a queue in which it was late, and kept one that only needed its own part from a queue in which it was in time. Dispatch now adds what the engine has to read for this request: its own part where the engine has read the shared one, an eighth of the shared part more where it can be fetched, and all of it otherwise; what hosts tell each other decides, not what this host sent. A request goes where that ends before the time in which its answer should begin, or where little is ahead of it.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -16,13 +16,19 @@
     pub near: bool,
     /// Names the upstream.
     pub id: String,
+    /// Gives the time that reading the request's prompt takes there, in milliseconds.
+    pub reading_ms: u64,
 }
 
 /// Returns the place of the candidate that ranks highest for the shared prompt `key` among those
-/// whose backlog is at most `room_ms`.
-pub fn ranked(candidates: &[Candidate], key: &str, room_ms: u64) -> Option<usize> {
+/// that have room for it.
+pub fn ranked(
+    candidates: &[Candidate],
+    key: &str,
+    has_room: impl Fn(&Candidate) -> bool,
+) -> Option<usize> {
     let open = candidates.iter().enumerate();
-    let open = open.filter(|(_, candidate)| candidate.backlog_ms <= room_ms);
+    let open = open.filter(|(_, candidate)| has_room(candidate));
     let first = open.max_by_key(|(_, c)| rendezvous::score(key.as_bytes(), &c.id));
     first.map(|(place, _)| place)
 }
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -37,12 +37,14 @@
 const LOAD_AGE_MS: u64 = 1_000;
 /// Gives how long an upstream that refused a request gets no other, in milliseconds.
 const REFUSED_MS: u64 = 250;
-/// Bounds the reading that may be ahead of a long prompt at an engine, in milliseconds: with it,
-/// the reading of the prompt itself and the first step, an answer begins within a second. More
-/// prompts at once would also push cached ones out of the engine's memory.
-const ROOM_MS: u64 = 400;
-/// Bounds it for a request that is late already, so that those which can be in time go first.
+/// Gives the time from when a prompt is read until its answer reaches the caller's host, in
+/// milliseconds: an engine's first token, a step of its batch and the way.
+const FIRST_MS: u64 = 200;
+/// Bounds the reading that may be ahead of a long prompt that cannot be in time, in milliseconds,
+/// so that those which can be in time go first.
 const ROOM_LATE_MS: u64 = 250;
+/// Gives the share of a prompt's reading that fetching it takes, as a divisor.
+const FETCH_DIVISOR: u64 = 8;
 
 /// Bounds ejections: three failures in a row are rarely chance where one answer in seven fails; a
 /// pause ends in time for an upstream that was started again, and doubles while it is still down;
@@ -64,8 +66,8 @@
     pub draw: u64,
     /// Gives the weights version that must serve the request, where an answer goes on.
     pub exact_weights: Option<u64>,
-    /// Tells that the answer cannot begin in time any more.
-    pub late: bool,
+    /// Gives the time left until the answer should begin, in milliseconds.
+    pub goal_ms: u64,
     /// Gives the time left, in milliseconds.
     pub left_ms: u64,
     /// Names the model, where engines serve the request.
@@ -122,8 +124,6 @@
 
 #[derive(Clone, Debug, Default)]
 struct Seen {
-    /// Gives the version under which prompts were sent here last, and the prompts.
-    held: (u64, BTreeMap<String, Instant>),
     refused: Option<Instant>,
     running: u32,
     unread_tokens: u64,
@@ -209,18 +209,9 @@
     /// Notes that a request was sent, and returns what its further events are noted with.
     pub fn sent(&mut self, now: Instant, choice: &Choice, demand: &Demand) -> Run {
         let id = choice.upstream.id.clone();
+        let tokens = self.reading(now, &choice.upstream, demand);
         let seen = self.seen.entry(id.clone()).or_default();
         seen.running += 1;
-        let mut tokens = demand.prompt_tokens;
-        let shared = demand.shared.as_ref().zip(demand.cached());
-        if let Some((((_, shared), key), weights)) = shared.zip(choice.weights) {
-            if seen.held.0 != weights {
-                seen.held = (weights, BTreeMap::new());
-            }
-            if seen.held.1.insert(key, now).is_some() {
-                tokens = tokens.saturating_sub(*shared);
-            }
-        }
         seen.unread_tokens += tokens;
         let work_ms = 2 * seen.unread_tokens / READ_TOKENS_PER_MS;
         let ticket = self.silence.sent(now, id.clone(), work_ms);
@@ -376,12 +367,12 @@
             return Err(Refusal::TooLate);
         }
         if let Some((part, _)) = &demand.shared {
-            let room = match demand.late {
-                false => ROOM_MS,
-                true => ROOM_LATE_MS,
+            let has_room = |candidate: &Candidate| {
+                let first = candidate.backlog_ms + candidate.reading_ms + FIRST_MS;
+                first <= demand.goal_ms || candidate.backlog_ms <= ROOM_LATE_MS
             };
-            let place = affinity::ranked(&new, part, room).map(|place| newest[place]);
-            let place = place.or_else(|| Some(older[affinity::ranked(&old, part, room)?]));
+            let place = affinity::ranked(&new, part, has_room).map(|place| newest[place]);
+            let place = place.or_else(|| Some(older[affinity::ranked(&old, part, has_room)?]));
             return place.ok_or(Refusal::Busy);
         }
         let backlog = |candidates: &[Candidate]| candidates.iter().map(|c| c.backlog_ms).min();
@@ -420,6 +411,25 @@
             backlog_ms: self.backlog_ms(now, &upstream.id),
             id: upstream.id.clone(),
             near: upstream.domain == demand.domain,
+            reading_ms: self.reading(now, upstream, demand) / READ_TOKENS_PER_MS,
+        }
+    }
+
+    /// Counts the tokens that an engine would read for a request, those that it would fetch from
+    /// another as the reading that takes as long.
+    fn reading(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> u64 {
+        let model = demand.model.as_ref();
+        let weights = model.map(|model| self.weights(upstream, model));
+        let prompt = weights.and_then(|weights| demand.prompt(weights));
+        let Some((prompt, (_, shared))) = prompt.zip(demand.shared.as_ref()) else {
+            return demand.prompt_tokens;
+        };
+        let holders = self.holders.engines(now, &prompt);
+        let own = demand.prompt_tokens.saturating_sub(*shared);
+        match (holders.contains(&upstream.id.as_str()), holders.is_empty()) {
+            (true, _) => own,
+            (false, false) => own + shared / FETCH_DIVISOR,
+            (false, true) => demand.prompt_tokens,
         }
     }
 
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -21,6 +21,7 @@
 
 fn long(part: &str) -> Demand {
     Demand {
+        goal_ms: 1_000,
         left_ms: 12_000,
         model: Some("m".to_owned()),
         newest: 1,
@@ -126,13 +127,45 @@
     let busy = BTreeMap::from([("a".to_owned(), unread(20_000))]);
     host.heard_of(Instant(0), busy);
     let late = Demand {
-        late: true,
+        goal_ms: 0,
         ..long("p")
     };
     assert_eq!(host.choose(Instant(1), &fleet, &late), Err(Refusal::Busy));
     assert_matches!(host.choose(Instant(1), &fleet, &long("p")), Ok(_));
 }
 
+#[test]
+fn a_prompt_that_is_read_somewhere_bears_a_longer_queue_than_one_that_is_not() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = long("p");
+    let first = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let mut run = host.sent(Instant(0), &first, &demand);
+    host.answered(Instant(300), &mut run);
+    host.read(Instant(300), &mut run);
+    host.ended(&run);
+    let busy = BTreeMap::from([("a".to_owned(), unread(38_000))]);
+    host.heard_of(Instant(300), busy);
+    assert_matches!(host.choose(Instant(301), &fleet, &demand), Ok(_));
+    let unknown = host.choose(Instant(301), &fleet, &long("q"));
+    assert_eq!(unknown, Err(Refusal::Busy));
+}
+
+#[test]
+fn a_prompt_too_long_to_be_in_time_goes_once_little_is_ahead_of_it() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let huge = Demand {
+        prompt_tokens: 80_000,
+        ..long("p")
+    };
+    let load = |tokens| BTreeMap::from([("a".to_owned(), unread(tokens))]);
+    host.heard_of(Instant(0), load(20_000));
+    assert_eq!(host.choose(Instant(0), &fleet, &huge), Err(Refusal::Busy));
+    host.heard_of(Instant(1), load(10_000));
+    assert_matches!(host.choose(Instant(1), &fleet, &huge), Ok(_));
+}
+
 #[test]
 fn what_cannot_begin_before_the_caller_leaves_is_refused_at_once() {
     let fleet = fleet(&[("a", 1)]);
--- a/crates/hibiscushoistd/src/gateway_place.rs
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -57,7 +57,7 @@
         domain: context.settings.failure_domain.clone(),
         exact_weights: progress.exact_weights,
         draw: rand::random(),
-        late: waited >= routed.route.goal_ms,
+        goal_ms: routed.route.goal_ms.saturating_sub(waited),
         left_ms: routed.left_ms(now),
         newest: newest.copied().unwrap_or_default(),
         model,
