--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -78,7 +78,7 @@
     let demand = long("p");
     let first = host.choose(Instant(0), &fleet, &demand).unwrap();
     let mut run = host.sent(Instant(0), &first, &demand);
-    let others = BTreeMap::from([(first.upstream.id.clone(), unread(40_000))]);
+    let others = BTreeMap::from([(first.upstream.id.clone(), unread(50_000))]);
     host.heard_of(Instant(1), others.clone());
     let early = host.choose(Instant(2), &fleet, &demand).unwrap();
     assert_ne!(id(&first), id(&early));
