Do not end a pausing stream for nothing, and have engines admit long prompts in time first

A stream paused for 1.2 s on a busy engine; the host closed it, found that its route allowed no further upstream, and cut the caller off. A host now leaves a pausing stream, or an engine that does not begin, only where the route, the retry budget and another engine allow it to go on (gateway_run::may_move), and looks again every fifth of a second. The test of a route with one attempt fails without it.

Long prompts that may be in time are admitted before short ones, late ones after (Rank). Older weights that are in time come before the newest that are late. Short prompts go to the least loaded of four engines instead of two.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -2,11 +2,15 @@
 //!
 //! Each prompt ranks all upstreams by hash, so that every host finds the same order without asking,
 //! and an upstream that is gone moves only its own prompts. A request goes to the first in that
-//! order whose backlog leaves room; without a shared prompt it goes to the smaller backlog of two
+//! order whose backlog leaves room; without a shared prompt it goes to the smallest backlog of a few
 //! that are drawn by lot.
 
 use crate::rendezvous;
 
+/// Counts the candidates that are drawn by lot for a request without a shared prompt: enough that
+/// one of them reads no long prompt while half of the engines do.
+const DRAWN: usize = 4;
+
 /// Describes an upstream that could run a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -33,14 +37,20 @@
     first.map(|(place, _)| place)
 }
 
-/// Returns the less loaded of two candidates that are drawn by lot, so that hosts which know the
+/// Returns the least loaded of some candidates that are drawn by lot, so that hosts which know the
 /// same loads do not all choose the same upstream.
-pub fn less_loaded_of_two(candidates: &[Candidate], draw: u64) -> Option<usize> {
-    let count = candidates.len() as u64;
-    let first = draw.checked_rem(count)?;
-    let others = count.saturating_sub(1).max(1);
-    let second = (first + 1 + (draw >> 32) % others) % count;
-    let places = [first as usize, second as usize];
+pub fn least_loaded_of_some(candidates: &[Candidate], draw: u64) -> Option<usize> {
+    let count = candidates.len();
+    let first = (draw as usize).checked_rem(count)?;
+    let mut places: Vec<usize> = (0..count).collect();
+    places.rotate_left(first);
+    let mut rest = draw >> 32;
+    for place in 1..count.min(DRAWN) {
+        let other = place + (rest as usize) % (count - place);
+        places.swap(place, other);
+        rest /= count as u64;
+    }
+    places.truncate(DRAWN);
     let key = |place: &usize| (candidates[*place].backlog_ms, !candidates[*place].near);
     places.into_iter().min_by_key(key)
 }
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -97,10 +97,24 @@
     pub weights: Option<u64>,
     /// Tells where the engine fetches the shared prompt if it lacks it.
     pub fetch: Option<SocketAddr>,
+    /// Gives the order in which the engine admits the request among others.
+    pub rank: Rank,
     /// Holds the store that receives the shared prompt.
     pub save: Option<SocketAddr>,
 }
 
+/// Orders the requests that wait at an engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Rank {
+    /// Comes before others: a long prompt that may still be in time.
+    First,
+    /// Comes in turn.
+    #[default]
+    Normal,
+    /// Comes after others: a long prompt that is late whatever is read first.
+    Last,
+}
+
 /// Tells why no upstream takes a request.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -173,18 +187,7 @@
         fleet: &Fleet,
         demand: &Demand,
     ) -> Result<Choice, Refusal> {
-        let takes = |upstream: &&Upstream| {
-            upstream.service == demand.service
-                && upstream.standing == upstream::Standing::Ready
-                && !demand.tried.contains(&upstream.id)
-                && self.is_current(fleet, upstream, demand)
-                && self.is_usable(now, &upstream.id)
-        };
-        let ready: Vec<&Upstream> = fleet.upstreams.iter().filter(takes).collect();
-        let ready = match ready.is_empty() {
-            false => ready,
-            true => self.last_resort(fleet, demand),
-        };
+        let ready = self.ready(now, fleet, demand);
         let upstream = self.pick(now, &ready, demand)?.clone();
         let _ = self.breaker.claim(now, &upstream.id);
         let weights = demand
@@ -202,6 +205,11 @@
             upstream,
             weights,
             fetch,
+            rank: match (&demand.shared, demand.goal_ms > FIRST_MS) {
+                (None, _) => Rank::Normal,
+                (Some(_), true) => Rank::First,
+                (Some(_), false) => Rank::Last,
+            },
             save: demand.store.filter(|_| saves),
         })
     }
@@ -306,6 +314,12 @@
         }
     }
 
+    /// Returns whether an upstream would take a request now, without sending it there.
+    pub fn offers(&self, now: Instant, fleet: &Fleet, demand: &Demand) -> bool {
+        let ready = self.ready(now, fleet, demand);
+        self.pick(now, &ready, demand).is_ok()
+    }
+
     /// Returns whether the upstream of a request answers nobody.
     pub fn is_silent(&self, now: Instant, run: &Run) -> bool {
         self.silence.is_silent(now, &run.id)
@@ -329,16 +343,22 @@
             && refused.is_none_or(|at| now.since(at) > REFUSED_MS)
     }
 
-    /// Returns all upstreams that are listed as ready and have not failed the request, where none
-    /// of them looks sound.
-    fn last_resort<'a>(&self, fleet: &'a Fleet, demand: &Demand) -> Vec<&'a Upstream> {
+    /// Returns the upstreams that may take a request: those that look sound or, where none does,
+    /// all that are listed as ready and have not failed the request.
+    fn ready<'a>(&self, now: Instant, fleet: &'a Fleet, demand: &Demand) -> Vec<&'a Upstream> {
         let takes = |upstream: &&Upstream| {
             upstream.service == demand.service
                 && upstream.standing == upstream::Standing::Ready
                 && !demand.tried.contains(&upstream.id)
                 && self.is_current(fleet, upstream, demand)
         };
-        fleet.upstreams.iter().filter(takes).collect()
+        let listed: Vec<&Upstream> = fleet.upstreams.iter().filter(takes).collect();
+        let is_sound = |upstream: &&Upstream| self.is_usable(now, &upstream.id);
+        let sound: Vec<&Upstream> = listed.iter().copied().filter(is_sound).collect();
+        match sound.is_empty() {
+            false => sound,
+            true => listed,
+        }
     }
 
     /// Picks the upstream of a request: one with the newest weights, unless work waits much longer
@@ -367,12 +387,15 @@
             return Err(Refusal::TooLate);
         }
         if let Some((part, _)) = &demand.shared {
-            let has_room = |candidate: &Candidate| {
-                let first = candidate.backlog_ms + candidate.reading_ms + FIRST_MS;
-                first <= demand.goal_ms || candidate.backlog_ms <= ROOM_LATE_MS
+            let in_time = |candidate: &Candidate| {
+                candidate.backlog_ms + candidate.reading_ms + FIRST_MS <= demand.goal_ms
+            };
+            let soon = |candidate: &Candidate| candidate.backlog_ms <= ROOM_LATE_MS;
+            let first = |has_room: &dyn Fn(&Candidate) -> bool| {
+                let place = affinity::ranked(&new, part, has_room).map(|place| newest[place]);
+                place.or_else(|| Some(older[affinity::ranked(&old, part, has_room)?]))
             };
-            let place = affinity::ranked(&new, part, has_room).map(|place| newest[place]);
-            let place = place.or_else(|| Some(older[affinity::ranked(&old, part, has_room)?]));
+            let place = first(&in_time).or_else(|| first(&soon));
             return place.ok_or(Refusal::Busy);
         }
         let backlog = |candidates: &[Candidate]| candidates.iter().map(|c| c.backlog_ms).min();
@@ -386,7 +409,7 @@
             false => (ready.to_vec(), self.all(now, ready, demand)),
             true => (newest, new),
         };
-        let place = affinity::less_loaded_of_two(&candidates, demand.draw);
+        let place = affinity::least_loaded_of_some(&candidates, demand.draw);
         place.map(|place| among[place]).ok_or(Refusal::None)
     }
 
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -212,6 +212,15 @@
         Ok(pause)
     }
 
+    /// Returns whether the budgets of a workspace and an upstream hold a retry.
+    pub fn affords(&self, now: Instant, workspace: &str, upstream: &str) -> bool {
+        let holds = |budgets: &BTreeMap<String, Budget>, name: &str| {
+            let budget = budgets.get(name);
+            budget.is_none_or(|budget| budget.refilled(now, self.policy).left >= ATTEMPT)
+        };
+        holds(&self.workspaces, workspace) && holds(&self.upstreams, upstream)
+    }
+
     /// Forgets the budgets that are full, which costs nothing.
     pub fn prune(&mut self, now: Instant) {
         let policy = self.policy;
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -12,6 +12,7 @@
 use coordination::dispatch::Choice;
 use coordination::dispatch::Demand;
 use coordination::dispatch::Dispatch;
+use coordination::dispatch::Rank;
 use coordination::dispatch::Refusal;
 use coordination::tally::Load;
 use coordination::upstream::Standing;
@@ -166,6 +167,64 @@
     assert_matches!(host.choose(Instant(1), &fleet, &huge), Ok(_));
 }
 
+#[test]
+fn long_prompts_in_time_are_read_before_short_ones_and_late_ones_after() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let late = Demand {
+        goal_ms: 0,
+        ..long("p")
+    };
+    for (demand, rank) in [
+        (long("p"), Rank::First),
+        (short(0), Rank::Normal),
+        (late, Rank::Last),
+    ] {
+        let choice = host.choose(Instant(0), &fleet, &demand).unwrap();
+        assert_eq!(choice.rank, rank);
+    }
+}
+
+#[test]
+fn older_weights_in_time_come_before_the_newest_late() {
+    let fleet = fleet(&[("new", 2), ("old", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = Demand {
+        newest: 2,
+        prompt_tokens: 45_000,
+        ..long("p")
+    };
+    let load = |tokens| BTreeMap::from([("new".to_owned(), unread(tokens))]);
+    assert_eq!(
+        id(&host.choose(Instant(0), &fleet, &demand).unwrap()),
+        "new"
+    );
+    host.heard_of(Instant(1), load(10_000));
+    assert_eq!(
+        id(&host.choose(Instant(1), &fleet, &demand).unwrap()),
+        "old"
+    );
+}
+
+#[test]
+fn an_upstream_is_offered_only_where_it_would_be_chosen() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let moved = Demand {
+        tried: vec!["a".to_owned()],
+        ..long("p")
+    };
+    assert!(host.offers(Instant(0), &fleet, &moved));
+    let busy = BTreeMap::from([("b".to_owned(), unread(90_000))]);
+    host.heard_of(Instant(0), busy);
+    assert!(!host.offers(Instant(0), &fleet, &moved));
+    let exact = Demand {
+        exact_weights: Some(2),
+        ..moved
+    };
+    assert!(!host.offers(Instant(5_000), &fleet, &exact));
+}
+
 #[test]
 fn what_cannot_begin_before_the_caller_leaves_is_refused_at_once() {
     let fleet = fleet(&[("a", 1)]);
--- a/crates/coordination/tests/retry.rs
+++ b/crates/coordination/tests/retry.rs
@@ -141,3 +141,15 @@
     };
     assert_eq!(retries.ask(NOW, &other), Err(Denial::WorkspaceBudget));
 }
+
+#[test]
+fn a_retry_is_afforded_exactly_while_it_would_be_made() {
+    let mut retries = Retries::new(Policy::default(), SEED);
+    for _ in 0..Policy::default().burst {
+        assert!(retries.affords(NOW, "w", "u"));
+        retries.ask(NOW, &failure()).unwrap();
+    }
+    assert!(!retries.affords(NOW, "w", "u"));
+    assert!(retries.ask(NOW, &failure()).is_err());
+    assert!(retries.affords(NOW, "other", "other"));
+}
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -14,6 +14,8 @@
 use crate::context::Context;
 use crate::gateway::Gateway;
 use crate::gateway::Routed;
+use crate::gateway_run::Progress;
+use crate::gateway_run::may_move;
 use coordination::dispatch::Choice;
 use coordination::dispatch::Demand;
 use coordination::dispatch::Run;
@@ -123,6 +125,7 @@
     context: &Context,
     gateway: &Arc<Gateway>,
     routed: &Routed,
+    progress: &Progress,
     demand: &Demand,
     choice: &Choice,
 ) -> Attempt {
@@ -146,7 +149,7 @@
     let sending = gateway.lanes.send(choice.upstream.address, request, limits);
     let sent = tokio::select! {
         sent = sending => sent,
-        reason = given_up(context, routed, &underway) => {
+        reason = given_up(context, routed, progress, choice, &underway) => {
             if reason == retry::Reason::Idle {
                 gateway.dispatch().failed(context.clock.now(), &underway.run);
             }
@@ -207,8 +210,14 @@
 }
 
 /// Returns once the caller's time has passed or, for a request that may run again, the upstream
-/// has fallen silent.
-async fn given_up(context: &Context, routed: &Routed, underway: &Underway) -> retry::Reason {
+/// has fallen silent and another takes it.
+async fn given_up(
+    context: &Context,
+    routed: &Routed,
+    progress: &Progress,
+    choice: &Choice,
+    underway: &Underway,
+) -> retry::Reason {
     loop {
         let left = routed.left_ms(context.clock.now());
         if left == 0 {
@@ -217,7 +226,11 @@
         tokio::time::sleep(LOOK.min(Duration::from_millis(left))).await;
         let now = context.clock.now();
         let silent = underway.gateway.dispatch().is_silent(now, &underway.run);
-        if silent && routed.route.is_repeatable() {
+        let (gateway, upstream) = (underway.gateway(), &choice.upstream.id);
+        if silent
+            && routed.route.is_repeatable()
+            && may_move(context, gateway, routed, progress, upstream)
+        {
             return retry::Reason::Idle;
         }
     }
@@ -246,7 +259,7 @@
         expect_weights: choice.weights,
         fetch: choice.fetch,
         left_ms,
-        rank: None,
+        rank: choice.rank,
         resume_after: routed.resume_after,
         salt,
         save: choice.save,
--- a/crates/hibiscushoistd/src/gateway_place.rs
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -39,6 +39,19 @@
     }
 }
 
+/// Returns whether some other upstream would take a request now.
+pub fn is_offered(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &Routed,
+    progress: &Progress,
+) -> bool {
+    let demand = demand(context, gateway, routed, progress);
+    let known = gateway.outlook.watch().borrow().clone();
+    let now = context.clock.now();
+    gateway.dispatch().offers(now, &known.fleet, &demand)
+}
+
 /// Returns whether a request may wait for room any longer.
 fn waits(context: &Context, routed: &Routed) -> bool {
     let waited = context.clock.now().since(routed.arrived);
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -21,6 +21,7 @@
 use crate::gateway_attempt::Attempt;
 use crate::gateway_attempt::attempt;
 use crate::gateway_body;
+use crate::gateway_place;
 use crate::gateway_place::place;
 use crate::gateway_stream;
 use coordination::dispatch::Choice;
@@ -46,7 +47,7 @@
 const WHOLE_BYTES: usize = 1 << 20;
 
 /// Holds what the attempts at one request have come to.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Progress {
     attempts: u32,
     /// Gives the weights version that must make the rest of an answer.
@@ -117,6 +118,25 @@
     next.is_stream(routed).then_some(next)
 }
 
+/// Returns whether a request that waits for `upstream` could be sent to another instead; an answer
+/// that may yet come is not ended for nothing.
+pub fn may_move(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &Routed,
+    progress: &Progress,
+    upstream: &str,
+) -> bool {
+    let now = context.clock.now();
+    let mut moved = progress.clone();
+    moved.tried.push(upstream.to_owned());
+    progress.attempts + 1 < routed.route.attempts
+        && gateway
+            .retries()
+            .affords(now, &routed.service, &routed.service)
+        && gateway_place::is_offered(context, gateway, routed, &moved)
+}
+
 /// Describes an attempt that came to nothing.
 #[derive(Clone, Debug)]
 pub struct Missed {
@@ -140,27 +160,27 @@
             Err(refusal) => return Err(refused(&context.log, routed, progress, refusal)),
             Ok(placed) => placed,
         };
-        let (may_have_run, reason) = match attempt(context, gateway, routed, &demand, &choice).await
-        {
-            Attempt::Answered(answered) => {
-                if answered.status().is_server_error() {
-                    let run = &answered.underway.run;
-                    gateway.dispatch().failed(context.clock.now(), run);
-                    if repeats(context, gateway, routed, progress, &choice) {
-                        continue;
+        let (may_have_run, reason) =
+            match attempt(context, gateway, routed, progress, &demand, &choice).await {
+                Attempt::Answered(answered) => {
+                    if answered.status().is_server_error() {
+                        let run = &answered.underway.run;
+                        gateway.dispatch().failed(context.clock.now(), run);
+                        if repeats(context, gateway, routed, progress, &choice) {
+                            continue;
+                        }
                     }
+                    return Ok(*answered);
                 }
-                return Ok(*answered);
-            }
-            Attempt::Failed {
-                may_have_run,
-                reason,
-            } => (may_have_run, reason),
-            Attempt::Rejected => {
-                progress.rejections += 1;
-                (false, retry::Reason::Refused)
-            }
-        };
+                Attempt::Failed {
+                    may_have_run,
+                    reason,
+                } => (may_have_run, reason),
+                Attempt::Rejected => {
+                    progress.rejections += 1;
+                    (false, retry::Reason::Refused)
+                }
+            };
         let missed = Missed {
             may_have_run,
             reason,
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -26,6 +26,7 @@
 use crate::gateway_run;
 use crate::gateway_run::Missed;
 use crate::gateway_run::Progress;
+use crate::gateway_run::may_move;
 use coordination::retry::Reason;
 use protocol::event_stream::Splitter;
 use transport::event;
@@ -39,6 +40,8 @@
 const SILENT_GAPS: u32 = 3;
 /// Gives the least such pause, which an engine needs to read a long prompt beside its runs.
 const SILENT: Duration = Duration::from_millis(1_200);
+/// Gives the time between two looks at whether a stream that pauses can go on elsewhere.
+const LOOK: Duration = Duration::from_millis(200);
 
 type Part = Result<Frame<Bytes>, io::Error>;
 
@@ -98,7 +101,8 @@
         let weights = answered.weights;
         loop {
             let upstream = answered.upstream.clone();
-            let reason = match self.pass(answered).await {
+            progress.exact_weights = weights;
+            let reason = match self.pass(&progress, answered).await {
                 End::Caller => return self.give_up(Outcome::Left).await,
                 End::Complete => return self.account.end(Outcome::Whole),
                 End::Deadline => return self.give_up(Outcome::Deadline).await,
@@ -106,7 +110,6 @@
             };
             self.splitter.restart();
             self.routed.resume_after = self.splitter.last();
-            progress.exact_weights = weights;
             let missed = Missed {
                 may_have_run: true,
                 reason,
@@ -141,21 +144,29 @@
         let _ = self.caller.send(Err(error)).await;
     }
 
-    async fn pass(&mut self, answered: Answered) -> End {
+    async fn pass(&mut self, progress: &Progress, answered: Answered) -> End {
+        let upstream = answered.upstream.clone();
         let (mut body, lane, keep, underway) = answered.into_stream();
         let gap = Duration::from_millis(self.routed.route.gap_ms);
         let silent = SILENT.max(gap * SILENT_GAPS);
+        let mut pause = silent;
         loop {
             let frame = tokio::select! {
                 frame = next(&mut body) => frame,
-                () = tokio::time::sleep(silent) => {
-                    let now = self.context.clock.now();
-                    self.gateway.dispatch().failed(now, &underway.run);
+                () = tokio::time::sleep(pause) => {
+                    pause = LOOK;
+                    let (context, gateway) = (&self.context, &self.gateway);
+                    if !may_move(context, gateway, &self.routed, progress, &upstream) {
+                        continue;
+                    }
+                    let now = context.clock.now();
+                    gateway.dispatch().failed(now, &underway.run);
                     return End::Broken(Reason::Idle);
                 }
                 () = sleep_until(self.until) => return End::Deadline,
                 () = self.caller.closed() => return End::Caller,
             };
+            pause = silent;
             let now = self.context.clock.now();
             let bytes = match frame {
                 None => {
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -55,6 +55,7 @@
             route("/read/", "idempotent", 2, "desk"),
             route("/order/", "non_idempotent", 1, "desk"),
             route("/stream/", "streaming", 2, "engines"),
+            route("/once/", "streaming", 1, "engines"),
         ],
         "services": [
             {"name": "desk", "health_path": "/health", "max_conns": 10},
@@ -328,6 +329,26 @@
     assert!(!after.is_empty(), "{sent:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_pauses_is_waited_for_where_it_may_not_go_on_elsewhere() {
+    let bench = Bench::serving("engines").await;
+    bench.both(Manner::Pausing);
+    let answer = bench.send("/once/x", "k1").await;
+    let whole = standin::events(0, standin::EVENTS);
+    assert_eq!(answer.body.expect("the stream ends"), whole);
+    assert_eq!(bench.arrivals("/once/x"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_pauses_goes_on_at_another_upstream_that_takes_it() {
+    let bench = Bench::serving("engines").await;
+    bench.both(Manner::Pausing);
+    let answer = bench.send("/stream/x", "k1").await;
+    let whole = standin::events(0, standin::EVENTS);
+    assert_eq!(answer.body.expect("the stream ends"), whole);
+    assert_eq!(bench.arrivals("/stream/x"), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_stops_when_the_caller_leaves() {
     let bench = Bench::serving("desk").await;
--- a/crates/hibiscushoistd/tests/standin/mod.rs
+++ b/crates/hibiscushoistd/tests/standin/mod.rs
@@ -26,6 +26,8 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+/// Gives the length of a pause in a stream, in which a host looks for another upstream several times.
+const PAUSE: Duration = Duration::from_millis(2_500);
 /// Counts the events of a whole stream.
 pub const EVENTS: u64 = 6;
 
@@ -43,6 +45,8 @@
     Failing,
     /// Never answers.
     Mute,
+    /// Pauses in the middle of the answer for longer than a stream that may move is waited for.
+    Pausing,
     /// Refuses without running.
     Rejecting,
     /// Answers.
@@ -230,6 +234,7 @@
             tokio::time::sleep(Duration::from_secs(60)).await;
             whole(200, "late".to_owned())
         }
+        Manner::Pausing => pausing(after),
         Manner::Rejecting => whole(503, String::new()),
         Manner::Sound if streams => whole(200, events(after, EVENTS)),
         Manner::Sound => whole(200, format!("answer of {id}")),
@@ -258,6 +263,17 @@
     parts(status, vec![Ok(text)])
 }
 
+/// Returns a stream that pauses once.
+fn pausing(after: u64) -> Response<Body> {
+    let half = after + (EVENTS - after) / 2;
+    let texts = [events(after, half), events(half, EVENTS)];
+    let frames = stream::iter(texts.into_iter().enumerate()).then(async |(place, text)| {
+        tokio::time::sleep(PAUSE * place as u32).await;
+        Ok(Frame::data(Bytes::from(text)))
+    });
+    Response::new(StreamBody::new(frames.boxed()))
+}
+
 fn parts(status: u16, parts: Vec<Result<String, ()>>) -> Response<Body> {
     let frame = async |part: Result<String, ()>| match part {
         Err(()) => {
