Tell callers that a restarted host refuses when a leader can be expected

Cause: after all processes were killed, hosts are back within 0.7 s and a leader is elected 1.4 s later. A host that has never heard of a leader now names the time until an election usually ends, or as long again as it has lasted (coordination::outage). One that has lost the leader may be cut off alone and still sends callers on to others after 0.5 s. Ruled out: missing upstreams, which make 47 refusals.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod machine;
 pub mod membership;
 pub mod order;
+pub mod outage;
 pub mod outlook;
 pub mod ownership;
 pub mod placement;
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::request::Request;
 use coordination::dispatch::Dispatch;
 use coordination::host::Role;
+use coordination::outage::Outage;
 use coordination::retry::Policy;
 use coordination::retry::Retries;
 use platform::caller;
@@ -39,8 +40,8 @@
 use transport::http::Body;
 use transport::lane::Lanes;
 
-/// Gives how long a caller should wait when the host lacks a table or upstreams, in milliseconds;
-/// hosts ask for both several times a second.
+/// Gives how long a caller should wait when this host has lost the leader or a route has no service
+/// to go to, in milliseconds: time to try another host, and for a newer table to arrive.
 const MISSING_MS: u64 = 500;
 /// Counts budget in thousandths of a retry.
 const RETRY: u64 = 1_000;
@@ -186,7 +187,13 @@
         let age = gateway.outlook.age_ms(context);
         let details = slog::o!("request" => facts.id.clone(), "age_ms" => age);
         event::emit(&context.log, Event::OutlookStale, details);
-        later(Reason::QuorumAway, MISSING_MS)
+        // A host that has lost the leader may be cut off alone; one that has never heard of it
+        // started with the others.
+        let after = match age {
+            None => Outage::new(Instant::default()).retry_after_ms(arrived, rand::random()),
+            Some(_) => MISSING_MS,
+        };
+        later(Reason::QuorumAway, after)
     })?;
     let route = known.index.route(&facts.host, request.uri.path());
     let route = route
