Wait for every host to have the table before the command line's load test

An edit is acknowledged once a majority holds it and it is in force on the host that took it; the other hosts have it in force after they have saved it, and with a busy disk that took up to a second, in which the host refused the keys that it did not know yet. A caller keeps to the first address of its list, so all refusals fell on one workspace.

The assertions of the test are as they were. Ruled out: a lost edit (each host has all rows in the end) and a wrong key.

--- a/crates/hibiscushoist/tests/cli/fleet.rs
+++ b/crates/hibiscushoist/tests/cli/fleet.rs
@@ -99,6 +99,22 @@
             self.operate(&[&["table", "add", "upstreams", &name], &cells[..]].concat());
             self._engines.push(engine);
         }
+        self.settle();
+    }
+
+    /// Waits until every host has the newest row in force; a host whose disk is slow takes longer.
+    fn settle(&self) {
+        let newest = format!("u{}", ENGINES - 1);
+        let started = Instant::now();
+        for address in &self.addresses {
+            let address = address.to_string();
+            while !self
+                .ask(&["table", "get", "upstreams"], &address)
+                .contains(&newest)
+            {
+                assert!(started.elapsed() < HANG, "{address} has no {newest}");
+            }
+        }
     }
 
     fn path(&self, name: &str) -> String {
@@ -107,10 +123,14 @@
 
     /// Runs a command as the operator until it succeeds and returns what it prints.
     fn operate(&self, words: &[&str]) -> String {
-        let key = self.path("operator");
         let servers = self.addresses.iter().map(SocketAddr::to_string);
-        let servers = servers.collect::<Vec<_>>().join(",");
-        let all = [words, &["--server", &servers, "--key-file", &key]].concat();
+        self.ask(words, servers.collect::<Vec<_>>().join(","))
+    }
+
+    /// Runs a command against `servers` until it succeeds and returns what it prints.
+    fn ask(&self, words: &[&str], servers: impl AsRef<str>) -> String {
+        let key = self.path("operator");
+        let all = [words, &["--server", servers.as_ref(), "--key-file", &key]].concat();
         let started = Instant::now();
         loop {
             let output = run(&all);
