Keep each shared prompt in one store, found by hash, where a site has several

Cause: a host fetched from and saved to the store of its own failure domain, or else the last one of the table, but told the others only that the store had a prompt.

Each prompt now has one store, the one with the highest hash, so that all hosts agree and three stores hold three times as much. Sites with one store are as they were.

Also tried and not kept: short answers share a few engines, by the number under way, and long prompts go to the others first.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::breaker::Breaker;
 use crate::breaker::Policy;
 use crate::breaker::Standing;
+use crate::holders;
 use crate::holders::Holders;
 use crate::holders::Holding;
 use crate::holders::Place;
@@ -81,8 +82,8 @@
     pub service: String,
     /// Names the part of the prompt that other requests share, and counts the tokens up to its end.
     pub shared: Option<(String, u64)>,
-    /// Holds the store of cached prompts, where there is one.
-    pub store: Option<SocketAddr>,
+    /// Lists the stores of cached prompts.
+    pub stores: Vec<SocketAddr>,
     /// Lists the upstreams that have failed this request.
     pub tried: Vec<String>,
     /// Names the workspace whose cached prompts no other may use, where it is the request's.
@@ -198,9 +199,11 @@
         let prompt = weights.and_then(|weights| demand.prompt(weights));
         let fetch = prompt.as_ref().and_then(|prompt| {
             let peer = self.source(now, fleet, &upstream, prompt);
-            peer.or(demand.store)
+            peer.or(holders::store(&demand.stores, prompt))
         });
-        let saves = prompt.filter(|_| demand.store.is_some());
+        let store = prompt.as_ref();
+        let store = store.and_then(|prompt| holders::store(&demand.stores, prompt));
+        let saves = prompt.filter(|_| store.is_some());
         let saves = saves.is_some_and(|prompt| self.holders.save(now, &prompt));
         Ok(Choice {
             upstream,
@@ -211,7 +214,7 @@
                 (Some(_), true) => Rank::First,
                 (Some(_), false) => Rank::Last,
             },
-            save: demand.store.filter(|_| saves),
+            save: store.filter(|_| saves),
         })
     }
 
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -6,10 +6,12 @@
 //! the reading that it would have done anyway.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::rendezvous;
 use state::time::Instant;
 
 /// Gives for how long a prompt that an engine has read is expected there, in milliseconds: engines
@@ -49,6 +51,13 @@
     pub prompt: Prompt,
 }
 
+/// Returns the store that keeps a prompt: every host finds the same one, so that each prompt is
+/// kept once and all stores fill.
+pub fn store(stores: &[SocketAddr], prompt: &Prompt) -> Option<SocketAddr> {
+    let score = |store: &&SocketAddr| rendezvous::score(prompt.part.as_bytes(), &store.to_string());
+    stores.iter().max_by_key(score).copied()
+}
+
 /// Keeps which places have which prompts.
 #[derive(Clone, Debug, Default)]
 pub struct Holders {
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -29,7 +29,7 @@
         prompt_tokens: 17_000,
         service: "engines".to_owned(),
         shared: Some((part.to_owned(), 13_300)),
-        store: Some(address(STORE)),
+        stores: vec![address(STORE)],
         ..Demand::default()
     }
 }
--- a/crates/coordination/tests/holders.rs
+++ b/crates/coordination/tests/holders.rs
@@ -1,7 +1,11 @@
 //! Which engines have read a shared prompt, as hosts tell each other.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
 use coordination::bulletin::Bulletin;
 use coordination::bulletin::Mark;
+use coordination::holders;
 use coordination::holders::Holders;
 use coordination::holders::Holding;
 use coordination::holders::Place;
@@ -96,3 +100,20 @@
     assert_eq!(told.last(), Some(&at("a", "p1999")));
     assert_eq!(mark.number, 2_000);
 }
+
+#[test]
+fn each_prompt_has_one_store_and_every_store_has_prompts() {
+    let stores: Vec<SocketAddr> = (1..=3).map(|n| ([10, 0, 0, n], 1).into()).collect();
+    let mut reversed = stores.clone();
+    reversed.reverse();
+    let mut kept: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for number in 0..300 {
+        let prompt = prompt(&format!("p{number}"), 1);
+        let store = holders::store(&stores, &prompt).unwrap();
+        assert_eq!(holders::store(&reversed, &prompt), Some(store));
+        *kept.entry(store).or_default() += 1;
+    }
+    assert_eq!(kept.len(), stores.len());
+    assert!(kept.values().all(|count| *count >= 60), "{kept:?}");
+    assert_eq!(holders::store(&[], &prompt("p", 1)), None);
+}
--- a/crates/hibiscushoistd/src/gateway_place.rs
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -77,7 +77,7 @@
         prompt_tokens: routed.facts.prompt_tokens,
         service: routed.service.clone(),
         shared: shared(routed).filter(|_| progress.exact_weights.is_none()),
-        store: store(&known, &context.settings.failure_domain),
+        stores: stores(&known),
         tried: progress.tried.clone(),
         wall: routed
             .workspace
@@ -87,12 +87,11 @@
     }
 }
 
-/// Returns the store of cached prompts, one in this host's failure domain first.
-fn store(known: &Known, domain: &str) -> Option<SocketAddr> {
+/// Returns the stores of cached prompts.
+fn stores(known: &Known) -> Vec<SocketAddr> {
     let services = known.index.table().services.iter();
     let stores = services.filter_map(|service| service.store.as_ref());
-    let best = stores.max_by_key(|store| store.domain == domain);
-    best.map(|store| store.address)
+    stores.map(|store| store.address).collect()
 }
 
 /// Returns the last part of the prompt that other requests share and the tokens up to its end; the
