Log what a routed request was placed by: its wait, the work ahead, its reading, rank and source

An on-call engineer who looked at a late answer saw where it went and how old the table was, not what the choice rested on. The line at the end of an answer now tells what the host expected (backlog_ms, reading_ms), how long the request waited for room (placed_ms), its rank at the engine and where the engine was told to fetch the prompt.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -93,6 +93,8 @@
 /// Tells where a request goes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Choice {
+    /// Gives the time that the work ahead of the request was expected to take, in milliseconds.
+    pub backlog_ms: u64,
     /// Describes the upstream.
     pub upstream: Upstream,
     /// Gives the version of the model's weights there.
@@ -101,12 +103,15 @@
     pub fetch: Option<SocketAddr>,
     /// Gives the order in which the engine admits the request among others.
     pub rank: Rank,
+    /// Gives the time that reading its prompt was expected to take, in milliseconds.
+    pub reading_ms: u64,
     /// Holds the store that receives the shared prompt.
     pub save: Option<SocketAddr>,
 }
 
 /// Orders the requests that wait at an engine.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub enum Rank {
     /// Comes before others: a long prompt that may still be in time.
     First,
@@ -191,6 +196,7 @@
     ) -> Result<Choice, Refusal> {
         let ready = self.ready(now, fleet, demand);
         let upstream = self.pick(now, &ready, demand)?.clone();
+        let expected = self.candidate(now, &upstream, demand);
         let _ = self.breaker.claim(now, &upstream.id);
         let weights = demand
             .model
@@ -206,6 +212,7 @@
         let saves = prompt.filter(|_| store.is_some());
         let saves = saves.is_some_and(|prompt| self.holders.save(now, &prompt));
         Ok(Choice {
+            backlog_ms: expected.backlog_ms,
             upstream,
             weights,
             fetch,
@@ -214,6 +221,7 @@
                 (Some(_), true) => Rank::First,
                 (Some(_), false) => Rank::Last,
             },
+            reading_ms: expected.reading_ms,
             save: store.filter(|_| saves),
         })
     }
--- a/crates/hibiscushoistd/src/gateway_account.rs
+++ b/crates/hibiscushoistd/src/gateway_account.rs
@@ -9,6 +9,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::Routed;
 use crate::gateway_attempt::Answered;
+use coordination::dispatch::Choice;
 use state::time::Instant;
 use transport::event;
 use transport::event::Event;
@@ -32,16 +33,16 @@
     age_ms: Option<u64>,
     arrived: Instant,
     attempts: u32,
+    choice: Choice,
     context: Arc<Context>,
     edition: u64,
     head_ms: u64,
     outcome: Outcome,
+    placed_ms: u64,
     request: String,
     service: String,
     status: u16,
     table: u64,
-    upstream: String,
-    weights: Option<u64>,
     workspace: Option<String>,
 }
 
@@ -60,16 +61,16 @@
             age_ms: gateway.outlook.age_ms(context),
             arrived: routed.arrived,
             attempts,
+            choice: answered.choice.clone(),
             context: context.clone(),
             edition: known.fleet.edition.number,
             head_ms: context.clock.now().since(routed.arrived),
             outcome: Outcome::Left,
+            placed_ms: answered.sent.since(routed.arrived),
             request: routed.facts.id.clone(),
             service: routed.service.clone(),
             status: answered.status().as_u16(),
             table: known.index.table().version,
-            upstream: answered.upstream.clone(),
-            weights: answered.weights,
             workspace: routed.workspace.as_ref().map(|w| w.name.clone()),
         }
     }
@@ -77,7 +78,7 @@
     /// Notes that another upstream goes on with the answer.
     pub fn resumed(&mut self, answered: &Answered) {
         self.attempts += 1;
-        self.upstream.clone_from(&answered.upstream);
+        self.choice.clone_from(&answered.choice);
     }
 
     /// Notes how the answer ended.
@@ -92,8 +93,13 @@
             "request" => std::mem::take(&mut self.request),
             "workspace" => self.workspace.take(),
             "service" => std::mem::take(&mut self.service),
-            "upstream" => std::mem::take(&mut self.upstream),
-            "weights" => self.weights,
+            "upstream" => std::mem::take(&mut self.choice.upstream.id),
+            "weights" => self.choice.weights,
+            "rank" => self.choice.rank.to_string(),
+            "backlog_ms" => self.choice.backlog_ms,
+            "reading_ms" => self.choice.reading_ms,
+            "fetch" => self.choice.fetch.map(|source| source.to_string()),
+            "placed_ms" => self.placed_ms,
             "status" => self.status,
             "attempts" => self.attempts,
             "head_ms" => self.head_ms,
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -24,6 +24,7 @@
 use platform::caller;
 use platform::caller::Forward;
 use state::routing::Kind;
+use state::time::Instant;
 use transport::lane;
 use transport::lane::Lane;
 
@@ -75,15 +76,15 @@
 
 /// Holds the answer of an upstream whose body is still to come.
 pub struct Answered {
+    /// Tells where the request went and what that was chosen by.
+    pub choice: Choice,
     facts: Facts,
     lane: Lane,
     response: Response<Incoming>,
+    /// Gives when the request was sent.
+    pub sent: Instant,
     /// Keeps the request noted as under way.
     pub underway: Underway,
-    /// Names the upstream.
-    pub upstream: String,
-    /// Gives the weights version that makes the answer, where an engine does.
-    pub weights: Option<u64>,
 }
 
 impl Answered {
@@ -129,12 +130,12 @@
     demand: &Demand,
     choice: &Choice,
 ) -> Attempt {
-    let now = context.clock.now();
+    let begun = context.clock.now();
     let headers = caller::forwarded(&routed.headers, &forward(routed, choice, demand.left_ms));
     let Some(request) = request(routed, headers) else {
         return Attempt::Rejected;
     };
-    let run = gateway.dispatch().sent(now, choice, demand);
+    let run = gateway.dispatch().sent(begun, choice, demand);
     let mut underway = Underway {
         gateway: gateway.clone(),
         run,
@@ -200,12 +201,12 @@
     }
     drop(dispatch);
     Attempt::Answered(Box::new(Answered {
+        choice: choice.clone(),
         facts,
         lane,
         response,
+        sent: begun,
         underway,
-        upstream: choice.upstream.id.clone(),
-        weights: choice.weights,
     }))
 }
 
--- a/crates/hibiscushoistd/src/gateway_run.rs
+++ b/crates/hibiscushoistd/src/gateway_run.rs
@@ -85,7 +85,7 @@
                 }
             });
         }
-        let upstream = answered.upstream.clone();
+        let upstream = answered.choice.upstream.id.clone();
         match whole(context, &routed, answered).await {
             Ok(response) => {
                 account.end(Outcome::Whole);
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -98,9 +98,9 @@
 
 impl Pump {
     async fn run(mut self, mut progress: Progress, mut answered: Answered) {
-        let weights = answered.weights;
+        let weights = answered.choice.weights;
         loop {
-            let upstream = answered.upstream.clone();
+            let upstream = answered.choice.upstream.id.clone();
             progress.exact_weights = weights;
             let reason = match self.pass(&progress, answered).await {
                 End::Caller => return self.give_up(Outcome::Left).await,
@@ -145,7 +145,7 @@
     }
 
     async fn pass(&mut self, progress: &Progress, answered: Answered) -> End {
-        let upstream = answered.upstream.clone();
+        let upstream = answered.choice.upstream.id.clone();
         let (mut body, lane, keep, underway) = answered.into_stream();
         let gap = Duration::from_millis(self.routed.route.gap_ms);
         let silent = SILENT.max(gap * SILENT_GAPS);
