Send an engine no more long prompts than its memory holds

Cause: hosts counted the reading ahead at an engine, not what runs there.

Hosts now tell each other the tokens of long prompts under way, and a long prompt goes only where 85 in 100 of the memory that the table states holds it beside the others, or where there is no other.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -16,6 +16,8 @@
 pub struct Candidate {
     /// Gives the work ahead of a new request, in milliseconds.
     pub backlog_ms: u64,
+    /// Counts the tokens of the long prompts under way there.
+    pub long_tokens: u64,
     /// Tells whether the upstream is in the asker's failure domain.
     pub near: bool,
     /// Names the upstream.
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -45,6 +45,9 @@
 /// Bounds the reading that may be ahead of a long prompt that cannot be in time, in milliseconds,
 /// so that those which can be in time go first.
 const ROOM_LATE_MS: u64 = 100;
+/// Bounds the part of an engine's memory that long prompts under way may fill, in percent; the rest
+/// is for short prompts and for what answers add.
+const LONG_PERCENT: u64 = 85;
 /// Gives the share of a prompt's reading that fetching it takes, as a divisor.
 const FETCH_DIVISOR: u64 = 8;
 
@@ -72,6 +75,8 @@
     pub goal_ms: u64,
     /// Gives the time left, in milliseconds.
     pub left_ms: u64,
+    /// Counts the tokens that the memory of one engine holds, where that is known.
+    pub memory_tokens: Option<u64>,
     /// Names the model, where engines serve the request.
     pub model: Option<String>,
     /// Gives the newest version of the model's weights.
@@ -138,6 +143,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     id: String,
+    long_tokens: u64,
     prompt: Option<Prompt>,
     ticket: Ticket,
     tokens: u64,
@@ -145,12 +151,24 @@
 
 #[derive(Clone, Debug, Default)]
 struct Seen {
+    long_tokens: u64,
     refused: Option<Instant>,
     running: u32,
     unread_tokens: u64,
     weights: BTreeMap<String, u64>,
 }
 
+impl Seen {
+    /// Returns what this host has under way.
+    fn load(&self) -> Load {
+        Load {
+            long_tokens: self.long_tokens,
+            running: self.running,
+            unread_tokens: self.unread_tokens,
+        }
+    }
+}
+
 /// Chooses upstreams.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -231,12 +249,15 @@
         let id = choice.upstream.id.clone();
         let tokens = self.reading(now, &choice.upstream, demand);
         let seen = self.seen.entry(id.clone()).or_default();
+        let long_tokens = demand.shared.as_ref().map_or(0, |_| demand.prompt_tokens);
+        seen.long_tokens += long_tokens;
         seen.running += 1;
         seen.unread_tokens += tokens;
         let work_ms = 2 * seen.unread_tokens / READ_TOKENS_PER_MS;
         let ticket = self.silence.sent(now, id.clone(), work_ms);
         Run {
             id,
+            long_tokens,
             prompt: choice.weights.and_then(|weights| demand.prompt(weights)),
             ticket,
             tokens,
@@ -246,11 +267,7 @@
     /// Returns what this host has under way at upstreams.
     pub fn loads(&self) -> Loads {
         let busy = self.seen.iter().filter(|(_, seen)| seen.running > 0);
-        let load = |seen: &Seen| Load {
-            running: seen.running,
-            unread_tokens: seen.unread_tokens,
-        };
-        busy.map(|(id, seen)| (id.clone(), load(seen))).collect()
+        busy.map(|(id, seen)| (id.clone(), seen.load())).collect()
     }
 
     /// Notes what other hosts have under way at upstreams.
@@ -321,6 +338,7 @@
     pub fn ended(&mut self, run: &Run) {
         self.silence.ended(&run.id, run.ticket);
         if let Some(seen) = self.seen.get_mut(&run.id) {
+            seen.long_tokens = seen.long_tokens.saturating_sub(run.long_tokens);
             seen.running = seen.running.saturating_sub(1);
             seen.unread_tokens = seen.unread_tokens.saturating_sub(run.tokens);
         }
@@ -406,8 +424,12 @@
                 let place = affinity::ranked(&new, part, has_room).map(|place| newest[place]);
                 place.or_else(|| Some(older[affinity::ranked(&old, part, has_room)?]))
             };
-            let in_time = |candidate: &Candidate| begins_in_time(candidate, demand);
-            let soon = |candidate: &Candidate| candidate.backlog_ms <= ROOM_LATE_MS;
+            let in_time = |candidate: &Candidate| {
+                fits(candidate, demand) && begins_in_time(candidate, demand)
+            };
+            let soon = |candidate: &Candidate| {
+                fits(candidate, demand) && candidate.backlog_ms <= ROOM_LATE_MS
+            };
             let place = first(&in_time).or_else(|| first(&soon));
             return place.ok_or(Refusal::Busy);
         }
@@ -426,21 +448,26 @@
         place.map(|place| among[place]).ok_or(Refusal::None)
     }
 
-    /// Returns the time that the work of all hosts at an upstream takes, in milliseconds.
-    fn backlog_ms(&self, now: Instant, id: &str) -> u64 {
-        let own = self.seen.get(id);
-        let own = own.map_or((0, 0), |seen| (seen.running, seen.unread_tokens));
+    /// Returns what all hosts have under way at an upstream.
+    fn load(&self, now: Instant, id: &str) -> Load {
+        let own = self.seen.get(id).map(Seen::load).unwrap_or_default();
         let fresh = now.since(self.others.0) <= LOAD_AGE_MS;
         let others = self.others.1.get(id).copied().filter(|_| fresh);
         let others = others.unwrap_or_default();
-        let running = u64::from(own.0 + others.running);
-        (own.1 + others.unread_tokens) / READ_TOKENS_PER_MS + running * RUNNING_MS
+        Load {
+            long_tokens: own.long_tokens + others.long_tokens,
+            running: own.running + others.running,
+            unread_tokens: own.unread_tokens + others.unread_tokens,
+        }
     }
 
     fn candidate(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> Candidate {
+        let load = self.load(now, &upstream.id);
+        let running_ms = u64::from(load.running) * RUNNING_MS;
         Candidate {
-            backlog_ms: self.backlog_ms(now, &upstream.id),
+            backlog_ms: load.unread_tokens / READ_TOKENS_PER_MS + running_ms,
             id: upstream.id.clone(),
+            long_tokens: load.long_tokens,
             near: upstream.domain == demand.domain,
             reading_ms: self.reading(now, upstream, demand) / READ_TOKENS_PER_MS,
         }
@@ -503,6 +530,17 @@
     }
 }
 
+/// Returns whether a long prompt fits into a candidate's memory beside those under way; an engine
+/// that holds more puts answers back and drops the prompts that later requests share.
+fn fits(candidate: &Candidate, demand: &Demand) -> bool {
+    let held = candidate.long_tokens;
+    let most = |memory: u64| memory * LONG_PERCENT / 100;
+    held == 0
+        || demand
+            .memory_tokens
+            .is_none_or(|memory| held + demand.prompt_tokens <= most(memory))
+}
+
 /// Returns whether an answer that a candidate makes is expected to begin in time.
 fn begins_in_time(candidate: &Candidate, demand: &Demand) -> bool {
     candidate.backlog_ms + candidate.reading_ms + FIRST_MS <= demand.goal_ms
--- a/crates/coordination/src/tally.rs
+++ b/crates/coordination/src/tally.rs
@@ -14,6 +14,8 @@
 /// Counts what is under way at one upstream.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
+    /// Counts the tokens of the requests whose prompts are long.
+    pub long_tokens: u64,
     /// Counts the requests.
     pub running: u32,
     /// Counts the prompt tokens of requests that have not begun to answer.
@@ -39,6 +41,7 @@
         let others = self.total.clone();
         for (upstream, load) in &loads {
             let sum = self.total.entry(upstream.clone()).or_default();
+            sum.long_tokens += load.long_tokens;
             sum.running += load.running;
             sum.unread_tokens += load.unread_tokens;
         }
@@ -63,6 +66,7 @@
             };
             for (upstream, load) in loads {
                 if let Some(sum) = self.total.get_mut(&upstream) {
+                    sum.long_tokens -= load.long_tokens;
                     sum.running -= load.running;
                     sum.unread_tokens -= load.unread_tokens;
                     if *sum == Load::default() {
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -48,6 +48,7 @@
 
 fn unread(tokens: u64) -> Load {
     Load {
+        long_tokens: 0,
         running: 1,
         unread_tokens: tokens,
     }
@@ -369,3 +370,52 @@
         .collect();
     assert_eq!(used.len(), 2);
 }
+
+#[test]
+fn an_engine_gets_no_more_long_prompts_than_its_memory_holds() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = Demand {
+        memory_tokens: Some(100_000),
+        ..long("p")
+    };
+    let held = |tokens| Load {
+        long_tokens: tokens,
+        running: 4,
+        unread_tokens: 0,
+    };
+    let first = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let others = BTreeMap::from([(first.upstream.id.clone(), held(68_000))]);
+    host.heard_of(Instant(1), others);
+    let second = host.choose(Instant(2), &fleet, &demand).unwrap();
+    assert_eq!(id(&first), id(&second), "17,000 more make 85 in 100");
+    let others = BTreeMap::from([(first.upstream.id.clone(), held(68_001))]);
+    host.heard_of(Instant(3), others);
+    let third = host.choose(Instant(4), &fleet, &demand).unwrap();
+    assert_ne!(id(&first), id(&third));
+    let full = ["a", "b"].map(|id| (id.to_owned(), held(68_001)));
+    host.heard_of(Instant(5), BTreeMap::from(full));
+    let refusal = host.choose(Instant(6), &fleet, &demand);
+    assert_eq!(refusal, Err(Refusal::Busy));
+    let unknown = host.choose(Instant(7), &fleet, &long("p"));
+    assert!(unknown.is_ok(), "no memory is stated");
+}
+
+#[test]
+fn a_prompt_longer_than_that_goes_to_an_engine_that_has_no_other() {
+    let fleet = fleet(&[("a", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = Demand {
+        goal_ms: 10_000,
+        memory_tokens: Some(100_000),
+        prompt_tokens: 90_000,
+        ..long("p")
+    };
+    let first = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let mut run = host.sent(Instant(0), &first, &demand);
+    let second = host.choose(Instant(1), &fleet, &demand);
+    assert_eq!(second, Err(Refusal::Busy));
+    host.answered(Instant(2_000), &mut run);
+    host.ended(&run);
+    assert!(host.choose(Instant(2_001), &fleet, &demand).is_ok());
+}
--- a/crates/coordination/tests/reload.rs
+++ b/crates/coordination/tests/reload.rs
@@ -66,6 +66,7 @@
 
     fn running(mut self, id: &str) -> Self {
         let load = Load {
+            long_tokens: 0,
             running: 1,
             unread_tokens: 0,
         };
--- a/crates/coordination/tests/routed.rs
+++ b/crates/coordination/tests/routed.rs
@@ -12,6 +12,7 @@
 
 fn loads(entries: &[(&str, u32)]) -> Loads {
     let load = |running: u32| Load {
+        long_tokens: 0,
         running,
         unread_tokens: u64::from(running) * 10,
     };
--- a/crates/hibiscushoistd/src/gateway_place.rs
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -72,6 +72,7 @@
         draw: rand::random(),
         goal_ms: routed.route.goal_ms.saturating_sub(waited),
         left_ms: routed.left_ms(now),
+        memory_tokens: service.and_then(|service| service.memory_tokens),
         newest: newest.copied().unwrap_or_default(),
         model,
         prompt_tokens: routed.facts.prompt_tokens,
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -78,6 +78,8 @@
     pub connections: u32,
     /// Tells whether the upstreams are model engines.
     pub engine: bool,
+    /// Counts the tokens that the memory of one engine holds, where that is known.
+    pub memory_tokens: Option<u64>,
     /// Names the service.
     pub name: String,
     /// Tells where the service keeps cached parts of prompts, where that is its job.
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -48,6 +48,7 @@
         services: vec![Service {
             connections: 10,
             engine: true,
+            memory_tokens: None,
             name: "engines".to_owned(),
             store: None,
         }],
