--- a/crates/hibiscushoistd/tests/processes/mod.rs
+++ b/crates/hibiscushoistd/tests/processes/mod.rs
@@ -46,7 +46,7 @@
 const DOMAINS: usize = 3;
 pub const POLL: Duration = Duration::from_millis(20);
 /// Counts the hosts without a disk, the last ones.
-const DISKLESS: usize = 2;
+pub const DISKLESS: usize = 2;
 /// Counts the voters, the first hosts.
 pub const VOTERS: usize = 3;
 
@@ -54,6 +54,7 @@
 
 /// Holds one daemon's process and addresses.
 pub struct Host {
+    advertised: SocketAddr,
     child: Option<Child>,
     pub entry: SocketAddr,
     pub name: String,
@@ -93,6 +94,7 @@
         let peers: Vec<TcpListener> = (0..count).map(bind).collect();
         let address = |listener: &TcpListener| listener.local_addr().expect("it is bound");
         let hosts = (0..count).map(|place| Host {
+            advertised: address(&peers[place]),
             child: None,
             entry: address(&entries[place]),
             name: format!("h{place}"),
@@ -105,18 +107,33 @@
             folder,
             hosts,
         };
-        for place in 0..count {
-            let text = fleet.settings(place);
-            fs::write(&fleet.hosts[place].settings, text).expect("settings can be written");
-        }
+        fleet.write();
         fleet
     }
 
+    /// Returns a listener to which the peers of a host connect in its place from now on, and the
+    /// address that the host listens on.
+    pub fn stand_before(&mut self, place: usize) -> (TcpListener, SocketAddr) {
+        let host = &mut self.hosts[place];
+        let listener = TcpListener::bind((host.peer.ip(), 0)).expect("a port is free");
+        host.advertised = listener.local_addr().expect("it is bound");
+        let peer = host.peer;
+        self.write();
+        (listener, peer)
+    }
+
+    fn write(&self) {
+        for place in 0..self.hosts.len() {
+            let text = self.settings(place);
+            fs::write(&self.hosts[place].settings, text).expect("settings can be written");
+        }
+    }
+
     fn settings(&self, place: usize) -> String {
         let host = &self.hosts[place];
         let voters = self.hosts.iter().take(VOTERS);
-        let seeds = self.hosts.iter().map(|h| h.peer.to_string());
-        let members = voters.map(|h| format!("{}@{}", h.name, h.peer));
+        let seeds = self.hosts.iter().map(|h| h.advertised.to_string());
+        let members = voters.map(|h| format!("{}@{}", h.name, h.advertised));
         let data = self.folder.path().join(&host.name);
         let roles = match place < VOTERS {
             false => "broker, entry",
@@ -131,7 +148,7 @@
              [entry]\nlisten = {}\naddress_lifetime_ms = {}\ndrain_limit_ms = 30000\n\
              [log]\nform = json\n\
              [operator]\nkey_hash = {}\n\
-             [peer]\nlisten = {}\nkey = {}\nseeds = {}\n\
+             [peer]\nlisten = {}\nadvertise = {}\nkey = {}\nseeds = {}\n\
              [voters]\nmembers = {}\n",
             host.name,
             place % DOMAINS,
@@ -139,6 +156,7 @@
             LIFETIME.as_millis(),
             auth::hash(OPERATOR_KEY),
             host.peer,
+            host.advertised,
             "5a".repeat(32),
             seeds.collect::<Vec<_>>().join(", "),
             members.collect::<Vec<_>>().join(", "),
@@ -167,6 +185,11 @@
         kill_process(pid, signal).expect("the signal can be sent");
     }
 
+    /// Hands over the process of a host, which then counts as one that does not run.
+    pub fn release(&mut self, place: usize) -> Option<Child> {
+        self.hosts[place].child.take()
+    }
+
     /// Kills one host without a warning.
     pub fn kill(&mut self, place: usize) {
         let mut child = self.hosts[place].child.take().expect("the daemon runs");
