--- a/crates/hibiscushoistd/tests/soak/callers.rs
+++ b/crates/hibiscushoistd/tests/soak/callers.rs
@@ -142,8 +142,9 @@
         }
     }
 
-    /// Looks at the table of each host and notes where one shows an older one than before; `started`
-    /// counts the starts of hosts that keep no table over a restart.
+    /// Looks at the table of each host and notes where one shows an older one than before.
+    ///
+    /// `started` counts the starts of hosts that keep no table over a restart.
     pub async fn look(self, started: impl Fn(usize) -> u64) {
         let mut newest: BTreeMap<(usize, u64), u64> = BTreeMap::new();
         while !self.stop.load(Ordering::SeqCst) {
--- a/crates/hibiscushoistd/tests/soak/proxy.rs
+++ b/crates/hibiscushoistd/tests/soak/proxy.rs
@@ -51,8 +51,8 @@
 }
 
 impl Proxy {
-    /// Starts a proxy to `target` on a free port of `ip`.
-    pub async fn start(bound: std::net::TcpListener, target: SocketAddr) -> Self {
+    /// Starts a proxy to `target` on a listener that is bound.
+    pub fn start(bound: std::net::TcpListener, target: SocketAddr) -> Self {
         bound.set_nonblocking(true).expect("the socket can be set");
         let listener = TcpListener::from_std(bound).expect("the socket listens");
         let address = listener.local_addr().expect("it is bound");
--- a/crates/hibiscushoistd/tests/soak/run.rs
+++ b/crates/hibiscushoistd/tests/soak/run.rs
@@ -83,7 +83,7 @@
     }
 }
 
-/// Tells for which hosts, and how long, a fault excuses an answer that did not come whole.
+/// Tells when a fault may have been felt.
 struct Window {
     action: Action,
     from: Instant,
@@ -143,7 +143,7 @@
         let mut hosts = Vec::new();
         for place in 0..HOSTS {
             let (bound, peer) = fleet.stand_before(place);
-            hosts.push(Proxy::start(bound, peer).await);
+            hosts.push(Proxy::start(bound, peer));
         }
         for place in 0..HOSTS {
             fleet.spawn(place);
@@ -157,7 +157,7 @@
                 ..engine::Options::default()
             };
             let engine = Engine::start(options).await.expect("an engine starts");
-            links.push(Proxy::start(bound(), engine.address()).await);
+            links.push(Proxy::start(bound(), engine.address()));
             engines.push(engine);
         }
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -310,8 +310,10 @@
         }
     }
 
-    /// Returns whether a request may have ended as it did: a wrong answer never, a refusal while any
-    /// fault but a graceful stop is felt, a cut only where the host itself or an engine was hit.
+    /// Returns whether a request may have ended as it did.
+    ///
+    /// A wrong answer is never allowed, a refusal while any fault but a graceful stop is felt, and a
+    /// cut where the host itself or an engine was hit.
     fn is_allowed(&self, record: &Record, place: Option<usize>) -> bool {
         let windows = self.windows.lock().unwrap();
         let mut felt = windows
