--- a/crates/hibiscushoistd/tests/soak/run.rs
+++ b/crates/hibiscushoistd/tests/soak/run.rs
@@ -312,8 +312,8 @@
 
     /// Returns whether a request may have ended as it did.
     ///
-    /// A wrong answer is never allowed, a refusal while any fault but a graceful stop is felt, and a
-    /// cut where the host itself or an engine was hit.
+    /// A wrong answer is never allowed, a refusal while any fault but a graceful stop is felt, and
+    /// a cut where the host itself or an engine was hit.
     fn is_allowed(&self, record: &Record, place: Option<usize>) -> bool {
         let windows = self.windows.lock().unwrap();
         let mut felt = windows
