Give the soak's proxies addresses on which no host is about to listen

The fleet frees the ports that it drew for its hosts, and the proxy before a host then drew one on the same address. The proxies now listen on addresses of their own; the host's address is used by the host alone. Ruled out: a fault of the daemon, which told the address and ended as it should.

--- a/crates/hibiscushoistd/tests/processes/mod.rs
+++ b/crates/hibiscushoistd/tests/processes/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeSet;
 use std::fs;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -45,6 +46,8 @@
 
 const DOMAINS: usize = 3;
 pub const POLL: Duration = Duration::from_millis(20);
+/// Parts the address before a host from its own, whose ports are free until the host starts.
+const BEFORE: u8 = 100;
 /// Counts the hosts without a disk, the last ones.
 pub const DISKLESS: usize = 2;
 /// Counts the voters, the first hosts.
@@ -115,7 +118,13 @@
     /// address that the host listens on.
     pub fn stand_before(&mut self, place: usize) -> (TcpListener, SocketAddr) {
         let host = &mut self.hosts[place];
-        let listener = TcpListener::bind((host.peer.ip(), 0)).expect("a port is free");
+        let [network @ .., last] = match host.peer.ip() {
+            IpAddr::V4(ip) => ip.octets(),
+            IpAddr::V6(_) => panic!("hosts listen on IPv4"),
+        };
+        let [first, second, third] = network;
+        let ip = Ipv4Addr::new(first, second, third, last + BEFORE);
+        let listener = TcpListener::bind((ip, 0)).expect("a port is free");
         host.advertised = listener.local_addr().expect("it is bound");
         let peer = host.peer;
         self.write();
