--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -221,12 +221,12 @@
             .as_ref()
             .map(|model| self.weights(&upstream, model));
         let prompt = weights.and_then(|weights| demand.prompt(weights));
+        let store = prompt.as_ref();
+        let store = store.and_then(|prompt| holders::store(&demand.stores, prompt));
         let fetch = prompt.as_ref().and_then(|prompt| {
             let peer = self.source(now, fleet, &upstream, prompt);
-            peer.or(holders::store(&demand.stores, prompt))
+            peer.or(store)
         });
-        let store = prompt.as_ref();
-        let store = store.and_then(|prompt| holders::store(&demand.stores, prompt));
         let saves = prompt.filter(|_| store.is_some());
         let saves = saves.is_some_and(|prompt| self.holders.save(now, &prompt));
         Ok(Choice {
