Have hosts tell each other when they last heard an upstream

Cause: a host took a busy engine for a silent one. With 74 hosts and 60 engines a host has about one request at an engine, so it hears the engine only by that request; 0.7 s after twice its own reading it gave the request up and sent it to another engine, which read the prompt from the start.

Now each report of loads tells when the host last had a byte of the engine, and the leading host hands on the latest. An engine is silent when no host hears it; where only this host hears nothing for 1.5 s beyond the work, the path is broken. Daemons speak version 5 to each other.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -160,9 +160,10 @@
 
 impl Seen {
     /// Returns what this host has under way.
-    fn load(&self) -> Load {
+    fn load(&self, quiet_ms: Option<u64>) -> Load {
         Load {
             long_tokens: self.long_tokens,
+            quiet_ms,
             running: self.running,
             unread_tokens: self.unread_tokens,
         }
@@ -253,7 +254,7 @@
         seen.long_tokens += long_tokens;
         seen.running += 1;
         seen.unread_tokens += tokens;
-        let work_ms = 2 * seen.unread_tokens / READ_TOKENS_PER_MS;
+        let work_ms = 2 * self.load(now, &id).unread_tokens / READ_TOKENS_PER_MS;
         let ticket = self.silence.sent(now, id.clone(), work_ms);
         Run {
             id,
@@ -265,13 +266,22 @@
     }
 
     /// Returns what this host has under way at upstreams.
-    pub fn loads(&self) -> Loads {
+    pub fn loads(&self, now: Instant) -> Loads {
         let busy = self.seen.iter().filter(|(_, seen)| seen.running > 0);
-        busy.map(|(id, seen)| (id.clone(), seen.load())).collect()
+        let load = |(id, seen): (&String, &Seen)| {
+            let quiet_ms = self.silence.quiet_ms(now, id);
+            (id.clone(), seen.load(quiet_ms))
+        };
+        busy.map(load).collect()
     }
 
     /// Notes what other hosts have under way at upstreams.
     pub fn heard_of(&mut self, now: Instant, others: Loads) {
+        for (id, load) in &others {
+            if let Some(quiet) = load.quiet_ms {
+                self.silence.heard_elsewhere(now.before(quiet), id);
+            }
+        }
         self.others = (now, others);
     }
 
@@ -450,12 +460,14 @@
 
     /// Returns what all hosts have under way at an upstream.
     fn load(&self, now: Instant, id: &str) -> Load {
-        let own = self.seen.get(id).map(Seen::load).unwrap_or_default();
+        let own = self.seen.get(id).map(|seen| seen.load(None));
+        let own = own.unwrap_or_default();
         let fresh = now.since(self.others.0) <= LOAD_AGE_MS;
         let others = self.others.1.get(id).copied().filter(|_| fresh);
         let others = others.unwrap_or_default();
         Load {
             long_tokens: own.long_tokens + others.long_tokens,
+            quiet_ms: None,
             running: own.running + others.running,
             unread_tokens: own.unread_tokens + others.unread_tokens,
         }
--- a/crates/coordination/src/tally.rs
+++ b/crates/coordination/src/tally.rs
@@ -16,6 +16,9 @@
 pub struct Load {
     /// Counts the tokens of the requests whose prompts are long.
     pub long_tokens: u64,
+    /// Gives the time since the upstream sent a byte to any host, in milliseconds, where it did
+    /// lately.
+    pub quiet_ms: Option<u64>,
     /// Counts the requests.
     pub running: u32,
     /// Counts the prompt tokens of requests that have not begun to answer.
@@ -28,6 +31,7 @@
 /// Adds up the reports of hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
+    heard: BTreeMap<String, Instant>,
     hosts: BTreeMap<String, (Instant, Loads)>,
     total: Loads,
 }
@@ -38,8 +42,16 @@
     pub fn report(&mut self, now: Instant, host: impl Into<String>, loads: Loads) -> Loads {
         let host = host.into();
         self.forget(now, &host);
-        let others = self.total.clone();
+        let mut others = self.total.clone();
+        for (upstream, load) in &mut others {
+            let heard = self.heard.get(upstream);
+            load.quiet_ms = heard.map(|at| now.since(*at));
+        }
         for (upstream, load) in &loads {
+            if let Some(quiet) = load.quiet_ms {
+                let heard = self.heard.entry(upstream.clone()).or_default();
+                *heard = (*heard).max(now.before(quiet));
+            }
             let sum = self.total.entry(upstream.clone()).or_default();
             sum.long_tokens += load.long_tokens;
             sum.running += load.running;
@@ -70,6 +82,7 @@
                     sum.running -= load.running;
                     sum.unread_tokens -= load.unread_tokens;
                     if *sum == Load::default() {
+                        self.heard.remove(&upstream);
                         self.total.remove(&upstream);
                     }
                 }
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -49,6 +49,7 @@
 fn unread(tokens: u64) -> Load {
     Load {
         long_tokens: 0,
+        quiet_ms: None,
         running: 1,
         unread_tokens: tokens,
     }
@@ -112,6 +113,33 @@
     assert_eq!(next.fetch, Some(address(STORE)));
 }
 
+#[test]
+fn a_single_request_at_a_busy_engine_is_left_there_while_other_hosts_hear_the_engine() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut alone = Dispatch::new(0);
+    let mut told = Dispatch::new(0);
+    let demand = long("p");
+    let choice = alone.choose(Instant(0), &fleet, &demand).unwrap();
+    let busy = unread(20_000);
+    let hosts = [&mut alone, &mut told];
+    let runs = hosts.map(|host| {
+        host.heard_of(Instant(0), BTreeMap::from([(id(&choice).to_owned(), busy)]));
+        host.sent(Instant(0), &choice, &demand)
+    });
+    // What is ahead and the prompt itself take 0.8 s; the engine takes twice that and answers
+    // other hosts meanwhile.
+    for at in (100..=2_600).step_by(100) {
+        let quiet_ms = Some(60);
+        let heard = Load { quiet_ms, ..busy };
+        told.heard_of(
+            Instant(at),
+            BTreeMap::from([(id(&choice).to_owned(), heard)]),
+        );
+    }
+    assert!(alone.is_silent(Instant(2_600), &runs[0]));
+    assert!(!told.is_silent(Instant(2_600), &runs[1]));
+}
+
 #[test]
 fn a_prompt_waits_while_all_engines_have_much_to_read() {
     let fleet = fleet(&[("a", 1), ("b", 1)]);
@@ -381,6 +409,7 @@
     };
     let held = |tokens| Load {
         long_tokens: tokens,
+        quiet_ms: None,
         running: 4,
         unread_tokens: 0,
     };
--- a/crates/coordination/tests/reload.rs
+++ b/crates/coordination/tests/reload.rs
@@ -67,6 +67,7 @@
     fn running(mut self, id: &str) -> Self {
         let load = Load {
             long_tokens: 0,
+            quiet_ms: None,
             running: 1,
             unread_tokens: 0,
         };
--- a/crates/coordination/tests/routed.rs
+++ b/crates/coordination/tests/routed.rs
@@ -4,6 +4,7 @@
 
 use coordination::outlook::Freshness;
 use coordination::silence::LIMIT_MS;
+use coordination::silence::PATH_LIMIT_MS;
 use coordination::silence::Silence;
 use coordination::tally::Load;
 use coordination::tally::Loads;
@@ -13,6 +14,7 @@
 fn loads(entries: &[(&str, u32)]) -> Loads {
     let load = |running: u32| Load {
         long_tokens: 0,
+        quiet_ms: None,
         running,
         unread_tokens: u64::from(running) * 10,
     };
@@ -34,6 +36,28 @@
     assert!(!silence.is_silent(Instant(10_000), "u"));
 }
 
+#[test]
+fn an_upstream_that_other_hosts_hear_is_busy_until_the_path_to_it_looks_broken() {
+    let mut silence = Silence::default();
+    silence.sent(Instant(0), "u", 500);
+    for at in (600..=500 + PATH_LIMIT_MS).step_by(100) {
+        silence.heard_elsewhere(Instant(at), "u");
+        assert!(!silence.is_silent(Instant(at), "u"), "at {at}");
+    }
+    assert!(silence.is_silent(Instant(501 + PATH_LIMIT_MS), "u"));
+    silence.heard(Instant(502 + PATH_LIMIT_MS), "u");
+    assert!(!silence.is_silent(Instant(503 + PATH_LIMIT_MS), "u"));
+}
+
+#[test]
+fn an_upstream_that_no_host_hears_any_more_is_silent_to_all() {
+    let mut silence = Silence::default();
+    silence.sent(Instant(0), "u", 0);
+    silence.heard_elsewhere(Instant(100), "u");
+    assert!(!silence.is_silent(Instant(100 + LIMIT_MS), "u"));
+    assert!(silence.is_silent(Instant(101 + LIMIT_MS), "u"));
+}
+
 #[test]
 fn an_upstream_without_requests_is_not_silent() {
     let silence = Silence::default();
@@ -58,6 +82,24 @@
     assert_eq!(tally.total(), &loads(&[("u", 3), ("v", 6)]));
 }
 
+#[test]
+fn a_host_learns_when_any_host_last_heard_an_upstream() {
+    let heard = |ms| {
+        let load = Load {
+            quiet_ms: Some(ms),
+            running: 1,
+            ..Load::default()
+        };
+        Loads::from([("u".to_owned(), load)])
+    };
+    let mut tally = Tally::default();
+    tally.report(Instant(1_000), "h1", heard(400));
+    tally.report(Instant(1_010), "h2", heard(30));
+    tally.report(Instant(1_020), "h1", heard(420));
+    let told = tally.report(Instant(1_050), "h3", Loads::new());
+    assert_eq!(told["u"].quiet_ms, Some(70));
+}
+
 #[test]
 fn the_report_of_a_host_that_is_gone_no_longer_counts() {
     let mut tally = Tally::default();
--- a/crates/hibiscushoistd/src/outlook.rs
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -136,7 +136,7 @@
         let known = self.publish.borrow().clone();
         let shared = context.gateway.as_ref().map(|gateway| {
             let mut dispatch = gateway.dispatch();
-            (dispatch.loads(), dispatch.tell())
+            (dispatch.loads(context.clock.now()), dispatch.tell())
         });
         let (loads, told) = shared.unwrap_or_default();
         let ask = Ask {
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -22,7 +22,7 @@
 use coordination::quarantine;
 
 /// Numbers the form of the messages; a connection needs the same number on both ends.
-pub const VERSION: u32 = 4;
+pub const VERSION: u32 = 5;
 
 /// Serves the other daemons of the fleet.
 ///
--- a/crates/state/src/time.rs
+++ b/crates/state/src/time.rs
@@ -18,6 +18,11 @@
     pub fn since(self, earlier: Self) -> u64 {
         self.0.saturating_sub(earlier.0)
     }
+
+    /// Returns the point in time that lies `millis` back, or the first of the clock.
+    pub fn before(self, millis: u64) -> Self {
+        Self(self.0.saturating_sub(millis))
+    }
 }
 
 impl Add<u64> for Instant {
