Have the leading host assign engines to long prompts

Cause: hosts learn of each other's work 0.1 to 0.2 s late. At 80 long prompts a second some twenty are under way unseen, so that hosts sent several to the same engine.

Now the host whose voter leads chooses the engine of each long prompt. It counts what it assigned until the host's own report covers it, and forgets it after a second without one. A host that gets no answer within 0.1 s chooses by itself as before. A host tells a new leader again what it has seen of shared prompts; what a failed ask had told is no longer lost.

--- /dev/null
+++ b/crates/coordination/src/demand.rs
@@ -0,0 +1,58 @@
+//! What a routed request needs of an upstream.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::holders::Prompt;
+
+/// Describes what a request needs.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// Names the failure domain of this host.
+    pub domain: String,
+    /// Breaks ties.
+    pub draw: u64,
+    /// Gives the weights version that must serve the request, where an answer goes on.
+    pub exact_weights: Option<u64>,
+    /// Gives the time left until the answer should begin, in milliseconds.
+    pub goal_ms: u64,
+    /// Gives the time left, in milliseconds.
+    pub left_ms: u64,
+    /// Counts the tokens that the memory of one engine holds, where that is known.
+    pub memory_tokens: Option<u64>,
+    /// Names the model, where engines serve the request.
+    pub model: Option<String>,
+    /// Gives the newest version of the model's weights.
+    pub newest: u64,
+    /// Counts the tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Names the service.
+    pub service: String,
+    /// Names the part of the prompt that other requests share, and counts the tokens up to its end.
+    pub shared: Option<(String, u64)>,
+    /// Lists the stores of cached prompts.
+    pub stores: Vec<SocketAddr>,
+    /// Lists the upstreams that have failed this request.
+    pub tried: Vec<String>,
+    /// Names the workspace whose cached prompts no other may use, where it is the request's.
+    pub wall: Option<String>,
+}
+
+impl Demand {
+    /// Names the shared prompt as engines with a version of the weights cache it.
+    pub fn prompt(&self, weights: u64) -> Option<Prompt> {
+        let part = self.cached()?;
+        Some(Prompt { part, weights })
+    }
+
+    /// Names the shared prompt with the workspace that it must not leave, where there is one.
+    fn cached(&self) -> Option<String> {
+        let (part, _) = self.shared.as_ref()?;
+        Some(match &self.wall {
+            None => part.clone(),
+            Some(workspace) => format!("{part}@{workspace}"),
+        })
+    }
+}
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -4,14 +4,15 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use strum::Display;
-use strum::IntoStaticStr;
-
 use crate::affinity;
 use crate::affinity::Candidate;
 use crate::breaker::Breaker;
 use crate::breaker::Policy;
 use crate::breaker::Standing;
+use crate::choice::Choice;
+use crate::choice::Rank;
+use crate::choice::Refusal;
+use crate::demand::Demand;
 use crate::holders;
 use crate::holders::Holders;
 use crate::holders::Holding;
@@ -62,83 +63,6 @@
     share: 60,
 };
 
-/// Describes what a request needs.
-#[derive(Clone, Debug, Default)]
-pub struct Demand {
-    /// Names the failure domain of this host.
-    pub domain: String,
-    /// Breaks ties.
-    pub draw: u64,
-    /// Gives the weights version that must serve the request, where an answer goes on.
-    pub exact_weights: Option<u64>,
-    /// Gives the time left until the answer should begin, in milliseconds.
-    pub goal_ms: u64,
-    /// Gives the time left, in milliseconds.
-    pub left_ms: u64,
-    /// Counts the tokens that the memory of one engine holds, where that is known.
-    pub memory_tokens: Option<u64>,
-    /// Names the model, where engines serve the request.
-    pub model: Option<String>,
-    /// Gives the newest version of the model's weights.
-    pub newest: u64,
-    /// Counts the tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Names the service.
-    pub service: String,
-    /// Names the part of the prompt that other requests share, and counts the tokens up to its end.
-    pub shared: Option<(String, u64)>,
-    /// Lists the stores of cached prompts.
-    pub stores: Vec<SocketAddr>,
-    /// Lists the upstreams that have failed this request.
-    pub tried: Vec<String>,
-    /// Names the workspace whose cached prompts no other may use, where it is the request's.
-    pub wall: Option<String>,
-}
-
-/// Tells where a request goes.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Choice {
-    /// Gives the time that the work ahead of the request was expected to take, in milliseconds.
-    pub backlog_ms: u64,
-    /// Describes the upstream.
-    pub upstream: Upstream,
-    /// Gives the version of the model's weights there.
-    pub weights: Option<u64>,
-    /// Tells where the engine fetches the shared prompt if it lacks it.
-    pub fetch: Option<SocketAddr>,
-    /// Gives the order in which the engine admits the request among others.
-    pub rank: Rank,
-    /// Gives the time that reading its prompt was expected to take, in milliseconds.
-    pub reading_ms: u64,
-    /// Holds the store that receives the shared prompt.
-    pub save: Option<SocketAddr>,
-}
-
-/// Orders the requests that wait at an engine.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum Rank {
-    /// Comes before others: a long prompt that may still be in time.
-    First,
-    /// Comes after others: a long prompt that is late whatever is read first.
-    Last,
-    /// Comes in turn.
-    #[default]
-    Normal,
-}
-
-/// Tells why no upstream takes a request.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub enum Refusal {
-    /// Means that every engine has enough to read; the request should wait a little.
-    Busy,
-    /// Means that no upstream of the service takes work.
-    None,
-    /// Means that the work ahead takes longer than the caller waits.
-    TooLate,
-}
-
 /// Names a request under way.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -174,6 +98,7 @@
 #[derive(Debug)]
 pub struct Dispatch {
     breaker: Breaker,
+    grants: Vec<u64>,
     holders: Holders,
     others: (Instant, Loads),
     seen: BTreeMap<String, Seen>,
@@ -185,6 +110,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             breaker: Breaker::new(EJECTION, seed),
+            grants: Vec::new(),
             holders: Holders::default(),
             others: Default::default(),
             seen: BTreeMap::new(),
@@ -232,9 +158,8 @@
         let saves = saves.is_some_and(|prompt| self.holders.save(now, &prompt));
         Ok(Choice {
             backlog_ms: expected.backlog_ms,
-            upstream,
-            weights,
             fetch,
+            grant: None,
             rank: match (&demand.shared, demand.goal_ms > FIRST_MS) {
                 (None, _) => Rank::Normal,
                 (Some(_), true) => Rank::First,
@@ -242,11 +167,14 @@
             },
             reading_ms: expected.reading_ms,
             save: store.filter(|_| saves),
+            upstream,
+            weights,
         })
     }
 
     /// Notes that a request was sent, and returns what its further events are noted with.
     pub fn sent(&mut self, now: Instant, choice: &Choice, demand: &Demand) -> Run {
+        self.grants.extend(choice.grant);
         let id = choice.upstream.id.clone();
         let tokens = self.reading(now, &choice.upstream, demand);
         let seen = self.seen.entry(id.clone()).or_default();
@@ -265,6 +193,12 @@
         }
     }
 
+    /// Returns the choices of the leading host by which requests were sent since it was asked last;
+    /// what this host has under way covers them.
+    pub fn grants(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.grants)
+    }
+
     /// Returns what this host has under way at upstreams.
     pub fn loads(&self, now: Instant) -> Loads {
         let busy = self.seen.iter().filter(|(_, seen)| seen.running > 0);
@@ -292,8 +226,14 @@
     }
 
     /// Returns where this host has seen shared prompts since it was asked last.
-    pub fn tell(&mut self) -> Vec<Holding> {
-        self.holders.tell()
+    pub fn tell(&mut self, now: Instant) -> Vec<Holding> {
+        self.holders.tell(now)
+    }
+
+    /// Has what this host has seen of shared prompts told once more, as it was told in vain or to
+    /// a host that no longer leads.
+    pub fn tell_again(&mut self, now: Instant) {
+        self.holders.tell_again(now);
     }
 
     /// Notes the head of an answer.
@@ -376,6 +316,14 @@
             && exact.is_none_or(|(model, exact)| self.weights(upstream, model) == exact)
     }
 
+    /// Returns the upstreams of a service that take no work from this host for now.
+    pub fn avoided(&self, now: Instant, fleet: &Fleet, service: &str) -> Vec<String> {
+        let listed = fleet.upstreams.iter();
+        let of_service = listed.filter(|upstream| upstream.service == service);
+        let avoided = of_service.filter(|upstream| !self.is_usable(now, &upstream.id));
+        avoided.map(|upstream| upstream.id.clone()).collect()
+    }
+
     fn is_usable(&self, now: Instant, id: &str) -> bool {
         let refused = self.seen.get(id).and_then(|seen| seen.refused);
         !matches!(self.breaker.peek(now, id), Standing::Open(_))
@@ -557,20 +505,3 @@
 fn begins_in_time(candidate: &Candidate, demand: &Demand) -> bool {
     candidate.backlog_ms + candidate.reading_ms + FIRST_MS <= demand.goal_ms
 }
-
-impl Demand {
-    /// Names the shared prompt as engines with a version of the weights cache it.
-    fn prompt(&self, weights: u64) -> Option<Prompt> {
-        let part = self.cached()?;
-        Some(Prompt { part, weights })
-    }
-
-    /// Names the shared prompt with the workspace that it must not leave, where there is one.
-    fn cached(&self) -> Option<String> {
-        let (part, _) = self.shared.as_ref()?;
-        Some(match &self.wall {
-            None => part.clone(),
-            Some(workspace) => format!("{part}@{workspace}"),
-        })
-    }
-}
--- a/crates/coordination/src/holders.rs
+++ b/crates/coordination/src/holders.rs
@@ -6,6 +6,7 @@
 //! the reading that it would have done anyway.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -62,6 +63,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Holders {
     places: BTreeMap<Prompt, BTreeMap<Place, Instant>>,
+    told: VecDeque<(Instant, Holding)>,
     untold: Vec<Holding>,
 }
 
@@ -82,8 +84,22 @@
     }
 
     /// Returns what the others were not told yet.
-    pub fn tell(&mut self) -> Vec<Holding> {
-        std::mem::take(&mut self.untold)
+    pub fn tell(&mut self, now: Instant) -> Vec<Holding> {
+        let untold = std::mem::take(&mut self.untold);
+        let told = untold.iter().cloned().map(|holding| (now, holding));
+        self.told.extend(told);
+        let old = self.told.len().saturating_sub(UNTOLD);
+        self.told.drain(..old);
+        untold
+    }
+
+    /// Has what is not too old to count told once more.
+    pub fn tell_again(&mut self, now: Instant) {
+        let told = std::mem::take(&mut self.told);
+        let young = told.into_iter().filter(|(at, _)| now.since(*at) <= HELD_MS);
+        let later = std::mem::take(&mut self.untold);
+        self.untold = young.map(|(_, holding)| holding).chain(later).collect();
+        self.untold.truncate(UNTOLD);
     }
 
     /// Returns the engines that have a prompt, the last that read it first.
--- a/crates/coordination/src/outlook.rs
+++ b/crates/coordination/src/outlook.rs
@@ -23,6 +23,8 @@
 pub struct Ask {
     /// Gives the edition of the fleet that the host has.
     pub edition: Edition,
+    /// Lists the assignments that what the host has under way covers since it asked last.
+    pub grants: Vec<u64>,
     /// Names the last entry of the bulletin that the host has.
     pub heard: Mark,
     /// Names the host.
--- /dev/null
+++ b/crates/coordination/tests/assignment.rs
@@ -0,0 +1,182 @@
+//! Long prompts that many hosts place at the same moment, with and without a host that assigns.
+
+mod clockwork;
+
+use std::collections::BTreeMap;
+
+use clockwork::fleet;
+use coordination::assignment::Ask;
+use coordination::assignment::Desk;
+use coordination::choice::Choice;
+use coordination::choice::Refusal;
+use coordination::demand::Demand;
+use coordination::dispatch::Dispatch;
+use coordination::holders::Holding;
+use coordination::holders::Place;
+use coordination::tally::Load;
+use coordination::tally::Loads;
+use coordination::tally::Tally;
+use coordination::upstream::Fleet;
+use state::time::Instant;
+
+const ENGINES: usize = 40;
+const PROMPTS: usize = 30;
+
+fn demand(part: impl Into<String>) -> Demand {
+    Demand {
+        goal_ms: 1_000,
+        left_ms: 12_000,
+        model: Some("m".to_owned()),
+        newest: 1,
+        prompt_tokens: 30_000,
+        service: "engines".to_owned(),
+        shared: Some((part.into(), 20_000)),
+        ..Demand::default()
+    }
+}
+
+fn ask(part: impl Into<String>) -> Ask {
+    Ask {
+        avoided: Vec::new(),
+        demand: demand(part),
+    }
+}
+
+fn engines() -> Fleet {
+    let names: Vec<String> = (0..ENGINES).map(|n| format!("e{n}")).collect();
+    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    fleet(&engines)
+}
+
+/// Counts the prompts of the engine that got most.
+fn most(chosen: &[String]) -> usize {
+    let mut counts: BTreeMap<&String, usize> = BTreeMap::new();
+    for id in chosen {
+        *counts.entry(id).or_default() += 1;
+    }
+    counts.into_values().max().unwrap_or_default()
+}
+
+#[test]
+fn prompts_that_come_at_once_through_many_hosts_get_engines_of_their_own() {
+    let fleet = engines();
+    let apart: Vec<String> = (0..PROMPTS)
+        .map(|n| {
+            let mut host = Dispatch::new(n as u64);
+            let choice = host.choose(Instant(0), &fleet, &demand(format!("p{n}")));
+            choice.unwrap().upstream.id
+        })
+        .collect();
+    assert!(most(&apart) > 1, "hosts that choose apart collide");
+    let mut desk = Desk::new(0);
+    let assigned: Vec<String> = (0..PROMPTS)
+        .map(|n| {
+            let choice = desk.assign(Instant(0), &fleet, &Loads::new(), ask(format!("p{n}")));
+            choice.unwrap().upstream.id
+        })
+        .collect();
+    assert_eq!(most(&assigned), 1);
+}
+
+/// Notes an assigned prompt at its host and returns the host's report.
+fn report(
+    host: &mut Dispatch,
+    now: Instant,
+    choice: &Choice,
+    demand: &Demand,
+) -> (Vec<u64>, Loads) {
+    let _ = host.sent(now, choice, demand);
+    (host.grants(), host.loads(now))
+}
+
+#[test]
+fn an_assignment_counts_once_before_and_after_its_host_reports_it() {
+    let fleet = fleet(&[("e", 1)]);
+    let (mut desk, mut tally, mut host) = (Desk::new(0), Tally::default(), Dispatch::new(1));
+    let first = ask("p");
+    let choice = desk.assign(Instant(0), &fleet, tally.total(), first.clone());
+    let choice = choice.unwrap();
+    assert_eq!(choice.backlog_ms, 0);
+    let late = Demand {
+        goal_ms: 100_000,
+        ..demand("q")
+    };
+    let next = || Ask {
+        avoided: Vec::new(),
+        demand: late.clone(),
+    };
+    let before = desk
+        .assign(Instant(50), &fleet, tally.total(), next())
+        .unwrap();
+    let (covered, loads) = report(&mut host, Instant(60), &choice, &first.demand);
+    let (covered_next, _) = report(&mut Dispatch::new(2), Instant(60), &before, &late);
+    tally.report(Instant(90), "h", loads);
+    desk.reported(Instant(90), &covered, &[]);
+    desk.reported(Instant(90), &covered_next, &[]);
+    let after = desk
+        .assign(Instant(91), &fleet, tally.total(), next())
+        .unwrap();
+    assert_eq!(before.backlog_ms, after.backlog_ms);
+    assert!(before.backlog_ms > 600, "{}", before.backlog_ms);
+}
+
+#[test]
+fn an_assignment_of_a_host_that_never_reports_it_is_forgotten() {
+    let fleet = fleet(&[("e", 1)]);
+    let mut desk = Desk::new(0);
+    let _ = desk
+        .assign(Instant(0), &fleet, &Loads::new(), ask("p"))
+        .unwrap();
+    let soon = desk.assign(Instant(1_000), &fleet, &Loads::new(), ask("q"));
+    assert_eq!(soon, Err(Refusal::Busy));
+    let later = desk.assign(Instant(1_001), &fleet, &Loads::new(), ask("q"));
+    assert_eq!(later.unwrap().backlog_ms, 0);
+}
+
+#[test]
+fn an_engine_that_a_host_avoids_is_not_assigned_to_it() {
+    let fleet = fleet(&[("e", 1), ("f", 1)]);
+    for avoided in ["e", "f"] {
+        let ask = Ask {
+            avoided: vec![avoided.to_owned()],
+            demand: demand("p"),
+        };
+        let choice = Desk::new(0).assign(Instant(0), &fleet, &Loads::new(), ask);
+        assert_ne!(choice.unwrap().upstream.id, avoided);
+    }
+}
+
+#[test]
+fn a_prompt_that_an_engine_has_read_is_fetched_from_it_once_a_host_has_told_so() {
+    let fleet = fleet(&[("e", 1), ("f", 1)]);
+    let mut desk = Desk::new(0);
+    let prompt = demand("p").prompt(1).unwrap();
+    let place = Place::Engine("e".to_owned());
+    desk.reported(Instant(0), &[], &[Holding { place, prompt }]);
+    let busy = Load {
+        running: 1,
+        unread_tokens: 40_000,
+        ..Load::default()
+    };
+    let loads = Loads::from([("e".to_owned(), busy)]);
+    let choice = desk.assign(Instant(1), &fleet, &loads, ask("p")).unwrap();
+    assert_eq!(choice.upstream.id, "f");
+    assert_eq!(choice.fetch, Some(clockwork::address("e")));
+}
+
+#[test]
+fn a_host_tells_a_new_leader_what_it_has_told_the_one_before() {
+    let fleet = fleet(&[("e", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = demand("p");
+    let choice = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let mut run = host.sent(Instant(0), &choice, &demand);
+    host.read(Instant(500), &mut run);
+    let told = host.tell(Instant(600));
+    assert_eq!(told.len(), 1);
+    assert_eq!(host.tell(Instant(700)), []);
+    host.tell_again(Instant(800));
+    assert_eq!(host.tell(Instant(800)), told);
+    host.tell_again(Instant(10_801));
+    assert_eq!(host.tell(Instant(10_801)), [], "it is too old to count");
+}
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -9,11 +9,11 @@
 
 use clockwork::address;
 use clockwork::fleet;
-use coordination::dispatch::Choice;
-use coordination::dispatch::Demand;
+use coordination::choice::Choice;
+use coordination::choice::Rank;
+use coordination::choice::Refusal;
+use coordination::demand::Demand;
 use coordination::dispatch::Dispatch;
-use coordination::dispatch::Rank;
-use coordination::dispatch::Refusal;
 use coordination::tally::Load;
 use coordination::upstream::Standing;
 use state::time::Instant;
@@ -92,7 +92,7 @@
     assert_eq!(later.fetch, Some(first.upstream.address));
     let mut other = Dispatch::new(1);
     other.heard_of(Instant(400), others);
-    other.heard_where(Instant(400), host.tell());
+    other.heard_where(Instant(400), host.tell(Instant(400)));
     let told = other.choose(Instant(401), &fleet, &demand).unwrap();
     assert_ne!(id(&first), id(&told));
     assert_eq!(told.fetch, Some(first.upstream.address));
--- a/crates/coordination/tests/holders.rs
+++ b/crates/coordination/tests/holders.rs
@@ -57,7 +57,7 @@
 fn of_all_hosts_one_saves_a_prompt_until_it_is_due_again() {
     let mut hosts = [Holders::default(), Holders::default()];
     assert!(hosts[0].save(Instant(0), &prompt("p", 1)));
-    let told = hosts[0].tell();
+    let told = hosts[0].tell(Instant(0));
     hosts[1].heard(Instant(100), told);
     assert!(!hosts[1].save(Instant(200), &prompt("p", 1)));
     assert!(hosts[1].save(Instant(10_200), &prompt("p", 1)));
--- a/crates/hibiscushoistd/src/gateway_account.rs
+++ b/crates/hibiscushoistd/src/gateway_account.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::Routed;
 use crate::gateway_attempt::Answered;
-use coordination::dispatch::Choice;
+use coordination::choice::Choice;
 use state::time::Instant;
 use transport::event;
 use transport::event::Event;
@@ -99,6 +99,7 @@
             "backlog_ms" => self.choice.backlog_ms,
             "reading_ms" => self.choice.reading_ms,
             "fetch" => self.choice.fetch.map(|source| source.to_string()),
+            "grant" => self.choice.grant,
             "placed_ms" => self.placed_ms,
             "status" => self.status,
             "attempts" => self.attempts,
--- a/crates/hibiscushoistd/src/gateway_place.rs
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -8,12 +8,20 @@
 use crate::gateway::Routed;
 use crate::gateway_run::Progress;
 use crate::outlook::Known;
-use coordination::dispatch::Choice;
-use coordination::dispatch::Demand;
-use coordination::dispatch::Refusal;
+use coordination::assignment::Ask;
+use coordination::choice::Choice;
+use coordination::choice::Refusal;
+use coordination::demand::Demand;
+use transport::event;
+use transport::event::Event;
+use transport::metric;
 
-/// Gives the time between two looks at whether an engine has room.
-const ROOM_LOOK: Duration = Duration::from_millis(20);
+/// Bounds the time for which the leading host is asked for an engine; it answers within a round
+/// trip and a turn of its thread, and choosing without it costs less than waiting longer.
+const ASSIGN_LIMIT: Duration = Duration::from_millis(100);
+/// Gives the time between two looks at whether an engine has room: an engine reads a piece of a
+/// prompt in about twice that.
+const ROOM_LOOK: Duration = Duration::from_millis(40);
 /// Gives how long a request waits for room, as a multiple of the time in which its answer should
 /// begin; callers leave at four times that, and reading takes about one.
 const WAIT_GOALS: u64 = 1;
@@ -31,7 +39,12 @@
 ) -> Result<(Demand, Choice), Refusal> {
     loop {
         let demand = demand(context, gateway, routed, progress);
-        match choose(context, gateway, &demand) {
+        let chosen = match assigned(context, gateway, &demand).await {
+            Some(Ok(choice)) => Ok(choice),
+            Some(Err(refusal @ (Refusal::Busy | Refusal::TooLate))) => Err(refusal),
+            Some(Err(Refusal::None)) | None => choose(context, gateway, &demand),
+        };
+        match chosen {
             Err(Refusal::Busy) if waits(context, routed) => tokio::time::sleep(ROOM_LOOK).await,
             Err(refusal) => return Err(refusal),
             Ok(choice) => return Ok((demand, choice)),
@@ -39,6 +52,46 @@
     }
 }
 
+/// Returns what the leading host chooses for a long prompt, or nothing where it was not asked or
+/// did not answer.
+async fn assigned(
+    context: &Context,
+    gateway: &Gateway,
+    demand: &Demand,
+) -> Option<Result<Choice, Refusal>> {
+    demand.shared.as_ref()?;
+    let leader = gateway.outlook.leader()?;
+    let pool = context.pool.as_ref()?;
+    let known = gateway.outlook.watch().borrow().clone();
+    let now = context.clock.now();
+    let ask = Ask {
+        avoided: gateway
+            .dispatch()
+            .avoided(now, &known.fleet, &demand.service),
+        demand: demand.clone(),
+    };
+    let client = pool.client(leader, None);
+    let call = client.call(ASSIGN_LIMIT, |peer, call| async move {
+        peer.assign(call, ask).await
+    });
+    let error = match call.await {
+        Ok(Ok(assigned)) => {
+            let outcome = match &assigned {
+                Err(refusal) => <&str>::from(*refusal),
+                Ok(_) => "assigned",
+            };
+            metrics::counter!(metric::ASSIGNMENTS, "outcome" => outcome).increment(1);
+            return Some(assigned);
+        }
+        Ok(Err(rejection)) => rejection.to_string(),
+        Err(error) => error.to_string(),
+    };
+    metrics::counter!(metric::ASSIGNMENTS, "outcome" => "unanswered").increment(1);
+    let details = slog::o!("voter" => leader.to_string(), "error" => error);
+    event::emit(&context.log, Event::AssignFailed, details);
+    None
+}
+
 /// Returns whether some other upstream would take a request now.
 pub fn is_offered(
     context: &Context,
--- a/crates/hibiscushoistd/src/outlook.rs
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -49,6 +49,7 @@
 pub struct Handle {
     freshness: Arc<Mutex<Freshness>>,
     known: watch::Receiver<Arc<Known>>,
+    leader: watch::Receiver<Option<SocketAddr>>,
 }
 
 impl Handle {
@@ -72,6 +73,11 @@
         freshness.age_ms(context.clock.now())
     }
 
+    /// Returns the voter that leads, as long as it answers this host.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        *self.leader.borrow()
+    }
+
     /// Returns what this host knows and its later versions.
     pub fn watch(&self) -> watch::Receiver<Arc<Known>> {
         self.known.clone()
@@ -81,18 +87,26 @@
 /// Returns a handle that shows nothing until [`Keeper::run`] has asked.
 pub fn channel(limit: Duration) -> (Keeper, Handle) {
     let (publish, known) = watch::channel(Arc::default());
+    let (lead, leader) = watch::channel(None);
     let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
     let freshness = Arc::new(Mutex::new(Freshness::new(limit)));
     let handle = Handle {
         freshness: freshness.clone(),
         known,
+        leader,
+    };
+    let keeper = Keeper {
+        freshness,
+        lead,
+        publish,
     };
-    (Keeper { freshness, publish }, handle)
+    (keeper, handle)
 }
 
 /// Asks the voter that leads, again and again.
 pub struct Keeper {
     freshness: Arc<Mutex<Freshness>>,
+    lead: watch::Sender<Option<SocketAddr>>,
     publish: watch::Sender<Arc<Known>>,
 }
 
@@ -112,12 +126,17 @@
                 tokio::time::sleep(PAUSE).await;
                 continue;
             };
-            match self.ask(&context, target, &mut heard).await {
+            let asked = self.ask(&context, target, &mut heard).await;
+            self.lead.send_replace(asked.is_ok().then_some(target));
+            match asked {
                 Ok(()) => {
                     leader = Some(target);
                     tokio::time::sleep(period(&context)).await;
                 }
                 Err(hint) => {
+                    if let Some(gateway) = &context.gateway {
+                        gateway.dispatch().tell_again(context.clock.now());
+                    }
                     leader = hint.filter(|hint| *hint != target);
                     tokio::time::sleep(PAUSE).await;
                 }
@@ -134,20 +153,25 @@
     ) -> Result<(), Option<SocketAddr>> {
         let pool = context.pool.as_ref().ok_or(None)?;
         let known = self.publish.borrow().clone();
+        let asked = context.clock.now();
         let shared = context.gateway.as_ref().map(|gateway| {
             let mut dispatch = gateway.dispatch();
-            (dispatch.loads(context.clock.now()), dispatch.tell())
+            (
+                dispatch.grants(),
+                dispatch.loads(asked),
+                dispatch.tell(asked),
+            )
         });
-        let (loads, told) = shared.unwrap_or_default();
+        let (grants, loads, told) = shared.unwrap_or_default();
         let ask = Ask {
             edition: known.fleet.edition,
+            grants,
             heard: *heard,
             host: context.settings.name.clone(),
             loads,
             told,
             version: known.index.table().version,
         };
-        let asked = context.clock.now();
         let client = pool.client(target, None);
         let call = client.call(CALL_LIMIT, |peer, call| async move {
             peer.outlook(call, ask).await
@@ -170,6 +194,9 @@
             let mut dispatch = gateway.dispatch();
             dispatch.heard_of(now, loads);
             dispatch.heard_where(now, holdings);
+            if heard.term != outlook.mark.term {
+                dispatch.tell_again(now);
+            }
         }
         *heard = outlook.mark;
         self.take(context, &known, outlook);
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -20,11 +20,15 @@
 use crate::voter;
 use coordination::admission::Reason;
 use coordination::admission::Refusal;
+use coordination::assignment;
+use coordination::assignment::Desk;
 use coordination::broker;
 use coordination::broker::Grant;
 use coordination::broker::Held;
 use coordination::broker::Report;
 use coordination::bulletin::Bulletin;
+use coordination::choice;
+use coordination::choice::Choice;
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
@@ -60,6 +64,8 @@
     pub bulletin: Arc<Mutex<Bulletin>>,
     /// Reads the clock.
     pub clock: Clock,
+    /// Assigns engines to long prompts while this host leads.
+    pub desk: Arc<Mutex<Desk>>,
     /// Shows the upstreams of routed services, as this host published them while it led.
     pub fleet: watch::Receiver<Arc<Fleet>>,
     /// Reaches the duty that knows the fleet.
@@ -141,6 +147,9 @@
         let fleet = (fleet.edition > ask.edition).then(|| (*fleet).clone());
         let table = &reading.routed.table;
         let now = self.clock.now();
+        let mut desk = self.desk.lock().unwrap_or_else(PoisonError::into_inner);
+        desk.reported(now, &ask.grants, &ask.told);
+        drop(desk);
         let mut bulletin = self.bulletin.lock().unwrap_or_else(PoisonError::into_inner);
         let (holdings, mark) = bulletin.exchange(reading.term, &ask.host, ask.told, ask.heard);
         drop(bulletin);
@@ -160,6 +169,22 @@
         let reading = self.voter.read_here().await?;
         Ok(reading.routed.source.clone())
     }
+
+    async fn assign(
+        self,
+        _: Context,
+        ask: assignment::Ask,
+    ) -> Result<Result<Choice, choice::Refusal>, Rejection> {
+        let status = self.voter.status().ok_or(Rejection::Ended)?;
+        if !status.leads {
+            return Err(Rejection::NotLeader(status.leader));
+        }
+        let now = self.clock.now();
+        let fleet = self.fleet.borrow().clone();
+        let tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut desk = self.desk.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(desk.assign(now, &fleet, tally.total(), ask))
+    }
 }
 
 /// Answers the calls of other daemons until the task is dropped.
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -238,6 +238,32 @@
     assert!(left <= 8_000);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_prompt_goes_where_the_leading_host_assigns_it() {
+    let bench = Bench::serving("engines").await;
+    let assigned = async || {
+        let metrics = Request::get(format!("http://{}/metrics", bench.daemon.address()));
+        let metrics = bench.ask(metrics.body(Full::default()).unwrap()).await;
+        let text = String::from_utf8(metrics.body.unwrap().to_vec()).unwrap();
+        let counter = "hibiscushoist_assignments_total{outcome=\"assigned\"} ";
+        let line = text.lines().find_map(|line| line.strip_prefix(counter));
+        line.map_or(0, |count| count.parse().unwrap())
+    };
+    let before: u64 = assigned().await;
+    let long = Request::post(format!("http://{}/stream/long", bench.routed))
+        .header("host", "h.example")
+        .header("x-request-id", "9c41d07be2a35f69")
+        .header("x-deadline-ms", "8000")
+        .header("x-model-id", "m")
+        .header("x-token-usage", "17000,40")
+        .header("x-prompt-prefix", "aa:13300,bb:3700")
+        .header("authorization", "Bearer k1");
+    let answer = bench.ask(long.body(Full::from("body")).unwrap()).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(bench.arrivals("/stream/long"), 1);
+    assert_eq!(assigned().await, before + 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unknown_key_and_an_unknown_path_are_refused() {
     let bench = Bench::serving("desk").await;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -10,10 +10,13 @@
 use crate::voter::Rejection;
 use crate::voter::Spread;
 use coordination::admission::Refusal;
+use coordination::assignment;
 use coordination::broker;
 use coordination::broker::Grant;
 use coordination::broker::Held;
 use coordination::broker::Report;
+use coordination::choice;
+use coordination::choice::Choice;
 use coordination::gossip::Message;
 use coordination::machine::Answer;
 use coordination::machine::Command;
@@ -59,4 +62,6 @@
     async fn outlook(ask: outlook::Ask) -> Result<Outlook, Rejection>;
     /// Returns the operator's text of the routed table; only the voter that leads can.
     async fn source() -> Result<Arc<String>, Rejection>;
+    /// Assigns an engine to a long prompt; only the host whose voter leads can.
+    async fn assign(ask: assignment::Ask) -> Result<Result<Choice, choice::Refusal>, Rejection>;
 }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -124,6 +124,8 @@
     OutlookFailed = 327,
     /// Logs that an engine has the weights that it was ordered to load.
     ReloadDone = 328,
+    /// Logs that the leading host did not choose the engine of a long prompt.
+    AssignFailed = 329,
 }
 
 impl Event {
@@ -139,7 +141,8 @@
             | Self::RequestRefused
             | Self::RoutedRefused
             | Self::StreamBroken => Level::Debug,
-            Self::ConnectionLimit
+            Self::AssignFailed
+            | Self::ConnectionLimit
             | Self::DiskFull
             | Self::DrainLimitPassed
             | Self::HostDied
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -5,6 +5,8 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+/// Counts the leading host's answers for long prompts, by outcome.
+pub const ASSIGNMENTS: &str = "hibiscushoist_assignments_total";
 /// Counts ejections of upstreams by the reason of the last failure.
 pub const EJECTIONS: &str = "hibiscushoist_ejections_total";
 /// Gives how many hosts are present, this one included.
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -17,10 +17,13 @@
 use tokio::sync::watch;
 
 use coordination::admission;
+use coordination::assignment;
 use coordination::broker;
 use coordination::broker::Grant;
 use coordination::broker::Held;
 use coordination::broker::Report;
+use coordination::choice;
+use coordination::choice::Choice;
 use coordination::gossip::Body;
 use coordination::gossip::Message;
 use coordination::host::Version;
@@ -115,6 +118,14 @@
     async fn source(self, _: Context) -> Result<Arc<String>, Rejection> {
         Err(Rejection::Ended)
     }
+
+    async fn assign(
+        self,
+        _: Context,
+        _: assignment::Ask,
+    ) -> Result<Result<Choice, choice::Refusal>, Rejection> {
+        Err(Rejection::Ended)
+    }
 }
 
 fn message() -> Message {
