Fetch shared prompts from engines that end their work before they load

Cause: an engine that is taken off new work before it loads weights was no source of prompts, though it keeps them until its order.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -151,7 +151,7 @@
         let store = prompt.as_ref();
         let store = store.and_then(|prompt| holders::store(&demand.stores, prompt));
         let fetch = prompt.as_ref().and_then(|prompt| {
-            let peer = self.source(now, fleet, &upstream, prompt);
+            let peer = self.source(now, fleet, demand, &upstream, prompt);
             peer.or(store)
         });
         let saves = prompt.filter(|_| store.is_some());
@@ -464,19 +464,23 @@
     /// read it for the same weights, in the same failure domain first.
     ///
     /// An engine that has the prompt fetches nothing, and one that lacks it gets it in a fraction
-    /// of the time of reading it.
+    /// of the time of reading it. One that ends its work before it loads has its prompts until
+    /// then.
     fn source(
         &self,
         now: Instant,
         fleet: &Fleet,
+        demand: &Demand,
         chosen: &Upstream,
         prompt: &Prompt,
     ) -> Option<SocketAddr> {
         let holds = |id: &&str| {
             let upstream = fleet.upstreams.iter().find(|upstream| upstream.id == *id)?;
+            let model = demand.model.as_ref()?;
             let fits = upstream.id != chosen.id
                 && upstream.service == chosen.service
-                && upstream.standing == upstream::Standing::Ready
+                && upstream.standing != upstream::Standing::Leaving
+                && self.weights(upstream, model) == prompt.weights
                 && self.is_usable(now, id);
             fits.then_some(upstream)
         };
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -140,6 +140,31 @@
     assert!(!told.is_silent(Instant(2_600), &runs[1]));
 }
 
+#[test]
+fn a_prompt_is_fetched_from_an_engine_that_ends_its_work_but_not_once_it_has_other_weights() {
+    let mut fleet = fleet(&[("a", 1), ("b", 1)]);
+    let mut host = Dispatch::new(0);
+    let demand = long("p");
+    let first = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let mut run = host.sent(Instant(0), &first, &demand);
+    host.read(Instant(300), &mut run);
+    let place = fleet.upstreams.iter().position(|u| u.id == id(&first));
+    let place = place.unwrap();
+    for (standing, weights, fetch) in [
+        (Standing::Loading, 1, first.upstream.address),
+        (Standing::Loading, 2, address(STORE)),
+        (Standing::Leaving, 1, address(STORE)),
+    ] {
+        fleet.upstreams[place].standing = standing;
+        fleet.upstreams[place]
+            .weights
+            .insert("m".to_owned(), weights);
+        let next = host.choose(Instant(301), &fleet, &demand).unwrap();
+        assert_ne!(id(&first), id(&next));
+        assert_eq!(next.fetch, Some(fetch), "{standing} {weights}");
+    }
+}
+
 #[test]
 fn a_prompt_waits_while_all_engines_have_much_to_read() {
     let fleet = fleet(&[("a", 1), ("b", 1)]);
