Send short prompts and orders where a connection is open

Cause: a host drew four engines for each short prompt, whichever it had connections to.

Now the least loaded of the four gives way to one with an open connection whose work ahead takes at most a twentieth of the time left longer. Lanes tell which connections a request may use; one rule decides that for listing and for taking one.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -16,6 +16,8 @@
 pub struct Candidate {
     /// Gives the work ahead of a new request, in milliseconds.
     pub backlog_ms: u64,
+    /// Tells whether the asker keeps an idle connection to the upstream.
+    pub connected: bool,
     /// Counts the tokens of the long prompts under way there.
     pub long_tokens: u64,
     /// Tells whether the upstream is in the asker's failure domain.
@@ -56,3 +58,13 @@
     let key = |place: &usize| (candidates[*place].backlog_ms, !candidates[*place].near);
     places.into_iter().min_by_key(key)
 }
+
+/// Returns the least loaded of the candidates to which a connection is open and which have at most
+/// `slack_ms` more work ahead than the one at `place`, or else `place`.
+pub fn connected_instead(candidates: &[Candidate], place: usize, slack_ms: u64) -> usize {
+    let most = candidates[place].backlog_ms + slack_ms;
+    let open = candidates.iter().enumerate();
+    let open = open.filter(|(_, c)| c.connected && c.backlog_ms <= most);
+    let least = open.min_by_key(|(_, c)| (c.backlog_ms, !c.near));
+    least.map_or(place, |(place, _)| place)
+}
--- a/crates/coordination/src/demand.rs
+++ b/crates/coordination/src/demand.rs
@@ -10,6 +10,8 @@
 /// Describes what a request needs.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Demand {
+    /// Lists the addresses to which this host keeps connections that are idle.
+    pub connected: Vec<SocketAddr>,
     /// Names the failure domain of this host.
     pub domain: String,
     /// Breaks ties.
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -49,6 +49,10 @@
 /// Bounds the part of an engine's memory that long prompts under way may fill, in percent; the rest
 /// is for short prompts and for what answers add.
 const LONG_PERCENT: u64 = 85;
+/// Gives the longer wait that an open connection is worth, as a divisor of the time left until the
+/// answer should begin: a new connection costs a round trip at the upstream and a handshake, and a
+/// twentieth of the time does not make an answer late.
+const CONNECTION_DIVISOR: u64 = 20;
 /// Gives the share of a prompt's reading that fetching it takes, as a divisor.
 const FETCH_DIVISOR: u64 = 8;
 
@@ -403,7 +407,9 @@
             true => (newest, new),
         };
         let place = affinity::least_loaded_of_some(&candidates, demand.draw);
-        place.map(|place| among[place]).ok_or(Refusal::None)
+        let place = place.ok_or(Refusal::None)?;
+        let slack_ms = demand.goal_ms / CONNECTION_DIVISOR;
+        Ok(among[affinity::connected_instead(&candidates, place, slack_ms)])
     }
 
     /// Returns what all hosts have under way at an upstream.
@@ -426,6 +432,7 @@
         let running_ms = u64::from(load.running) * RUNNING_MS;
         Candidate {
             backlog_ms: load.unread_tokens / READ_TOKENS_PER_MS + running_ms,
+            connected: demand.connected.contains(&upstream.address),
             id: upstream.id.clone(),
             long_tokens: load.long_tokens,
             near: upstream.domain == demand.domain,
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -165,6 +165,29 @@
     }
 }
 
+#[test]
+fn short_prompts_stay_where_connections_are_open_until_answers_begin_sooner_elsewhere() {
+    let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
+    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let fleet = fleet(&engines);
+    let open = ["e3", "e30", "e57"];
+    let demand = |draw| Demand {
+        connected: open.map(address).to_vec(),
+        goal_ms: 2_500,
+        ..short(draw)
+    };
+    for (ahead, stays) in [(0, true), (5_000, true), (6_000, false)] {
+        let mut host = Dispatch::new(0);
+        let busy = open.map(|id| (id.to_owned(), unread(ahead)));
+        host.heard_of(Instant(0), BTreeMap::from(busy));
+        for draw in 0..200 {
+            let draw = u64::wrapping_mul(draw, 0x9E37_79B9_7F4A_7C15);
+            let choice = host.choose(Instant(1), &fleet, &demand(draw)).unwrap();
+            assert_eq!(open.contains(&id(&choice)), stays, "{ahead} {draw}");
+        }
+    }
+}
+
 #[test]
 fn a_prompt_waits_while_all_engines_have_much_to_read() {
     let fleet = fleet(&[("a", 1), ("b", 1)]);
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -140,14 +140,8 @@
         gateway: gateway.clone(),
         run,
     };
-    let limits = lane::Limits {
-        connect: CONNECT,
-        idle: match routed.route.is_repeatable() {
-            false => IDLE_ORDER,
-            true => IDLE,
-        },
-    };
-    let sending = gateway.lanes.send(choice.upstream.address, request, limits);
+    let address = choice.upstream.address;
+    let sending = gateway.lanes.send(address, request, limits(routed));
     let sent = tokio::select! {
         sent = sending => sent,
         reason = given_up(context, routed, progress, choice, &underway) => {
@@ -210,6 +204,17 @@
     }))
 }
 
+/// Returns the bounds of a request's connection.
+pub fn limits(routed: &Routed) -> lane::Limits {
+    lane::Limits {
+        connect: CONNECT,
+        idle: match routed.route.is_repeatable() {
+            false => IDLE_ORDER,
+            true => IDLE,
+        },
+    }
+}
+
 /// Returns once the caller's time has passed or, for a request that may run again, the upstream
 /// has fallen silent and another takes it.
 async fn given_up(
--- a/crates/hibiscushoistd/src/gateway_place.rs
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -6,6 +6,7 @@
 use crate::context::Context;
 use crate::gateway::Gateway;
 use crate::gateway::Routed;
+use crate::gateway_attempt;
 use crate::gateway_run::Progress;
 use crate::outlook::Known;
 use coordination::assignment::Ask;
@@ -119,7 +120,13 @@
     let newest = model.as_ref().and_then(|model| known.weights.get(model));
     let now = context.clock.now();
     let waited = now.since(routed.arrived);
+    let shared = shared(routed).filter(|_| progress.exact_weights.is_none());
+    let connected = match shared {
+        None => gateway.lanes.idle(gateway_attempt::limits(routed)),
+        Some(_) => Vec::new(),
+    };
     Demand {
+        connected,
         domain: context.settings.failure_domain.clone(),
         exact_weights: progress.exact_weights,
         draw: rand::random(),
@@ -130,7 +137,7 @@
         model,
         prompt_tokens: routed.facts.prompt_tokens,
         service: routed.service.clone(),
-        shared: shared(routed).filter(|_| progress.exact_weights.is_none()),
+        shared,
         stores: stores(&known),
         tried: progress.tried.clone(),
         wall: routed
--- a/crates/transport/src/lane.rs
+++ b/crates/transport/src/lane.rs
@@ -74,6 +74,15 @@
     until: Instant,
 }
 
+impl Idle {
+    /// Returns whether the connection may carry a request that allows it to have been idle for
+    /// `limit`.
+    fn is_usable(&self, now: Instant, limit: Duration) -> bool {
+        let young = self.until > now && now.duration_since(self.since) <= limit;
+        young && !self.sender.is_closed()
+    }
+}
+
 /// Keeps connections for the next request.
 #[derive(Clone, Default)]
 pub struct Lanes {
@@ -161,6 +170,15 @@
         }
     }
 
+    /// Lists the addresses to which connections are kept that a request within `limits` may use.
+    pub fn idle(&self, limits: Limits) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let usable = |kept: &Vec<Idle>| kept.iter().any(|idle| idle.is_usable(now, limits.idle));
+        let open = all.iter().filter(|(_, kept)| usable(kept));
+        open.map(|(address, _)| *address).collect()
+    }
+
     fn lane(&self, address: SocketAddr, sender: SendRequest<Body>) -> Lane {
         Lane {
             address,
@@ -174,8 +192,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&address)?;
         while let Some(lane) = kept.pop() {
-            let young = lane.until > now && now.duration_since(lane.since) <= idle_limit;
-            if young && !lane.sender.is_closed() && lane.sender.is_ready() {
+            if lane.is_usable(now, idle_limit) && lane.sender.is_ready() {
                 return Some(lane.sender);
             }
         }
--- a/crates/transport/tests/lane.rs
+++ b/crates/transport/tests/lane.rs
@@ -90,6 +90,23 @@
     assert_eq!(opened.load(Ordering::SeqCst), 3);
 }
 
+#[tokio::test]
+async fn a_connection_is_listed_as_idle_until_it_is_too_old_or_closed() {
+    let (address, _) = upstream(ANSWER, false).await;
+    let lanes = Lanes::default();
+    assert_eq!(lanes.idle(LIMITS), []);
+    assert_matches!(exchange(&lanes, address, LIMITS).await, Ok(200));
+    assert_eq!(lanes.idle(LIMITS), [address]);
+    let limits = Limits {
+        idle: Duration::ZERO,
+        ..LIMITS
+    };
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    assert_eq!(lanes.idle(limits), []);
+    lanes.retain(&[]);
+    assert_eq!(lanes.idle(LIMITS), []);
+}
+
 #[tokio::test]
 async fn a_connection_to_an_upstream_that_is_gone_is_dropped() {
     let (address, opened) = upstream(ANSWER, false).await;
