Leave the last idle engines to long prompts that can be in time

Cause: in a burst, a long prompt whose goal had passed took any engine with under 0.1 s ahead. It reads 17,000 tokens for an answer that comes late anyway, and the next prompt that could have been in time finds no engine.

Now a late prompt takes such an engine only while more than a fifth of those that take work have little to read.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -46,6 +46,9 @@
 /// Bounds the reading that may be ahead of a long prompt that cannot be in time, in milliseconds,
 /// so that those which can be in time go first.
 const ROOM_LATE_MS: u64 = 100;
+/// Gives the share of the engines that must have little to read before a late prompt takes one of
+/// them, in percent; the last idle engines are for prompts that can be in time.
+const SPARE_PERCENT: usize = 20;
 /// Bounds the part of an engine's memory that long prompts under way may fill, in percent; the rest
 /// is for short prompts and for what answers add.
 const LONG_PERCENT: u64 = 85;
@@ -355,9 +358,9 @@
 
     /// Picks the upstream of a request.
     ///
-    /// A long prompt goes where its answer begins in time, or else where little is ahead of it, to
-    /// the newest weights first each time. A short one goes to the newest weights, unless work
-    /// waits much longer there.
+    /// A long prompt goes where its answer begins in time. A late one goes where little is ahead of
+    /// it, while enough engines have little to read. Both go to the newest weights first. A short
+    /// one goes to the newest weights, unless work waits much longer there.
     fn pick<'a>(
         &self,
         now: Instant,
@@ -389,10 +392,11 @@
             let in_time = |candidate: &Candidate| {
                 fits(candidate, demand) && begins_in_time(candidate, demand)
             };
-            let soon = |candidate: &Candidate| {
-                fits(candidate, demand) && candidate.backlog_ms <= ROOM_LATE_MS
-            };
-            let place = first(&in_time).or_else(|| first(&soon));
+            let is_idle = |candidate: &Candidate| candidate.backlog_ms <= ROOM_LATE_MS;
+            let soon = |candidate: &Candidate| fits(candidate, demand) && is_idle(candidate);
+            let idle = new.iter().chain(&old).filter(|c| is_idle(c)).count();
+            let spares = idle * 100 > ready.len() * SPARE_PERCENT;
+            let place = first(&in_time).or_else(|| first(&soon).filter(|_| spares));
             return place.ok_or(Refusal::Busy);
         }
         let backlog = |candidates: &[Candidate]| candidates.iter().map(|c| c.backlog_ms).min();
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -212,6 +212,26 @@
     assert_matches!(host.choose(Instant(1), &fleet, &long("p")), Ok(_));
 }
 
+#[test]
+fn late_prompts_leave_the_last_idle_engines_to_those_in_time() {
+    let names: Vec<String> = (0..10).map(|n| format!("e{n}")).collect();
+    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let fleet = fleet(&engines);
+    let late = Demand {
+        goal_ms: 0,
+        ..long("p")
+    };
+    for (idle, placed) in [(4, true), (3, true), (2, false), (1, false)] {
+        let mut host = Dispatch::new(0);
+        let busy = names.iter().skip(idle);
+        let busy = busy.map(|name| (name.clone(), unread(40_000)));
+        host.heard_of(Instant(0), busy.collect());
+        let choice = host.choose(Instant(1), &fleet, &late);
+        assert_eq!(choice.is_ok(), placed, "{idle} idle");
+        assert_matches!(host.choose(Instant(1), &fleet, &long("p")), Ok(_));
+    }
+}
+
 #[test]
 fn a_prompt_that_is_read_somewhere_bears_a_longer_queue_than_one_that_is_not() {
     let fleet = fleet(&[("a", 1)]);
