Send long prompts first to engines that have read them

Cause: a long prompt went to the first engine in its hash order where it began in time. A prompt that had moved on because its first engine was busy went back as soon as that engine had room, was fetched or read there again, and pushed another prompt out of the cache.

Now, among engines with the newest weights where a prompt begins in time, those that are expected to hold it come first.

The test sends a prompt away from a busy engine and back; it failed before.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -18,6 +18,8 @@
     pub backlog_ms: u64,
     /// Tells whether the asker keeps an idle connection to the upstream.
     pub connected: bool,
+    /// Tells whether the upstream is expected to have the request's shared prompt.
+    pub holds: bool,
     /// Counts the tokens of the long prompts under way there.
     pub long_tokens: u64,
     /// Tells whether the upstream is in the asker's failure domain.
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -101,6 +101,14 @@
     }
 }
 
+/// Tells where a shared prompt is expected, as seen from an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cached {
+    Elsewhere,
+    Here,
+    Nowhere,
+}
+
 /// Chooses upstreams.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -183,7 +191,8 @@
     pub fn sent(&mut self, now: Instant, choice: &Choice, demand: &Demand) -> Run {
         self.grants.extend(choice.grant);
         let id = choice.upstream.id.clone();
-        let tokens = self.reading(now, &choice.upstream, demand);
+        let cached = self.cached(now, &choice.upstream, demand);
+        let tokens = reading_tokens(demand, cached);
         let seen = self.seen.entry(id.clone()).or_default();
         let long_tokens = demand.shared.as_ref().map_or(0, |_| demand.prompt_tokens);
         seen.long_tokens += long_tokens;
@@ -358,9 +367,10 @@
 
     /// Picks the upstream of a request.
     ///
-    /// A long prompt goes where its answer begins in time. A late one goes where little is ahead of
-    /// it, while enough engines have little to read. Both go to the newest weights first. A short
-    /// one goes to the newest weights, unless work waits much longer there.
+    /// A long prompt goes where its answer begins in time, first where it was read before, since
+    /// each engine that reads it as well drops another prompt for it. A late one goes where little
+    /// is ahead of it, while enough engines have little to read. Both go to the newest weights
+    /// first. A short one goes to the newest weights, unless work waits much longer there.
     fn pick<'a>(
         &self,
         now: Instant,
@@ -392,11 +402,13 @@
             let in_time = |candidate: &Candidate| {
                 fits(candidate, demand) && begins_in_time(candidate, demand)
             };
+            let holding = |candidate: &Candidate| candidate.holds && in_time(candidate);
             let is_idle = |candidate: &Candidate| candidate.backlog_ms <= ROOM_LATE_MS;
             let soon = |candidate: &Candidate| fits(candidate, demand) && is_idle(candidate);
             let idle = new.iter().chain(&old).filter(|c| is_idle(c)).count();
             let spares = idle * 100 > ready.len() * SPARE_PERCENT;
-            let place = first(&in_time).or_else(|| first(&soon).filter(|_| spares));
+            let place = first(&holding).or_else(|| first(&in_time));
+            let place = place.or_else(|| first(&soon).filter(|_| spares));
             return place.ok_or(Refusal::Busy);
         }
         let backlog = |candidates: &[Candidate]| candidates.iter().map(|c| c.backlog_ms).min();
@@ -434,31 +446,30 @@
     fn candidate(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> Candidate {
         let load = self.load(now, &upstream.id);
         let running_ms = u64::from(load.running) * RUNNING_MS;
+        let cached = self.cached(now, upstream, demand);
         Candidate {
             backlog_ms: load.unread_tokens / READ_TOKENS_PER_MS + running_ms,
             connected: demand.connected.contains(&upstream.address),
+            holds: cached == Cached::Here,
             id: upstream.id.clone(),
             long_tokens: load.long_tokens,
             near: upstream.domain == demand.domain,
-            reading_ms: self.reading(now, upstream, demand) / READ_TOKENS_PER_MS,
+            reading_ms: reading_tokens(demand, cached) / READ_TOKENS_PER_MS,
         }
     }
 
-    /// Counts the tokens that an engine would read for a request, those that it would fetch from
-    /// another as the reading that takes as long.
-    fn reading(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> u64 {
+    /// Returns where a request's shared prompt is expected, as seen from an engine.
+    fn cached(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> Cached {
         let model = demand.model.as_ref();
         let weights = model.map(|model| self.weights(upstream, model));
-        let prompt = weights.and_then(|weights| demand.prompt(weights));
-        let Some((prompt, (_, shared))) = prompt.zip(demand.shared.as_ref()) else {
-            return demand.prompt_tokens;
+        let Some(prompt) = weights.and_then(|weights| demand.prompt(weights)) else {
+            return Cached::Nowhere;
         };
         let holders = self.holders.engines(now, &prompt);
-        let own = demand.prompt_tokens.saturating_sub(*shared);
         match (holders.contains(&upstream.id.as_str()), holders.is_empty()) {
-            (true, _) => own,
-            (false, false) => own + shared / FETCH_DIVISOR,
-            (false, true) => demand.prompt_tokens,
+            (true, _) => Cached::Here,
+            (false, false) => Cached::Elsewhere,
+            (false, true) => Cached::Nowhere,
         }
     }
 
@@ -505,6 +516,18 @@
     }
 }
 
+/// Counts the tokens that an engine would read for a request, those that it would fetch from
+/// another as the reading that takes as long.
+fn reading_tokens(demand: &Demand, cached: Cached) -> u64 {
+    let shared = demand.shared.as_ref().map_or(0, |(_, tokens)| *tokens);
+    let own = demand.prompt_tokens.saturating_sub(shared);
+    match cached {
+        Cached::Elsewhere => own + shared / FETCH_DIVISOR,
+        Cached::Here => own,
+        Cached::Nowhere => demand.prompt_tokens,
+    }
+}
+
 /// Returns whether a long prompt fits into a candidate's memory beside those under way; an engine
 /// that holds more puts answers back and drops the prompts that later requests share.
 fn fits(candidate: &Candidate, demand: &Demand) -> bool {
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -249,6 +249,32 @@
     assert_eq!(unknown, Err(Refusal::Busy));
 }
 
+#[test]
+fn a_prompt_stays_where_it_was_read_while_it_begins_there_in_time() {
+    let engines: Vec<String> = (0..12).map(|engine| format!("e{engine}")).collect();
+    let names: Vec<(&str, u64)> = engines.iter().map(|id| (id.as_str(), 1)).collect();
+    let fleet = fleet(&names);
+    let mut host = Dispatch::new(0);
+    let demand = long("p");
+    let ranked = host.choose(Instant(0), &fleet, &demand).unwrap();
+    let busy = BTreeMap::from([(id(&ranked).to_owned(), unread(50_000))]);
+    host.heard_of(Instant(1), busy);
+    let reader = host.choose(Instant(2), &fleet, &demand).unwrap();
+    assert_ne!(id(&reader), id(&ranked));
+    let mut run = host.sent(Instant(2), &reader, &demand);
+    host.answered(Instant(400), &mut run);
+    host.read(Instant(400), &mut run);
+    host.ended(&run);
+    host.heard_of(Instant(401), BTreeMap::new());
+    let again = host.choose(Instant(402), &fleet, &demand).unwrap();
+    assert_eq!(id(&again), id(&reader), "it has the prompt");
+    let busy = BTreeMap::from([(id(&reader).to_owned(), unread(50_000))]);
+    host.heard_of(Instant(403), busy);
+    let late = host.choose(Instant(404), &fleet, &demand).unwrap();
+    assert_eq!(id(&late), id(&ranked), "it would be late where it was read");
+    assert_eq!(late.fetch, Some(reader.upstream.address));
+}
+
 #[test]
 fn a_prompt_too_long_to_be_in_time_goes_once_little_is_ahead_of_it() {
     let fleet = fleet(&[("a", 1)]);
