Test routed requests without a leading host, and each upstream in turn

A test was owed for a host whose leading host is gone: it must choose the engine of a long prompt by itself. The leading host now runs in a runtime of its own, which the test shuts down with all its sockets; the same test covers both halves, since counters belong to the process.

Three tests of broken upstreams made only the first of two upstreams break, and relied on requests being spread by lot.

--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -14,6 +14,8 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 use serde_json::json;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 
 use hibiscushoistd::daemon::Daemon;
 use hibiscushoistd::settings::Settings;
@@ -23,23 +25,73 @@
 
 /// Bounds every wait of the tests; nothing is measured against it.
 const HANG: Duration = Duration::from_secs(30);
+const CALLERS: &str = "callers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n";
+const CONTROL: &str = "control = 127.0.0.1:0\n";
 
 struct Bench {
     client: Client<HttpConnector, Full<Bytes>>,
     control: SocketAddr,
     daemon: Daemon,
     first: Upstream,
+    leader: Option<Leader>,
     readiness: SocketAddr,
     routed: SocketAddr,
     second: Upstream,
 }
 
+/// Holds a host with a runtime of its own, all of whose tasks and sockets end when it is dropped.
+struct Leader(Option<Runtime>);
+
+impl Leader {
+    async fn start(gateway: String) -> (Self, Daemon) {
+        let runtime = Builder::new_multi_thread().enable_all().build().unwrap();
+        let daemon = async move { host("a", "broker, entry, voter", &gateway, &[]).await };
+        let daemon = runtime.spawn(daemon).await.expect("the daemon starts");
+        (Self(Some(runtime)), daemon)
+    }
+}
+
+impl Drop for Leader {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 struct Answer {
     body: Result<Bytes, ()>,
     headers: hyper::HeaderMap,
     status: u16,
 }
 
+/// Starts two upstreams of a service, and returns the address of their list beside them.
+async fn upstreams(service: &str) -> (Upstream, Upstream, SocketAddr) {
+    let first = Upstream::start("i-1", service).await;
+    let second = Upstream::start("i-2", service).await;
+    let list = standin::list(vec![first.clone(), second.clone()]).await;
+    (first, second, list)
+}
+
+/// Starts a host with some lines of the section `[gateway]`.
+async fn host(name: &str, roles: &str, gateway: &str, seeds: &[SocketAddr]) -> Daemon {
+    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    let seeds = match seeds.is_empty() {
+        false => format!("seeds = {}\n", seeds.join(", ")),
+        true => String::new(),
+    };
+    let text = format!(
+        "[daemon]\nname = {name}\nfleet = test\nfailure_domain = one\nroles = {roles}\n\
+         data = {}\n[entry]\nlisten = 127.0.0.1:0\naddress_lifetime_ms = 1\n\
+         [gateway]\n{gateway}[peer]\nlisten = 127.0.0.1:0\nkey = {}\n{seeds}",
+        tempfile::tempdir().unwrap().keep().display(),
+        "5a".repeat(32),
+    );
+    let settings = Settings::parse(format!("{name}.ini"), text).expect("the settings are good");
+    let daemon = Daemon::start(settings, log::discard()).await;
+    daemon.expect("the daemon starts")
+}
+
 fn configuration(version: u64, key: &str) -> Value {
     let route = |prefix: &str, kind: &str, attempts: u32, service: &str| {
         json!({
@@ -69,29 +121,38 @@
 impl Bench {
     /// Starts a host with every role, two upstreams of one service and their list.
     async fn start(service: &str) -> Self {
-        let first = Upstream::start("i-1", service).await;
-        let second = Upstream::start("i-2", service).await;
-        let list = standin::list(vec![first.clone(), second.clone()]).await;
-        let text = format!(
-            "[daemon]\nname = a\nfleet = test\nfailure_domain = one\nroles = broker, entry, voter\n\
-             data = {}\n[entry]\nlisten = 127.0.0.1:0\naddress_lifetime_ms = 1\n\
-             [gateway]\ncallers = 127.0.0.1:0\ncontrol = 127.0.0.1:0\nlist = {list}\n\
-             readiness = 127.0.0.1:0\n[peer]\nlisten = 127.0.0.1:0\nkey = {}\n",
-            tempfile::tempdir().unwrap().keep().display(),
-            "5a".repeat(32),
-        );
-        let settings = Settings::parse("a.ini", text).expect("the settings are good");
-        let daemon = Daemon::start(settings, log::discard()).await;
-        let daemon = daemon.expect("the daemon starts");
-        let bound = daemon.bound().clone();
+        let (first, second, list) = upstreams(service).await;
+        let gateway = format!("{CALLERS}{CONTROL}list = {list}\n");
+        let daemon = host("a", "broker, entry, voter", &gateway, &[]).await;
+        Self::of(daemon.bound().control[0], daemon, first, second)
+    }
+
+    /// Starts a host that leads and one without a disk that takes callers, and waits until that
+    /// one serves a table with the key `k1`.
+    async fn serving_beside_a_leader(service: &str) -> Self {
+        let (first, second, list) = upstreams(service).await;
+        let (runtime, leader) = Leader::start(format!("{CONTROL}list = {list}\n")).await;
+        let gateway = format!("{CALLERS}freshness_ms = 3600000\n");
+        let daemon = host("b", "entry", &gateway, &[leader.peer_address()]).await;
+        let bench = Self {
+            leader: Some(runtime),
+            ..Self::of(leader.bound().control[0], daemon, first, second)
+        };
+        assert_eq!(bench.replace(&configuration(1, "k1")).await.status, 200);
+        bench.ready().await;
+        bench
+    }
+
+    fn of(control: SocketAddr, daemon: Daemon, first: Upstream, second: Upstream) -> Self {
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
-            control: bound.control[0],
-            daemon,
+            control,
             first,
-            readiness: bound.readiness.unwrap(),
-            routed: bound.callers.unwrap(),
+            leader: None,
+            readiness: daemon.bound().readiness.unwrap(),
+            routed: daemon.bound().callers.unwrap(),
             second,
+            daemon,
         }
     }
 
@@ -103,6 +164,29 @@
         bench
     }
 
+    /// Sends a request with a long prompt that others share.
+    async fn send_long(&self, path: &str) -> Answer {
+        let long = Request::post(format!("http://{}{path}", self.routed))
+            .header("host", "h.example")
+            .header("x-request-id", "9c41d07be2a35f69")
+            .header("x-deadline-ms", "8000")
+            .header("x-model-id", "m")
+            .header("x-token-usage", "17000,40")
+            .header("x-prompt-prefix", "aa:13300,bb:3700")
+            .header("authorization", "Bearer k1");
+        self.ask(long.body(Full::from("body")).unwrap()).await
+    }
+
+    /// Counts the asks for the engine of a long prompt that ended so.
+    async fn assignments(&self, outcome: &str) -> u64 {
+        let metrics = Request::get(format!("http://{}/metrics", self.daemon.address()));
+        let metrics = self.ask(metrics.body(Full::default()).unwrap()).await;
+        let text = String::from_utf8(metrics.body.unwrap().to_vec()).unwrap();
+        let counter = format!("hibiscushoist_assignments_total{{outcome=\"{outcome}\"}} ");
+        let line = text.lines().find_map(|line| line.strip_prefix(&counter));
+        line.map_or(0, |count| count.parse().unwrap())
+    }
+
     async fn ready(&self) {
         self.until(async || {
             let request =
@@ -190,6 +274,15 @@
         self.second.behave(manner);
     }
 
+    /// Returns each upstream beside the other one and its name, since requests stay with the one to
+    /// which a connection is open.
+    fn in_turn(&self) -> [(&Upstream, &Upstream, &str); 2] {
+        [
+            (&self.first, &self.second, "i-2"),
+            (&self.second, &self.first, "i-1"),
+        ]
+    }
+
     /// Counts the arrivals at `path`.
     fn arrivals(&self, path: &str) -> usize {
         let received = self
@@ -238,30 +331,25 @@
     assert!(left <= 8_000);
 }
 
+/// Looks at counters, which all hosts of a process share; no other test of this file may send long
+/// prompts.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_long_prompt_goes_where_the_leading_host_assigns_it() {
+async fn a_long_prompt_goes_where_the_leading_host_assigns_it_while_there_is_one() {
     let bench = Bench::serving("engines").await;
-    let assigned = async || {
-        let metrics = Request::get(format!("http://{}/metrics", bench.daemon.address()));
-        let metrics = bench.ask(metrics.body(Full::default()).unwrap()).await;
-        let text = String::from_utf8(metrics.body.unwrap().to_vec()).unwrap();
-        let counter = "hibiscushoist_assignments_total{outcome=\"assigned\"} ";
-        let line = text.lines().find_map(|line| line.strip_prefix(counter));
-        line.map_or(0, |count| count.parse().unwrap())
-    };
-    let before: u64 = assigned().await;
-    let long = Request::post(format!("http://{}/stream/long", bench.routed))
-        .header("host", "h.example")
-        .header("x-request-id", "9c41d07be2a35f69")
-        .header("x-deadline-ms", "8000")
-        .header("x-model-id", "m")
-        .header("x-token-usage", "17000,40")
-        .header("x-prompt-prefix", "aa:13300,bb:3700")
-        .header("authorization", "Bearer k1");
-    let answer = bench.ask(long.body(Full::from("body")).unwrap()).await;
-    assert_eq!(answer.status, 200);
+    let before = bench.assignments("assigned").await;
+    assert_eq!(bench.send_long("/stream/long").await.status, 200);
     assert_eq!(bench.arrivals("/stream/long"), 1);
-    assert_eq!(assigned().await, before + 1);
+    assert_eq!(bench.assignments("assigned").await, before + 1);
+
+    let mut bench = Bench::serving_beside_a_leader("engines").await;
+    assert_eq!(bench.send_long("/stream/long").await.status, 200);
+    assert_eq!(bench.assignments("assigned").await, before + 2);
+    drop(bench.leader.take());
+    for _ in 0..5 {
+        assert_eq!(bench.send_long("/stream/alone").await.status, 200);
+    }
+    assert_eq!(bench.arrivals("/stream/alone"), 5);
+    assert_eq!(bench.assignments("assigned").await, before + 2);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -275,13 +363,17 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_that_one_upstream_rejects_runs_at_the_other_once() {
     let bench = Bench::serving("desk").await;
-    bench.first.behave(Manner::Rejecting);
-    for _ in 0..10 {
-        let answer = bench.send("/order/x", "k1").await;
-        assert_eq!(answer.body.unwrap(), "answer of i-2");
+    for (bad, sound, id) in bench.in_turn() {
+        bad.behave(Manner::Rejecting);
+        sound.behave(Manner::Sound);
+        let path = format!("/order/{id}");
+        for _ in 0..10 {
+            let answer = bench.send(&path, "k1").await;
+            assert_eq!(answer.body.unwrap(), format!("answer of {id}"));
+        }
+        let ran = sound.received();
+        assert_eq!(ran.iter().filter(|r| r.path == path).count(), 10);
     }
-    let ran = bench.second.received();
-    assert_eq!(ran.iter().filter(|r| r.path == "/order/x").count(), 10);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -307,10 +399,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_read_that_broke_off_is_answered_by_the_other_upstream() {
     let bench = Bench::serving("desk").await;
-    for manner in [Manner::Cut, Manner::Crossed, Manner::Failing, Manner::Mute] {
-        bench.first.behave(manner);
-        let answer = bench.send("/read/x", "k1").await;
-        assert_eq!(answer.body.unwrap(), "answer of i-2", "{manner:?}");
+    for (bad, sound, id) in bench.in_turn() {
+        sound.behave(Manner::Sound);
+        for manner in [Manner::Cut, Manner::Crossed, Manner::Failing, Manner::Mute] {
+            bad.behave(manner);
+            let answer = bench.send("/read/x", "k1").await;
+            let expected = format!("answer of {id}");
+            assert_eq!(answer.body.unwrap(), expected, "{manner:?}");
+        }
     }
 }
 
@@ -337,21 +433,23 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_breaks_off_goes_on_at_the_other_upstream() {
     let bench = Bench::serving("engines").await;
-    for place in 0..6 {
-        bench.first.behave(Manner::Cut);
-        let answer = bench.send(&format!("/stream/{place}"), "k1").await;
-        let whole = standin::events(0, standin::EVENTS);
-        assert_eq!(answer.body.expect("the stream ends"), whole);
+    let (first, second) = (&bench.first, &bench.second);
+    for (cut, sound, id) in bench.in_turn() {
+        cut.behave(Manner::Cut);
+        sound.behave(Manner::Sound);
+        for place in 0..6 {
+            let answer = bench.send(&format!("/stream/{id}/{place}"), "k1").await;
+            let whole = standin::events(0, standin::EVENTS);
+            assert_eq!(answer.body.expect("the stream ends"), whole);
+        }
     }
-    let resumed = bench.second.received();
-    let resumed = resumed
-        .iter()
-        .filter(|r| r.headers.contains_key("last-event-id"));
+    let received = first.received().into_iter().chain(second.received());
+    let resumed = received.filter(|r| r.headers.contains_key("last-event-id"));
     let after: Vec<_> = resumed
         .map(|r| r.headers["last-event-id"].clone())
         .collect();
     assert!(after.iter().all(|after| after == "2"), "{after:?}");
-    let sent = (bench.first.received().len(), bench.second.received().len());
+    let sent = (first.received().len(), second.received().len());
     assert!(!after.is_empty(), "{sent:?}");
 }
 
