Refuse every header above header_limit_bytes

Cause: the limit only bounded the HTTP library's buffer, and the library looks at that bound after a read, which may have gone up to twice as far: with 65,536 a header of 90,000 bytes was served, one of 130,000 refused. Ruled out: the setting not reaching the server (20,000 bytes were refused under 8,192).

The server now counts the bytes of the parsed header as well and answers 431, closing the connection. The test tries 65,000 (read), and 65,600, 90,000 and 130,000 (refused); 65,600 was answered with 200 before.

--- a/crates/hibiscushoistd/tests/limits.rs
+++ b/crates/hibiscushoistd/tests/limits.rs
@@ -69,6 +69,21 @@
     assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
 }
 
+#[tokio::test]
+async fn header_a_little_over_the_limit_is_refused_and_one_below_it_is_read() {
+    let bench = entry("header_limit_bytes = 65536").await;
+    for (bytes, status) in [(65_000, 200), (65_600, 431), (90_000, 431), (130_000, 431)] {
+        let line = format!("x: {}\r\n", "y".repeat(bytes / 10 - 5));
+        let text = format!(
+            "GET /healthz HTTP/1.1\r\nconnection: close\r\n{}\r\n",
+            line.repeat(10)
+        );
+        let answer = exchange(bench.address(), text).await;
+        let expected = format!("HTTP/1.1 {status}");
+        assert!(answer.starts_with(&expected), "{bytes}: {answer}");
+    }
+}
+
 #[tokio::test]
 async fn too_many_headers_are_refused() {
     let bench = entry("").await;
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -12,7 +12,11 @@
 use gotham::state::State;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
@@ -131,6 +135,9 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> Result<Response<Body>, Infallible> {
+        if header_bytes(&request) > self.limits.header_bytes {
+            return Ok(header_too_large());
+        }
         let mut state = State::from_request(request, peer);
         (self.prepare)(&mut state);
         let handler = Arc::new(self.handler.clone());
@@ -139,8 +146,33 @@
     }
 }
 
+/// Counts the bytes of a request's header as HTTP/1 writes it.
+///
+/// The library bounds its buffer, into which a whole read may go beyond the bound.
+fn header_bytes(request: &Request<Incoming>) -> usize {
+    let uri = request.uri();
+    let authority = uri.authority().map_or(0, |authority| {
+        uri.scheme_str().map_or(0, str::len) + "://".len() + authority.as_str().len()
+    });
+    let target = authority + uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let line = request.method().as_str().len() + target + "  HTTP/1.1\r\n\r\n".len();
+    let fields = request.headers().iter();
+    let field = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    line + fields.map(field).sum::<usize>()
+}
+
+fn header_too_large() -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let headers = response.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn internal_error() -> Response<Body> {
     let mut response = Response::new(Body::default());
-    *response.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     response
 }
