Ask the broker of an upstream's shard about isolation, and drop `ownership`

Two modules told who owns an upstream: `shard`, by which brokers place requests, and `ownership`, by which suspected requests asked for an engine of their own. The second hashed each upstream by itself, so that another host than the one that places requests there decided who runs alone on it.

There is one notion now: `shard::owner`, with `shard::brokers` beside it; `Suspects` follows the table to know how many shards there are. The two tests of owners check the same bounds for shards.

Ruled out: a change of the share that moves with a lost broker (the test of 1,500 shards keeps its bound).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -31,7 +31,6 @@
 pub mod order;
 pub mod outage;
 pub mod outlook;
-pub mod ownership;
 pub mod placement;
 pub mod pool;
 pub mod quarantine;
--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -15,8 +15,8 @@
 use strum::EnumIter;
 use strum::IntoStaticStr;
 
-use crate::ownership;
 use crate::rendezvous;
+use crate::shard;
 use crate::view::Member;
 use crate::view::View;
 use state::ident::Digest;
@@ -348,7 +348,7 @@
 
 /// Ranks the hosts that may own `digest`, the owner first; equal views give equal ranks.
 pub fn owners(view: &View, digest: Digest) -> Vec<&Member> {
-    let mut hosts: Vec<&Member> = ownership::brokers(view).collect();
+    let mut hosts: Vec<&Member> = shard::brokers(view).collect();
     let score = |member: &&Member| Reverse(rendezvous::score(&digest.0, &member.record.host));
     hosts.sort_by_key(score);
     hosts
--- a/crates/coordination/src/shard.rs
+++ b/crates/coordination/src/shard.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::ownership;
+use crate::host::Role;
 use crate::rendezvous;
 use crate::view::Member;
 use crate::view::View;
@@ -40,11 +40,20 @@
     best(&root.0.to_le_bytes(), shards)
 }
 
+/// Iterates over the brokers that own shards.
+///
+/// A suspected one is among them, so that a short pause moves nothing; a draining one hands over at
+/// once.
+pub fn brokers(view: &View) -> impl Iterator<Item = &Member> {
+    view.present(Role::Broker)
+        .filter(|member| member.record.takes_work())
+}
+
 /// Returns the broker of a shard, if any broker takes work.
 pub fn owner(view: &View, shard: Shard) -> Option<&Member> {
     let key = name(shard);
     let score = |member: &&Member| rendezvous::score(key.as_bytes(), &member.record.host);
-    ownership::brokers(view).max_by_key(score)
+    brokers(view).max_by_key(score)
 }
 
 /// Returns the upstreams that this host owns; stores of kept KV belong to every shard.
--- a/crates/coordination/tests/addresses.rs
+++ b/crates/coordination/tests/addresses.rs
@@ -1,4 +1,4 @@
-//! Tests of the addresses that callers are told and of the owners of upstreams.
+//! Tests of the addresses that callers are told and of the owners of shards.
 
 mod common;
 
@@ -18,7 +18,8 @@
 use coordination::host::Record;
 use coordination::host::Standing;
 use coordination::host::Version;
-use coordination::ownership;
+use coordination::shard;
+use coordination::shard::Shard;
 use coordination::view::Member;
 use coordination::view::View;
 
@@ -188,36 +189,29 @@
 }
 
 #[test]
-fn only_the_upstreams_of_a_lost_broker_move() {
+fn only_the_shards_of_a_lost_broker_move() {
     let before = view(8);
-    let upstreams: Vec<String> = (0..1_500).map(|u| format!("upstream-{u}")).collect();
-    let owner = |view: &View, upstream: &String| {
-        ownership::owner(view, upstream)
-            .unwrap()
-            .record
-            .host
-            .clone()
-    };
+    let shards: Vec<Shard> = (0..1_500).map(Shard).collect();
+    let owner = |view: &View, shard: Shard| shard::owner(view, shard).unwrap().record.host.clone();
     for (lost, standing) in (0..8).flat_map(|l| [(l, Standing::Dead), (l, Standing::Left)]) {
         let mut after = before.clone();
         after.hosts[lost].record.standing = standing;
-        let moved = upstreams.iter();
-        let moved = moved.filter(|u| owner(&before, u) != owner(&after, u));
-        let moved: Vec<&String> = moved.collect();
-        assert!(moved.iter().all(|u| owner(&before, u) == name(lost)));
-        let owned = upstreams.iter().filter(|u| owner(&before, u) == name(lost));
+        let moved = shards.iter().copied();
+        let moved = moved.filter(|shard| owner(&before, *shard) != owner(&after, *shard));
+        let moved: Vec<Shard> = moved.collect();
+        assert!(moved.iter().all(|s| owner(&before, *s) == name(lost)));
+        let owned = shards.iter().filter(|s| owner(&before, **s) == name(lost));
         assert_eq!(moved.len(), owned.count());
         assert!(moved.len() < 1_500 / 8 * 5 / 4, "{} moved", moved.len());
     }
 }
 
 #[test]
-fn a_suspected_broker_keeps_its_upstreams_and_a_draining_one_hands_over() {
+fn a_suspected_broker_keeps_its_shards_and_a_draining_one_hands_over() {
     let mut view = view(3);
     let owned = |view: &View| {
-        let upstreams = (0..100).map(|u| format!("upstream-{u}"));
-        let mine = |u: &String| ownership::owner(view, u).unwrap().record.host == name(1);
-        upstreams.filter(mine).count()
+        let mine = |s: &u16| shard::owner(view, Shard(*s)).unwrap().record.host == name(1);
+        (0..100).filter(mine).count()
     };
     let before = owned(&view);
     assert!(before > 0);
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -134,7 +134,7 @@
                 .unwrap_or_default(),
         );
         let gateway = bound.callers.map(|_| Arc::new(Gateway::new(shown)));
-        let suspects = Suspects::new(clock, member.clone(), links.pool.clone());
+        let suspects = Suspects::new(clock, member.clone(), links.pool.clone(), voter.table());
         let context = Arc::new(Context {
             address,
             bodies: Budget::new(settings.entry.as_ref().map_or(0, |e| e.bodies_limit)),
--- a/crates/hibiscushoistd/src/suspects.rs
+++ b/crates/hibiscushoistd/src/suspects.rs
@@ -10,9 +10,10 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use crate::member;
 use crate::pool::Pool;
-use coordination::ownership;
 use coordination::quarantine;
 use coordination::quarantine::Answer;
 use coordination::quarantine::Call;
@@ -21,9 +22,11 @@
 use coordination::quarantine::Quarantine;
 use coordination::quarantine::Ticket;
 use coordination::quarantine::Verdict;
+use coordination::shard;
 use coordination::view::Member;
 use coordination::view::View;
 use state::ident::Digest;
+use state::table::Table;
 use state::time::Instant;
 use transport::clock::Clock;
 use transport::metric;
@@ -52,6 +55,7 @@
     member: member::Handle,
     pool: Option<Pool>,
     shared: Arc<Mutex<Shared>>,
+    table: watch::Receiver<Arc<Table>>,
 }
 
 struct Shared {
@@ -70,7 +74,12 @@
 
 impl Suspects {
     /// Returns suspects that nobody was told of yet.
-    pub fn new(clock: Clock, member: member::Handle, pool: Option<Pool>) -> Self {
+    pub fn new(
+        clock: Clock,
+        member: member::Handle,
+        pool: Option<Pool>,
+        table: watch::Receiver<Arc<Table>>,
+    ) -> Self {
         let shared = Shared {
             own: Quarantine::new(Policy::default()),
             silent: BTreeMap::new(),
@@ -80,6 +89,7 @@
             member,
             pool,
             shared: Arc::new(Mutex::new(shared)),
+            table,
         }
     }
 
@@ -139,7 +149,8 @@
 
     async fn ask_broker(&self, upstream: &str, call: Call) -> Answer {
         let view = self.view();
-        let owner = ownership::owner(&view, upstream);
+        let shards = shard::count(&self.table.borrow());
+        let owner = shard::owner(&view, shard::of_upstream(upstream, shards));
         self.ask(owner.into_iter().collect(), &view, call).await
     }
 
