Part five pairs of modules that imported each other

`desired` and `rollout` now both use `serving`, which tells what an engine serves and what it is told to change; `raft` and `raft_leader` use `raft_leadership`, which holds what only a leader knows, and a token is named beside the messages; the daemon's `broker` uses `owner::Part`; the command line's `help` finds the page of a command by itself; `table` and `watch` share `change`.

Left are the pairs around `gateway`, `context` and `daemon` in the daemon, around `engine` in the stand-ins, and `membership`, `gossip`, `roster` are a chain without a circle.

--- a/crates/coordination/src/desired.rs
+++ b/crates/coordination/src/desired.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::rollout::Action;
-use crate::rollout::Standing;
+use crate::serving::Action;
+use crate::serving::Standing;
 use state::column::Column;
 use state::row::Row;
 use state::sheet::Sheet;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 mod raft_election;
 mod raft_follower;
 mod raft_leader;
+mod raft_leadership;
 
 pub mod addresses;
 pub mod admission;
@@ -49,6 +50,7 @@
 pub mod roster;
 pub mod rotation;
 pub mod rumor;
+pub mod serving;
 pub mod shard;
 pub mod silence;
 pub mod stream;
--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -29,17 +29,14 @@
 use crate::raft_entry::Record;
 use crate::raft_entry::Recovered;
 use crate::raft_entry::Snapshot;
-use crate::raft_leader::Leader;
+use crate::raft_leadership::Leader;
 use crate::raft_log::Log;
 use crate::raft_message::Body;
 use crate::raft_message::Envelope;
+use crate::raft_message::Token;
 use crate::raft_settings::Settings;
 use state::time::Instant;
 
-/// Names something that the driver waits for.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Token(pub u64);
-
 /// Tells a member what happened.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/coordination/src/raft_election.rs
+++ b/crates/coordination/src/raft_election.rs
@@ -7,7 +7,7 @@
 use crate::raft::State;
 use crate::raft_entry::Hard;
 use crate::raft_entry::Position;
-use crate::raft_leader::Leader;
+use crate::raft_leadership::Leader;
 use crate::raft_message::Body;
 
 impl Raft {
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -1,10 +1,7 @@
 //! What a leader does: replicate, commit, answer reads and change the members.
 
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 
-use crate::lease;
 use crate::quorum;
 use crate::quorum::Change;
 use crate::quorum::Config;
@@ -13,97 +10,15 @@
 use crate::raft::Raft;
 use crate::raft::Refusal;
 use crate::raft::State;
-use crate::raft::Token;
 use crate::raft_entry::Entry;
 use crate::raft_entry::Payload;
 use crate::raft_entry::Position;
 use crate::raft_entry::Record;
+use crate::raft_leadership::Waiting;
 use crate::raft_message::Body;
+use crate::raft_message::Token;
 use crate::raft_progress::Mode;
 use crate::raft_progress::Progress;
-use crate::raft_settings::Settings;
-use state::time::Instant;
-
-#[derive(Debug)]
-struct Waiting {
-    index: u64,
-    round: u64,
-    token: Token,
-}
-
-/// Holds what only a leader knows.
-#[derive(Debug)]
-pub(crate) struct Leader {
-    base: u64,
-    checked: Instant,
-    pub(crate) durable: u64,
-    first: u64,
-    pub(crate) heartbeat_due: Instant,
-    leased: Option<Instant>,
-    members: BTreeMap<Identity, Progress>,
-    reads: VecDeque<Waiting>,
-    round: u64,
-    since: Instant,
-    started: VecDeque<(u64, Instant)>,
-}
-
-impl Leader {
-    /// Returns a leader that starts at `now`, when the log's time is `base`.
-    pub(crate) fn new(now: Instant, base: u64, durable: u64) -> Self {
-        Self {
-            base,
-            checked: now,
-            durable,
-            first: durable + 1,
-            heartbeat_due: now,
-            leased: None,
-            members: BTreeMap::new(),
-            reads: VecDeque::new(),
-            round: 0,
-            since: now,
-            started: VecDeque::new(),
-        }
-    }
-
-    /// Returns until when no other member can lead.
-    pub(crate) fn lease(&self, settings: &Settings) -> Instant {
-        let span = lease::shortened(settings.election);
-        self.leased.map_or(Instant(0), |start| start + span)
-    }
-
-    /// Follows the members of `config`; new ones are sent entries from `next` on.
-    pub(crate) fn track(&mut self, config: &Config, own: Identity, next: u64) {
-        self.members.retain(|id, _| config.members.contains_key(id));
-        for id in config.members.keys().filter(|id| **id != own) {
-            let new = || Progress::new(next);
-            self.members.entry(*id).or_insert_with(new);
-        }
-    }
-
-    /// Returns the index up to which each other member's log is known to match.
-    pub(crate) fn all_matched(&self) -> Vec<(Identity, u64)> {
-        let matched = self.members.iter().map(|(id, p)| (*id, p.matched));
-        matched.collect()
-    }
-
-    fn at(&self, now: Instant) -> u64 {
-        self.base + now.since(self.since)
-    }
-
-    fn matched(&self, id: Identity, own: Identity) -> u64 {
-        if id == own {
-            return self.durable;
-        }
-        self.members.get(&id).map_or(0, |p| p.matched)
-    }
-
-    fn acked(&self, id: Identity, own: Identity) -> u64 {
-        if id == own {
-            return self.round;
-        }
-        self.members.get(&id).map_or(0, |p| p.acked)
-    }
-}
 
 impl Raft {
     /// Commits what a majority has on disk, and answers the reads that this allows.
--- a/crates/coordination/src/raft_message.rs
+++ b/crates/coordination/src/raft_message.rs
@@ -108,3 +108,7 @@
         granted: bool,
     },
 }
+
+/// Names something that the driver waits for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Token(pub u64);
--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -15,6 +15,8 @@
 
 use crate::desired::Desired;
 use crate::desired::Goal;
+use crate::serving::Action;
+use crate::serving::Standing;
 use state::time::Instant;
 
 /// Bounds the time that an order or a read may take, in milliseconds.
@@ -30,37 +32,6 @@
 const STUCK_MS: u64 = 60_000;
 const TRIES_UNTIL_REPORT: u32 = 3;
 
-/// Describes what an engine serves, as it said itself.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Standing {
-    /// Names the adapter, if any.
-    pub adapter: Option<String>,
-    /// Names the version being loaded, if any.
-    pub loading: Option<String>,
-    /// Names the model.
-    pub model: String,
-    /// Names the role.
-    pub role: String,
-    /// Names the weights version.
-    pub version: String,
-}
-
-/// Tells an engine what to change.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Action {
-    /// Loads weights and empties the cache.
-    Load {
-        /// Names the adapter, if any.
-        adapter: Option<String>,
-        /// Names the model.
-        model: String,
-        /// Names the weights version.
-        version: String,
-    },
-    /// Changes the role.
-    Role(String),
-}
-
 /// Tells how an order was answered.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Reply {
--- a/crates/coordination/tests/rollout.rs
+++ b/crates/coordination/tests/rollout.rs
@@ -8,14 +8,14 @@
 
 use coordination::desired::Desired;
 use coordination::desired::Goal;
-use coordination::rollout::Action;
 use coordination::rollout::CALL_LIMIT_MS;
 use coordination::rollout::Effect;
 use coordination::rollout::Event;
 use coordination::rollout::Reply;
 use coordination::rollout::Rollout;
-use coordination::rollout::Standing;
 use coordination::rollout::Step;
+use coordination::serving::Action;
+use coordination::serving::Standing;
 use state::column::Column;
 use state::edit;
 use state::edit::Edit;
--- a/crates/coordination/tests/sim/mod.rs
+++ b/crates/coordination/tests/sim/mod.rs
@@ -27,12 +27,12 @@
 use coordination::raft::Event;
 use coordination::raft::Raft;
 use coordination::raft::Role;
-use coordination::raft::Token;
 use coordination::raft_entry::Entry;
 use coordination::raft_entry::Payload;
 use coordination::raft_entry::Record;
 use coordination::raft_entry::Recovered;
 use coordination::raft_message::Envelope;
+use coordination::raft_message::Token;
 use coordination::raft_settings::Settings;
 use state::time::Instant;
 
--- a/crates/hibiscushoist/src/command.rs
+++ b/crates/hibiscushoist/src/command.rs
@@ -3,8 +3,6 @@
 use strum::Display;
 use strum::EnumIter;
 
-use crate::help;
-
 /// Names a command.
 #[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -41,18 +39,4 @@
             Self::Voters => "print the voters that keep the table",
         }
     }
-
-    /// Returns the page that explains the command.
-    pub fn help(self) -> &'static str {
-        match self {
-            Self::Addresses => help::ADDRESSES,
-            Self::Demo => help::DEMO,
-            Self::Explain => help::EXPLAIN,
-            Self::Key => help::KEY,
-            Self::Load => help::LOAD,
-            Self::Status => help::STATUS,
-            Self::Table => help::TABLE,
-            Self::Voters => help::VOTERS,
-        }
-    }
 }
--- a/crates/hibiscushoist/src/help.rs
+++ b/crates/hibiscushoist/src/help.rs
@@ -156,6 +156,20 @@
   hibiscushoist voters remove h1
 ";
 
+/// Returns the page that explains a command.
+pub fn page(command: Command) -> &'static str {
+    match command {
+        Command::Addresses => ADDRESSES,
+        Command::Demo => DEMO,
+        Command::Explain => EXPLAIN,
+        Command::Key => KEY,
+        Command::Load => LOAD,
+        Command::Status => STATUS,
+        Command::Table => TABLE,
+        Command::Voters => VOTERS,
+    }
+}
+
 /// Returns the page that lists the commands.
 pub fn overview() -> String {
     let mut text = String::from("Usage: hibiscushoist COMMAND [options]\n\nCommands:\n");
--- a/crates/hibiscushoist/src/lib.rs
+++ b/crates/hibiscushoist/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod addresses;
 pub mod arguments;
 pub mod caller;
+pub mod change;
 pub mod client;
 pub mod command;
 pub mod credential;
@@ -60,7 +61,7 @@
     }
     let command = parse(name)?;
     if rest.iter().any(|word| word == "--help" || word == "-h") {
-        return write(out, command.help());
+        return write(out, help::page(command));
     }
     match command {
         Command::Addresses => addresses::run(rest, out).await,
@@ -76,7 +77,7 @@
 
 fn explain_usage(rest: &[String], out: &mut impl Write) -> Result<(), Report<Error>> {
     match rest.first() {
-        Some(name) => write(out, parse(name)?.help()),
+        Some(name) => write(out, help::page(parse(name)?)),
         None => write(out, &help::overview()),
     }
 }
--- a/crates/hibiscushoist/src/table.rs
+++ b/crates/hibiscushoist/src/table.rs
@@ -6,11 +6,11 @@
 
 use error_stack::Report;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use strum::Display;
 use strum::EnumString;
 
 use crate::arguments::Arguments;
+use crate::change;
 use crate::client::Client;
 use crate::edit;
 use crate::error::Error;
@@ -18,7 +18,6 @@
 use crate::route;
 use crate::watch;
 use crate::write;
-use protocol::operator::Change;
 use protocol::operator::History;
 use protocol::operator::Listing;
 use protocol::operator::View;
@@ -180,49 +179,15 @@
         return Err(usage("table history [--after REVISION]"));
     }
     let after = arguments.number("after", 0..=u64::MAX, 0)?;
-    let history = after_revision::<History>(&arguments.client()?, route::HISTORY, after).await?;
+    let history =
+        change::after_revision::<History>(&arguments.client()?, route::HISTORY, after).await?;
     if arguments.json() {
         return write(out, &json(&history));
     }
-    let lines = history.changes.iter().map(change_text);
+    let lines = history.changes.iter().map(change::text);
     write(out, &lines.collect::<String>())
 }
 
-/// Gets `path` with a revision to start after.
-///
-/// # Errors
-///
-/// Returns an error when no server answers or the answer is a failure.
-pub async fn after_revision<T: DeserializeOwned>(
-    client: &Client,
-    path: &str,
-    after: u64,
-) -> Result<T, Report<Error>> {
-    client.get(&format!("{path}?after={after}")).await
-}
-
-/// Returns one line that shows a change.
-pub fn change_text(change: &Change) -> String {
-    let edit = &change.edit;
-    let what = match &edit.action {
-        Action::Add(cells) => {
-            let pairs = cells.iter().map(|(c, v)| format!(" {c}={v}"));
-            format!("add{}", pairs.collect::<String>())
-        }
-        Action::Remove => "remove".to_owned(),
-        Action::Set(cells) => {
-            let pair = |(c, v): (&Column, &Option<String>)| {
-                format!(" {c}={}", v.as_deref().unwrap_or_default())
-            };
-            format!("set{}", cells.iter().map(pair).collect::<String>())
-        }
-    };
-    format!(
-        "{} {} {}/{} {what}\n",
-        change.revision, edit.author, edit.name.sheet, edit.name.row
-    )
-}
-
 /// Returns `value` as JSON on lines of its own.
 pub fn json(value: &impl Serialize) -> String {
     let mut text = serde_json::to_string_pretty(value).expect("answers have text keys");
--- a/crates/hibiscushoist/src/watch.rs
+++ b/crates/hibiscushoist/src/watch.rs
@@ -5,11 +5,10 @@
 use error_stack::Report;
 
 use crate::arguments::Arguments;
+use crate::change;
 use crate::client::Client;
 use crate::error::Error;
 use crate::route;
-use crate::table::after_revision;
-use crate::table::change_text;
 use crate::write;
 use protocol::operator::History;
 use protocol::operator::Listing;
@@ -32,11 +31,11 @@
     let client = arguments.client()?;
     let mut after = start(arguments, &client).await?;
     while left > 0 {
-        let history = after_revision::<History>(&client, route::WATCH, after).await?;
+        let history = change::after_revision::<History>(&client, route::WATCH, after).await?;
         for change in history.changes.iter().filter(|c| c.revision > after) {
             let line = match arguments.json() {
                 true => serde_json::to_string(change).expect("changes have text keys") + "\n",
-                false => change_text(change),
+                false => change::text(change),
             };
             write(out, &line)?;
             left -= 1;
--- a/crates/hibiscushoistd/src/broker.rs
+++ b/crates/hibiscushoistd/src/broker.rs
@@ -14,6 +14,7 @@
 
 use crate::owner::Owner;
 use crate::owner::Owners;
+use crate::owner::Part;
 use coordination::admission::Reason;
 use coordination::admission::Refusal;
 use coordination::broker::Ask;
@@ -51,15 +52,6 @@
     Unanswered,
 }
 
-/// Names one of the two brokers of a host.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Part {
-    /// Means the broker of the upstreams that this host owns.
-    Own,
-    /// Means the one that places a few requests anywhere while their owner is away.
-    StandIn,
-}
-
 type Answer = Result<Box<Grant>, Refusal>;
 
 enum Call {
--- a/crates/hibiscushoistd/src/controller.rs
+++ b/crates/hibiscushoistd/src/controller.rs
@@ -15,8 +15,9 @@
 use coordination::rollout::Event;
 use coordination::rollout::Reply;
 use coordination::rollout::Rollout;
-use coordination::rollout::Standing;
 use coordination::rollout::Step;
+use coordination::serving;
+use coordination::serving::Standing;
 use protocol::engine;
 use protocol::engine::Code;
 use state::column::Column;
@@ -195,9 +196,9 @@
     }
 }
 
-fn wire(action: rollout::Action) -> engine::Action {
+fn wire(action: serving::Action) -> engine::Action {
     match action {
-        rollout::Action::Load {
+        serving::Action::Load {
             adapter,
             model,
             version,
@@ -206,6 +207,6 @@
             model,
             version,
         },
-        rollout::Action::Role(role) => engine::Action::Role(role),
+        serving::Action::Role(role) => engine::Action::Role(role),
     }
 }
--- a/crates/hibiscushoistd/src/owner.rs
+++ b/crates/hibiscushoistd/src/owner.rs
@@ -13,7 +13,6 @@
 use slog::Logger;
 use tokio::sync::watch;
 
-use crate::broker::Part;
 use crate::pool::Pool;
 use coordination::admission::Refusal;
 use coordination::broker::Ask;
@@ -40,6 +39,15 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(500);
 const REPORT_LIMIT: Duration = Duration::from_secs(2);
 
+/// Names one of the two brokers of a host.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Part {
+    /// Means the broker of the upstreams that this host owns.
+    Own,
+    /// Means the one that places a few requests anywhere while their owner is away.
+    StandIn,
+}
+
 /// Tells which broker grants or granted a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Owner {
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -14,8 +14,8 @@
 
 use crate::broker::Error;
 use crate::broker::Handle;
-use crate::broker::Part;
 use crate::member;
+use crate::owner::Part;
 use crate::suspects::Suspects;
 use crate::voter;
 use coordination::admission::Reason;
