Give each limit of admission its unit and its source

The figures stood there without a word. No value is changed; each says now what it bounds, in which unit, and where it comes from: the other limits, the page of capacity or the design note. Where no measurement stands behind one, it does not claim any.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -29,21 +29,42 @@
 /// Gives the share of work that background keeps where the table names none, in percent.
 pub const DEFAULT_FLOOR_PERCENT: u64 = 20;
 
+/// Bounds the requests of one caller that wait, in requests; a thirty-second of `QUEUE_LIMIT`.
 const CALLER_QUEUE: usize = 256;
+/// Gives the work of a token of an answer, in tokens of a prompt; it is a part of a whole step of
+/// the engine, where prompts are read many tokens at a time.
 const DECODE_COST: u64 = 4;
+/// Gives the least time after which a refused caller is asked to return, in milliseconds; a few
+/// steps of the engines of docs/MEASUREMENTS.md.
+const LEAST_RETRY_MS: u64 = 100;
+/// Bounds the requests in flight of a caller that counts as light, in requests: one that is
+/// answered and one that follows it.
 const LIGHT_INFLIGHT: u64 = 2;
+const MILLIS_PER_SECOND: u64 = 1_000;
+/// Bounds the share of work that background keeps, in percent, whatever the table names: urgent
+/// work has at least as much.
 const MOST_FLOOR_PERCENT: u64 = 50;
+/// Gives the share of its deadline that a request may wait, as divisors for background and urgent
+/// work; docs/design/load.md tells why an urgent flood is refused at a tenth.
 const PATIENCE_DIVISORS: [u64; 2] = [2, 10];
+/// Bounds the requests of one rank that wait, in requests, so that a flood does not fill the
+/// memory: what docs/CAPACITY.md states as the peak of the fleet fills it in five seconds.
 const QUEUE_LIMIT: usize = 8_192;
+/// Gives the time for which a workspace may save up its rate, in milliseconds; a burst at the start
+/// of a job.
 const RATE_BURST_MS: u64 = 2_000;
+/// Bounds how far a queue is searched for a request that an engine can take, in requests, so that
+/// the cost of a search does not grow with the queue.
 const REACH: Reach = Reach {
     items: 48,
     of_caller: 8,
 };
-const LEAST_RETRY_MS: u64 = 100;
-const MILLIS_PER_SECOND: u64 = 1_000;
+/// Counts the units of the whole share of a limit; shares are given in thousandths.
 const SHARE_UNIT: u64 = 1_000;
+/// Gives the time over which work is counted together, in milliseconds.
 const WINDOW_MS: u64 = 250;
+/// Counts the windows from which the pace of a rank is taken; two seconds in all, so that it
+/// follows a burst.
 const WINDOWS: usize = 8;
 
 /// Tells why a request got no place.
