Weigh at most 140 engines for a long prompt

Cause: the leading host looked up and weighed every engine for each long prompt: 1.2 to 1.7 ms with 1,500 engines, 13% of a core at the size the design aims for, where a daemon may spend 4.8%.

Of the engines that may take a prompt, the 140 that rank first by its hash are weighed now, as many as a shard has. All hosts find the same ones, an engine that takes no work makes room for the next, and the engines that hold a prompt are among them, since it never went elsewhere.

Weighing by arenas instead of names would help further and is not done.

The test fills the engines of a fleet of 600 for one prompt; before, it filled all 600.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -5,7 +5,10 @@
 //! order that has room for it; without a shared prompt it goes to the smallest backlog of a few
 //! that are drawn by lot.
 
+use std::cmp::Reverse;
+
 use crate::rendezvous;
+use crate::upstream::Upstream;
 
 /// Counts the candidates that are drawn by lot for a request without a shared prompt: enough that
 /// one of them reads no long prompt while half of the engines do.
@@ -30,6 +33,22 @@
     pub reading_ms: u64,
 }
 
+/// Returns the `count` upstreams that rank highest for the shared prompt `key`, in any order.
+pub fn foremost<'a>(
+    mut upstreams: Vec<&'a Upstream>,
+    key: &str,
+    count: usize,
+) -> Vec<&'a Upstream> {
+    if upstreams.len() > count {
+        let score = |upstream: &Upstream| rendezvous::score(key.as_bytes(), &upstream.id);
+        let mut scored: Vec<_> = upstreams.iter().map(|u| (score(u), *u)).collect();
+        scored.select_nth_unstable_by_key(count, |(score, _)| Reverse(*score));
+        scored.truncate(count);
+        upstreams = scored.into_iter().map(|(_, upstream)| upstream).collect();
+    }
+    upstreams
+}
+
 /// Returns the place of the candidate that ranks highest for the shared prompt `key` among those
 /// that have room for it.
 pub fn ranked(
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::holders::Holding;
 use crate::holders::Place;
 use crate::holders::Prompt;
+use crate::shard;
 use crate::silence::Silence;
 use crate::silence::Ticket;
 use crate::tally::Load;
@@ -56,6 +57,9 @@
 /// answer should begin: a new connection costs a round trip at the upstream and a handshake, and a
 /// twentieth of the time does not make an answer late.
 const CONNECTION_DIVISOR: u64 = 20;
+/// Bounds the engines that are weighed for a long prompt, the first in its order, so that a choice
+/// costs no more in a larger fleet; as many as a shard has.
+const WEIGHED: usize = shard::UPSTREAMS;
 /// Gives the share of a prompt's reading that fetching it takes, as a divisor.
 const FETCH_DIVISOR: u64 = 8;
 
@@ -348,7 +352,8 @@
     }
 
     /// Returns the upstreams that may take a request: those that look sound or, where none does,
-    /// all that are listed as ready and have not failed the request.
+    /// all that are listed as ready and have not failed the request. For a long prompt they are
+    /// among the first in its order.
     fn ready<'a>(&self, now: Instant, fleet: &'a Fleet, demand: &Demand) -> Vec<&'a Upstream> {
         let takes = |upstream: &&Upstream| {
             upstream.service == demand.service
@@ -357,6 +362,10 @@
                 && self.is_current(fleet, upstream, demand)
         };
         let listed: Vec<&Upstream> = fleet.upstreams.iter().filter(takes).collect();
+        let listed = match &demand.shared {
+            Some((part, _)) => affinity::foremost(listed, part, WEIGHED),
+            None => listed,
+        };
         let is_sound = |upstream: &&Upstream| self.is_usable(now, &upstream.id);
         let sound: Vec<&Upstream> = listed.iter().copied().filter(is_sound).collect();
         match sound.is_empty() {
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -15,6 +15,7 @@
 use coordination::demand::Demand;
 use coordination::dispatch::Dispatch;
 use coordination::tally::Load;
+use coordination::upstream::Fleet;
 use coordination::upstream::Standing;
 use state::time::Instant;
 
@@ -275,6 +276,41 @@
     assert_eq!(late.fetch, Some(reader.upstream.address));
 }
 
+/// Fills the engines to which a host sends a prompt one by one until it sends it nowhere.
+fn filled(seed: u64, fleet: &Fleet, part: &str) -> BTreeSet<String> {
+    let mut host = Dispatch::new(seed);
+    let mut loads = BTreeMap::new();
+    while let Ok(choice) = host.choose(Instant(0), fleet, &long(part)) {
+        loads.insert(id(&choice).to_owned(), unread(50_000));
+        host.heard_of(Instant(0), loads.clone());
+    }
+    loads.into_keys().collect()
+}
+
+#[test]
+fn in_a_large_fleet_hosts_weigh_the_same_few_engines_for_a_prompt_and_others_for_another() {
+    let engines: Vec<String> = (0..600).map(|engine| format!("e{engine}")).collect();
+    let names: Vec<(&str, u64)> = engines.iter().map(|id| (id.as_str(), 1)).collect();
+    let mut fleet = fleet(&names);
+    let first = filled(0, &fleet, "p");
+    assert_eq!(first.len(), 140);
+    assert_eq!(filled(1, &fleet, "p"), first);
+    let both = filled(0, &fleet, "q").intersection(&first).count();
+    assert!(both < 70, "{both}");
+    for upstream in &mut fleet.upstreams {
+        if first.contains(&upstream.id) {
+            upstream.standing = Standing::Leaving;
+        }
+    }
+    let next = filled(0, &fleet, "p");
+    assert_eq!(
+        next.len(),
+        140,
+        "those that take no work make room for others"
+    );
+    assert!(next.is_disjoint(&first));
+}
+
 #[test]
 fn a_prompt_too_long_to_be_in_time_goes_once_little_is_ahead_of_it() {
     let fleet = fleet(&[("a", 1)]);
