Begin no stream that may outlast a draining host

Cause: a draining host serves on while callers may hold its address, and took whatever came in that time, though only 4 s are left after it. Ruled out: a request from before SIGTERM; the seeds (the caller had an old address); a slow engine (its first token came after 166 ms).

Once no other host names this one, a stream whose time reaches beyond the end of the drain is refused as not run, with a Retry-After of 0.1 s; all else is served as before.

--- a/crates/coordination/src/drain.rs
+++ b/crates/coordination/src/drain.rs
@@ -17,6 +17,17 @@
     pub spread: u64,
 }
 
+impl Limits {
+    /// Returns whether a request is taken that may last so long, `since` the drain began, both in
+    /// milliseconds.
+    ///
+    /// All are while some hosts may still name this one. After that only callers with an old
+    /// address come, and one whose answer may be cut when this host ends is sent to another.
+    pub fn takes(&self, since: u64, lasting: u64) -> bool {
+        since <= self.spread || since + lasting <= self.spread + self.lifetime + self.limit
+    }
+}
+
 /// Tells a drain what happened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Event {
--- a/crates/coordination/tests/drain.rs
+++ b/crates/coordination/tests/drain.rs
@@ -12,12 +12,14 @@
 const SPREAD: u64 = 500;
 const CLOSE: u64 = SPREAD + LIFETIME;
 
+const LIMITS: Limits = Limits {
+    lifetime: LIFETIME,
+    limit: LIMIT,
+    spread: SPREAD,
+};
+
 fn drain() -> Drain {
-    Drain::new(Limits {
-        lifetime: LIFETIME,
-        limit: LIMIT,
-        spread: SPREAD,
-    })
+    Drain::new(LIMITS)
 }
 
 fn effects(steps: &[(u64, Event)]) -> Vec<(u64, Effect)> {
@@ -71,6 +73,17 @@
     assert_eq!(effects(&steps), expected);
 }
 
+#[test]
+fn an_answer_that_may_be_cut_is_not_begun_once_no_host_names_this_one() {
+    let rest = CLOSE + LIMIT - SPREAD;
+    assert!(LIMITS.takes(0, rest * 2), "others still name this host");
+    assert!(LIMITS.takes(SPREAD, rest * 2));
+    assert!(LIMITS.takes(SPREAD + 1, rest - 1));
+    assert!(!LIMITS.takes(SPREAD + 1, rest));
+    assert!(LIMITS.takes(CLOSE, LIMIT));
+    assert!(!LIMITS.takes(CLOSE, LIMIT + 1));
+}
+
 #[test]
 fn a_second_signal_ends_at_once() {
     let early = [(0, Event::Signal), (5, Event::Signal)];
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -5,6 +5,7 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use gotham::state::StateData;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -22,12 +23,19 @@
 use crate::settings::Settings;
 use crate::suspects::Suspects;
 use crate::voter;
+use coordination::drain;
 use coordination::view::View;
 use protocol::platform::Listing;
 use state::table::Table;
 use state::time::Instant;
 use transport::clock::Clock;
 
+/// Bounds both times of the drain of a host without callers, in milliseconds: work that it owns is
+/// handed over within a probe of the fleet's failure detector.
+const HANDOVER_MS: u64 = 2_000;
+/// Bounds the time until every host knows of a drain, in milliseconds; gossip takes a few probes.
+const SPREAD_MS: u64 = 2_000;
+
 /// Holds what the handlers of a daemon share.
 pub struct Context {
     /// Holds the address that callers are told.
@@ -79,6 +87,28 @@
         self.member.view().borrow().clone()
     }
 
+    /// Returns the times of a drain of this host.
+    pub fn drain_limits(&self) -> drain::Limits {
+        let entry = self.settings.entry.as_ref();
+        let millis = |duration: Duration| duration.as_millis() as u64;
+        drain::Limits {
+            lifetime: entry.map_or(HANDOVER_MS, |entry| millis(entry.address_lifetime)),
+            limit: entry.map_or(HANDOVER_MS, |entry| millis(entry.drain_limit)),
+            spread: match self.pool {
+                None => 0,
+                Some(_) => SPREAD_MS,
+            },
+        }
+    }
+
+    /// Returns whether a request is taken that may last so long, in milliseconds; see
+    /// [`drain::Limits::takes`].
+    pub fn takes(&self, lasting: u64) -> bool {
+        let now = self.clock.now();
+        let began = self.drain_began.get();
+        began.is_none_or(|at| self.drain_limits().takes(now.since(*at), lasting))
+    }
+
     /// Counts a request in flight until the returned guard is dropped.
     pub fn enter(&self) -> Guard {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -61,11 +61,9 @@
 use transport::metric;
 
 const FAREWELL: Duration = Duration::from_millis(300);
-const HANDOVER_MS: u64 = 2_000;
 /// Bounds the upstreams whose caches are waited for at once.
 const RESYNCS: usize = 1024;
 const POLL: Duration = Duration::from_millis(20);
-const SPREAD_MS: u64 = 2_000;
 const TABLE_WAIT: Duration = Duration::from_secs(2);
 
 /// Tells which part of a daemon could not start.
@@ -260,7 +258,7 @@
     /// Takes the host off the list, serves on for the lifetime of addresses, ends the last request
     /// and returns how that went; `again` ends the rest at once.
     pub async fn drain(&mut self, again: impl Future<Output = ()>) -> Outcome {
-        let mut drain = Drain::new(self.drain_limits());
+        let mut drain = Drain::new(self.context.drain_limits());
         let mut event = drain::Event::Signal;
         tokio::pin!(again);
         loop {
@@ -299,19 +297,6 @@
         let _ = self.context.member.drain();
     }
 
-    fn drain_limits(&self) -> drain::Limits {
-        let entry = self.context.settings.entry.as_ref();
-        let millis = |duration: Duration| duration.as_millis() as u64;
-        drain::Limits {
-            lifetime: entry.map_or(HANDOVER_MS, |e| millis(e.address_lifetime)),
-            limit: entry.map_or(HANDOVER_MS, |e| millis(e.drain_limit)),
-            spread: match self.context.pool {
-                None => 0,
-                Some(_) => SPREAD_MS,
-            },
-        }
-    }
-
     /// Counts the requests in flight, and one more while a connection is still open.
     fn in_flight(&self) -> u64 {
         let open = self.servers.iter().any(|server| !server.is_finished());
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -31,6 +31,7 @@
 use platform::caller::Facts;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
+use state::routing::Kind;
 use state::routing::Route;
 use state::routing::Target;
 use state::routing::Workspace;
@@ -43,6 +44,9 @@
 /// Gives how long a caller should wait when this host has lost the leader or a route has no service
 /// to go to, in milliseconds: time to try another host, and for a newer table to arrive.
 const MISSING_MS: u64 = 500;
+/// Gives how long a caller should wait when this host ends before the answer may, in milliseconds;
+/// time to ask for the addresses of the others.
+const MOVED_MS: u64 = 100;
 /// Counts budget in thousandths of a retry.
 const RETRY: u64 = 1_000;
 /// Gives the share of the fleet's retry budget that hosts use, in percent; the rest covers requests
@@ -208,6 +212,9 @@
         .deadline_ms
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
+    if route.kind == Kind::Stream && !context.takes(patience) {
+        return Err(later(Reason::Draining, MOVED_MS));
+    }
     let deadline = arrived + patience;
     let limit = context
         .settings
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -16,7 +17,9 @@
 use serde_json::json;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
 
+use coordination::drain;
 use hibiscushoistd::daemon::Daemon;
 use hibiscushoistd::settings::Settings;
 use standin::Manner;
@@ -27,25 +30,28 @@
 const HANG: Duration = Duration::from_secs(30);
 const CALLERS: &str = "callers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n";
 const CONTROL: &str = "control = 127.0.0.1:0\n";
+const GATEWAY: &str = "[gateway]\n";
+const SHORT: &str = "address_lifetime_ms = 1\n";
 
 struct Bench {
     client: Client<HttpConnector, Full<Bytes>>,
     control: SocketAddr,
-    daemon: Daemon,
+    daemon: Option<Daemon>,
     first: Upstream,
     leader: Option<Leader>,
     readiness: SocketAddr,
     routed: SocketAddr,
     second: Upstream,
+    status: SocketAddr,
 }
 
 /// Holds a host with a runtime of its own, all of whose tasks and sockets end when it is dropped.
 struct Leader(Option<Runtime>);
 
 impl Leader {
-    async fn start(gateway: String) -> (Self, Daemon) {
+    async fn start(sections: String) -> (Self, Daemon) {
         let runtime = Builder::new_multi_thread().enable_all().build().unwrap();
-        let daemon = async move { host("a", "broker, entry, voter", &gateway, &[]).await };
+        let daemon = async move { host("a", "broker, entry, voter", &sections, &[]).await };
         let daemon = runtime.spawn(daemon).await.expect("the daemon starts");
         (Self(Some(runtime)), daemon)
     }
@@ -73,8 +79,8 @@
     (first, second, list)
 }
 
-/// Starts a host with some lines of the section `[gateway]`.
-async fn host(name: &str, roles: &str, gateway: &str, seeds: &[SocketAddr]) -> Daemon {
+/// Starts a host with some lines of the sections `[entry]` and `[gateway]`.
+async fn host(name: &str, roles: &str, sections: &str, seeds: &[SocketAddr]) -> Daemon {
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
     let seeds = match seeds.is_empty() {
         false => format!("seeds = {}\n", seeds.join(", ")),
@@ -82,8 +88,8 @@
     };
     let text = format!(
         "[daemon]\nname = {name}\nfleet = test\nfailure_domain = one\nroles = {roles}\n\
-         data = {}\n[entry]\nlisten = 127.0.0.1:0\naddress_lifetime_ms = 1\n\
-         [gateway]\n{gateway}[peer]\nlisten = 127.0.0.1:0\nkey = {}\n{seeds}",
+         data = {}\n[entry]\nlisten = 127.0.0.1:0\n\
+         {sections}[peer]\nlisten = 127.0.0.1:0\nkey = {}\n{seeds}",
         tempfile::tempdir().unwrap().keep().display(),
         "5a".repeat(32),
     );
@@ -93,14 +99,17 @@
 }
 
 fn configuration(version: u64, key: &str) -> Value {
-    let route = |prefix: &str, kind: &str, attempts: u32, service: &str| {
+    let lasting = |prefix: &str, kind: &str, attempts: u32, service: &str, timeout_ms: u64| {
         json!({
             "name": prefix, "host": "h.example", "path_prefix": prefix, "kind": kind,
-            "timeout_ms": 10_000, "latency_goal_ms": 1_000, "priority": 0, "service": service,
+            "timeout_ms": timeout_ms, "latency_goal_ms": 1_000, "priority": 0, "service": service,
             "max_attempts": attempts, "public": false, "sticky": kind == "streaming",
             "resumable": kind == "streaming", "gap_target_ms": 400,
         })
     };
+    let route = |prefix: &str, kind: &str, attempts: u32, service: &str| {
+        lasting(prefix, kind, attempts, service, 10_000)
+    };
     json!({
         "version": version,
         "routes": [
@@ -108,6 +117,7 @@
             route("/order/", "non_idempotent", 1, "desk"),
             route("/stream/", "streaming", 2, "engines"),
             route("/once/", "streaming", 1, "engines"),
+            lasting("/endless/", "streaming", 1, "engines", 3_600_000),
         ],
         "services": [
             {"name": "desk", "health_path": "/health", "max_conns": 10},
@@ -121,9 +131,14 @@
 impl Bench {
     /// Starts a host with every role, two upstreams of one service and their list.
     async fn start(service: &str) -> Self {
+        Self::named_for(service, SHORT).await
+    }
+
+    /// Starts such a host with a setting for how long callers hold its address.
+    async fn named_for(service: &str, lifetime: &str) -> Self {
         let (first, second, list) = upstreams(service).await;
-        let gateway = format!("{CALLERS}{CONTROL}list = {list}\n");
-        let daemon = host("a", "broker, entry, voter", &gateway, &[]).await;
+        let sections = format!("{lifetime}{GATEWAY}{CALLERS}{CONTROL}list = {list}\n");
+        let daemon = host("a", "broker, entry, voter", &sections, &[]).await;
         Self::of(daemon.bound().control[0], daemon, first, second)
     }
 
@@ -131,9 +146,9 @@
     /// one serves a table with the key `k1`.
     async fn serving_beside_a_leader(service: &str) -> Self {
         let (first, second, list) = upstreams(service).await;
-        let (runtime, leader) = Leader::start(format!("{CONTROL}list = {list}\n")).await;
-        let gateway = format!("{CALLERS}freshness_ms = 3600000\n");
-        let daemon = host("b", "entry", &gateway, &[leader.peer_address()]).await;
+        let (runtime, leader) = Leader::start(format!("{GATEWAY}{CONTROL}list = {list}\n")).await;
+        let sections = format!("{GATEWAY}{CALLERS}freshness_ms = 3600000\n");
+        let daemon = host("b", "entry", &sections, &[leader.peer_address()]).await;
         let bench = Self {
             leader: Some(runtime),
             ..Self::of(leader.bound().control[0], daemon, first, second)
@@ -152,18 +167,23 @@
             readiness: daemon.bound().readiness.unwrap(),
             routed: daemon.bound().callers.unwrap(),
             second,
-            daemon,
+            status: daemon.address(),
+            daemon: Some(daemon),
         }
     }
 
     /// Starts a host and waits until it serves a table with the key `k1`.
     async fn serving(service: &str) -> Self {
         let bench = Self::start(service).await;
-        assert_eq!(bench.replace(&configuration(1, "k1")).await.status, 200);
-        bench.ready().await;
+        bench.serve().await;
         bench
     }
 
+    async fn serve(&self) {
+        assert_eq!(self.replace(&configuration(1, "k1")).await.status, 200);
+        self.ready().await;
+    }
+
     /// Sends a request with a long prompt that others share.
     async fn send_long(&self, path: &str) -> Answer {
         let long = Request::post(format!("http://{}{path}", self.routed))
@@ -179,7 +199,7 @@
 
     /// Counts the asks for the engine of a long prompt that ended so.
     async fn assignments(&self, outcome: &str) -> u64 {
-        let metrics = Request::get(format!("http://{}/metrics", self.daemon.address()));
+        let metrics = Request::get(format!("http://{}/metrics", self.status));
         let metrics = self.ask(metrics.body(Full::default()).unwrap()).await;
         let text = String::from_utf8(metrics.body.unwrap().to_vec()).unwrap();
         let counter = format!("hibiscushoist_assignments_total{{outcome=\"{outcome}\"}} ");
@@ -545,6 +565,31 @@
     let mut bench = Bench::serving("desk").await;
     let answer = bench.send("/read/x", "k1").await;
     assert_eq!(answer.status, 200);
-    let outcome = bench.daemon.drain(std::future::pending()).await;
-    assert_eq!(outcome, coordination::drain::Outcome::Clean);
+    let mut daemon = bench.daemon.take().unwrap();
+    let outcome = daemon.drain(std::future::pending()).await;
+    assert_eq!(outcome, drain::Outcome::Clean);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_drains_begins_no_stream_that_may_outlast_it() {
+    let mut bench = Bench::named_for("engines", "address_lifetime_ms = 600000\n").await;
+    bench.serve().await;
+    let mut daemon = bench.daemon.take().unwrap();
+    let endless = async || {
+        let mut request = bench.request("/endless/x", "k1");
+        let headers = request.headers_mut();
+        headers.insert("x-deadline-ms", HeaderValue::from_static("3600000"));
+        bench.ask(request).await
+    };
+    assert_eq!(endless().await.status, 200);
+    let (forced, again) = oneshot::channel();
+    let drained = tokio::spawn(async move { daemon.drain(async { drop(again.await) }).await });
+    bench.until(async || endless().await.status == 503).await;
+    let refused = endless().await;
+    assert!(refused.headers.contains_key("retry-after"));
+    let short = bench.send("/stream/x", "k1").await;
+    let whole = standin::events(0, standin::EVENTS);
+    assert_eq!(short.body.expect("the stream ends"), whole);
+    forced.send(()).unwrap();
+    assert_eq!(drained.await.unwrap(), drain::Outcome::Forced);
 }
