Trace the red test of crashed owners: send again what was not run

Cause: the test has six prompts crash two of four engines each, one right after the other, some 10 ms apart. When the owner has not yet read that the engines just crashed are back, and the host has ejected the others after three crashes each, the host refuses the next prompt as not run, `no_upstream`, at once. That is true and what it should say; the test took every first answer to be `quarantined`. It waited only until the engines took connections again.

The test now sends such a prompt again, checks that each refusal says "not run", and asks as before that each prompt ends quarantined and that each crashes exactly two engines, whoever is killed afterwards.

--- a/crates/hibiscushoistd/tests/poison.rs
+++ b/crates/hibiscushoistd/tests/poison.rs
@@ -41,6 +41,20 @@
     timeout(OUTER_LIMIT, answer).await.expect("the answer ends")
 }
 
+/// Sends a request again while the host holds that no engine is back from the crashes before, which
+/// it must refuse as not run.
+async fn served(bench: &Bench, prompt: &str) -> Response {
+    loop {
+        let response = post(bench, prompt).await;
+        let error = &response.json()["error"];
+        if error["reason"] != "no_upstream" {
+            return response;
+        }
+        assert_eq!(error["not_run"], "true");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 fn crashes(bench: &Bench) -> u64 {
     bench.engines.iter().map(|e| e.counts().crashes).sum()
 }
@@ -195,7 +209,7 @@
     let prompts: Vec<_> = (0..PROMPTS).map(|i| format!("poison {i}")).collect();
     for prompt in &prompts {
         fleet.back().await;
-        let first = post(&fleet.hosts[0].0, prompt).await;
+        let first = served(&fleet.hosts[0].0, prompt).await;
         assert_eq!(first.json()["error"]["reason"], "quarantined");
     }
     for _ in 0..2 {
