--- a/crates/coordination/tests/assignment.rs
+++ b/crates/coordination/tests/assignment.rs
@@ -4,7 +4,9 @@
 
 use std::collections::BTreeMap;
 
+use clockwork::engines;
 use clockwork::fleet;
+use clockwork::unread;
 use coordination::assignment::Ask;
 use coordination::assignment::Desk;
 use coordination::choice::Choice;
@@ -13,10 +15,8 @@
 use coordination::dispatch::Dispatch;
 use coordination::holders::Holding;
 use coordination::holders::Place;
-use coordination::tally::Load;
 use coordination::tally::Loads;
 use coordination::tally::Tally;
-use coordination::upstream::Fleet;
 use state::time::Instant;
 
 const ENGINES: usize = 40;
@@ -42,12 +42,6 @@
     }
 }
 
-fn engines() -> Fleet {
-    let names: Vec<String> = (0..ENGINES).map(|n| format!("e{n}")).collect();
-    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
-    fleet(&engines)
-}
-
 /// Counts the prompts of the engine that got most.
 fn most(chosen: &[String]) -> usize {
     let mut counts: BTreeMap<&String, usize> = BTreeMap::new();
@@ -59,7 +53,7 @@
 
 #[test]
 fn prompts_that_come_at_once_through_many_hosts_get_engines_of_their_own() {
-    let fleet = engines();
+    let fleet = engines(ENGINES);
     let apart: Vec<String> = (0..PROMPTS)
         .map(|n| {
             let mut host = Dispatch::new(n as u64);
@@ -153,12 +147,7 @@
     let prompt = demand("p").prompt(1).unwrap();
     let place = Place::Engine("e".to_owned());
     desk.reported(Instant(0), &[], &[Holding { place, prompt }]);
-    let busy = Load {
-        running: 1,
-        unread_tokens: 40_000,
-        ..Load::default()
-    };
-    let loads = Loads::from([("e".to_owned(), busy)]);
+    let loads = Loads::from([("e".to_owned(), unread(40_000))]);
     let choice = desk.assign(Instant(1), &fleet, &loads, ask("p")).unwrap();
     assert_eq!(choice.upstream.id, "f");
     assert_eq!(choice.fetch, Some(clockwork::address("e")));
--- a/crates/coordination/tests/clockwork/mod.rs
+++ b/crates/coordination/tests/clockwork/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use coordination::tally::Load;
 use coordination::upstream::Edition;
 use coordination::upstream::Fleet;
 use coordination::upstream::Seen;
@@ -50,3 +51,20 @@
         upstreams: engines.iter().map(upstream).collect(),
     }
 }
+
+/// Returns a fleet of engines that are ready, named `e0` and on.
+pub fn engines(count: usize) -> Fleet {
+    let names: Vec<String> = (0..count).map(|engine| format!("e{engine}")).collect();
+    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    fleet(&engines)
+}
+
+/// Returns the load of an engine that has so many tokens to read for one request.
+pub fn unread(tokens: u64) -> Load {
+    Load {
+        long_tokens: 0,
+        quiet_ms: None,
+        running: 1,
+        unread_tokens: tokens,
+    }
+}
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -8,7 +8,9 @@
 use assert_matches::assert_matches;
 
 use clockwork::address;
+use clockwork::engines;
 use clockwork::fleet;
+use clockwork::unread;
 use coordination::choice::Choice;
 use coordination::choice::Rank;
 use coordination::choice::Refusal;
@@ -47,15 +49,6 @@
     }
 }
 
-fn unread(tokens: u64) -> Load {
-    Load {
-        long_tokens: 0,
-        quiet_ms: None,
-        running: 1,
-        unread_tokens: tokens,
-    }
-}
-
 fn id(choice: &Choice) -> &str {
     &choice.upstream.id
 }
@@ -168,9 +161,7 @@
 
 #[test]
 fn short_prompts_stay_where_connections_are_open_until_answers_begin_sooner_elsewhere() {
-    let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
-    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
-    let fleet = fleet(&engines);
+    let fleet = engines(60);
     let open = ["e3", "e30", "e57"];
     let demand = |draw| Demand {
         connected: open.map(address).to_vec(),
@@ -215,17 +206,15 @@
 
 #[test]
 fn late_prompts_leave_the_last_idle_engines_to_those_in_time() {
-    let names: Vec<String> = (0..10).map(|n| format!("e{n}")).collect();
-    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
-    let fleet = fleet(&engines);
+    let fleet = engines(10);
     let late = Demand {
         goal_ms: 0,
         ..long("p")
     };
     for (idle, placed) in [(4, true), (3, true), (2, false), (1, false)] {
         let mut host = Dispatch::new(0);
-        let busy = names.iter().skip(idle);
-        let busy = busy.map(|name| (name.clone(), unread(40_000)));
+        let busy = fleet.upstreams.iter().skip(idle);
+        let busy = busy.map(|engine| (engine.id.clone(), unread(40_000)));
         host.heard_of(Instant(0), busy.collect());
         let choice = host.choose(Instant(1), &fleet, &late);
         assert_eq!(choice.is_ok(), placed, "{idle} idle");
@@ -252,9 +241,7 @@
 
 #[test]
 fn a_prompt_stays_where_it_was_read_while_it_begins_there_in_time() {
-    let engines: Vec<String> = (0..12).map(|engine| format!("e{engine}")).collect();
-    let names: Vec<(&str, u64)> = engines.iter().map(|id| (id.as_str(), 1)).collect();
-    let fleet = fleet(&names);
+    let fleet = engines(12);
     let mut host = Dispatch::new(0);
     let demand = long("p");
     let ranked = host.choose(Instant(0), &fleet, &demand).unwrap();
@@ -289,9 +276,7 @@
 
 #[test]
 fn in_a_large_fleet_hosts_weigh_the_same_few_engines_for_a_prompt_and_others_for_another() {
-    let engines: Vec<String> = (0..600).map(|engine| format!("e{engine}")).collect();
-    let names: Vec<(&str, u64)> = engines.iter().map(|id| (id.as_str(), 1)).collect();
-    let mut fleet = fleet(&names);
+    let mut fleet = engines(600);
     let first = filled(0, &fleet, "p");
     assert_eq!(first.len(), 140);
     assert_eq!(filled(1, &fleet, "p"), first);
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -153,8 +153,7 @@
             leader: Some(runtime),
             ..Self::of(leader.bound().control[0], daemon, first, second)
         };
-        assert_eq!(bench.replace(&configuration(1, "k1")).await.status, 200);
-        bench.ready().await;
+        bench.serve().await;
         bench
     }
 
@@ -186,15 +185,12 @@
 
     /// Sends a request with a long prompt that others share.
     async fn send_long(&self, path: &str) -> Answer {
-        let long = Request::post(format!("http://{}{path}", self.routed))
-            .header("host", "h.example")
-            .header("x-request-id", "9c41d07be2a35f69")
-            .header("x-deadline-ms", "8000")
-            .header("x-model-id", "m")
-            .header("x-token-usage", "17000,40")
-            .header("x-prompt-prefix", "aa:13300,bb:3700")
-            .header("authorization", "Bearer k1");
-        self.ask(long.body(Full::from("body")).unwrap()).await
+        let mut long = self.request(path, "k1");
+        let headers = long.headers_mut();
+        headers.insert("x-token-usage", HeaderValue::from_static("17000,40"));
+        let parts = HeaderValue::from_static("aa:13300,bb:3700");
+        headers.insert("x-prompt-prefix", parts);
+        self.ask(long).await
     }
 
     /// Counts the asks for the engine of a long prompt that ended so.
