Read what a host knows in one way, and forget prompts only on news

Reading the whole change again: five places read the newest outlook through a fresh receiver, which outlook::Handle::known does now; two empty answers of the HTTP server were built by the same lines; and the leading host swept its list of shared prompts with every report of every host, several hundred times a second, though it can only have grown where a report tells of a prompt.

--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -102,7 +102,9 @@
 
     /// Notes that a host's report covers assignments, and where the host has seen shared prompts.
     pub fn reported(&mut self, now: Instant, covered: &[u64], told: &[Holding]) {
-        self.dispatch.heard_where(now, told.to_vec());
+        if !told.is_empty() {
+            self.dispatch.heard_where(now, told.to_vec());
+        }
         if !covered.is_empty() {
             self.close(|open| covered.contains(&open.grant));
             self.summed = None;
--- a/crates/hibiscushoistd/src/gateway_account.rs
+++ b/crates/hibiscushoistd/src/gateway_account.rs
@@ -56,7 +56,7 @@
         answered: &Answered,
         attempts: u32,
     ) -> Self {
-        let known = gateway.outlook.watch().borrow().clone();
+        let known = gateway.outlook.known();
         Self {
             age_ms: gateway.outlook.age_ms(context),
             arrived: routed.arrived,
--- a/crates/hibiscushoistd/src/gateway_place.rs
+++ b/crates/hibiscushoistd/src/gateway_place.rs
@@ -63,7 +63,7 @@
     demand.shared.as_ref()?;
     let leader = gateway.outlook.leader()?;
     let pool = context.pool.as_ref()?;
-    let known = gateway.outlook.watch().borrow().clone();
+    let known = gateway.outlook.known();
     let now = context.clock.now();
     let ask = Ask {
         avoided: gateway
@@ -101,7 +101,7 @@
     progress: &Progress,
 ) -> bool {
     let demand = demand(context, gateway, routed, progress);
-    let known = gateway.outlook.watch().borrow().clone();
+    let known = gateway.outlook.known();
     let now = context.clock.now();
     gateway.dispatch().offers(now, &known.fleet, &demand)
 }
@@ -113,7 +113,7 @@
 }
 
 fn demand(context: &Context, gateway: &Gateway, routed: &Routed, progress: &Progress) -> Demand {
-    let known = gateway.outlook.watch().borrow().clone();
+    let known = gateway.outlook.known();
     let service = known.index.service(&routed.service);
     let engine = service.is_some_and(|service| service.engine);
     let model = routed.facts.model.clone().filter(|_| engine);
@@ -166,7 +166,7 @@
 }
 
 fn choose(context: &Context, gateway: &Gateway, demand: &Demand) -> Result<Choice, Refusal> {
-    let known = gateway.outlook.watch().borrow().clone();
+    let known = gateway.outlook.known();
     let now = context.clock.now();
     gateway.dispatch().choose(now, &known.fleet, demand)
 }
--- a/crates/hibiscushoistd/src/outlook.rs
+++ b/crates/hibiscushoistd/src/outlook.rs
@@ -78,6 +78,11 @@
         *self.leader.borrow()
     }
 
+    /// Returns what this host knows, however old it is.
+    pub fn known(&self) -> Arc<Known> {
+        self.known.borrow().clone()
+    }
+
     /// Returns what this host knows and its later versions.
     pub fn watch(&self) -> watch::Receiver<Arc<Known>> {
         self.known.clone()
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -142,7 +142,7 @@
         (self.prepare)(&mut state);
         let handler = Arc::new(self.handler.clone());
         let answer = call_handler(handler, AssertUnwindSafe(state)).await;
-        Ok(answer.unwrap_or_else(|_| internal_error()))
+        Ok(answer.unwrap_or_else(|_| empty(StatusCode::INTERNAL_SERVER_ERROR)))
     }
 }
 
@@ -164,15 +164,14 @@
 }
 
 fn header_too_large() -> Response<Body> {
-    let mut response = Response::new(Body::default());
-    *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let mut response = empty(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     let headers = response.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-fn internal_error() -> Response<Body> {
+fn empty(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::default());
-    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    *response.status_mut() = status;
     response
 }
