Trace the red test of the command line: wait until all hosts vote

Cause: one host founds the group of voters, and the others join one by one, each as a learner that is then promoted, a step every half second at most. The test asked for the voters once, right after its load, and so needed all steps to be done while the load ran.

Ruled out: a voter that was lost or replaced (none had joined and gone).

The test now waits for the last to join, bounded only against a hang, and checks the count as before.

--- a/crates/hibiscushoist/tests/cli/fleet.rs
+++ b/crates/hibiscushoist/tests/cli/fleet.rs
@@ -117,6 +117,21 @@
         }
     }
 
+    /// Waits until all hosts vote; one founds the group, and the others join one after the other.
+    fn complete(&self) {
+        let started = Instant::now();
+        while self.voters() < HOSTS.len() {
+            assert!(started.elapsed() < HANG, "{} voters", self.voters());
+        }
+    }
+
+    /// Counts the voters and those that are about to vote.
+    fn voters(&self) -> usize {
+        let told = self.operate(&["voters", "--json"]);
+        let voters: Value = serde_json::from_str(&told).unwrap();
+        voters["voters"].as_array().unwrap().len()
+    }
+
     fn path(&self, name: &str) -> String {
         self.folder.join(name).display().to_string()
     }
@@ -175,8 +190,7 @@
     let mut names: Vec<_> = names.map(|group| group["workspace"].clone()).collect();
     names.dedup();
     assert!(names.contains(&"large".into()) && names.contains(&"small".into()));
-    let told = fleet.operate(&["voters", "--json"]);
-    let voters: Value = serde_json::from_str(&told).unwrap();
-    assert_eq!(voters["voters"].as_array().unwrap().len(), HOSTS.len());
+    fleet.complete();
+    assert_eq!(fleet.voters(), HOSTS.len());
     assert!(fleet.operate(&["status"]).contains("\nu2 "));
 }
