Move the host under test out of the tests of routed requests

Change: `Setup` and what it needs stand in `tests/routed_upstream/setup.rs`, unchanged but for visibility; `routed.rs` keeps its tests.

--- a/crates/hibiscushoistd/tests/routed_upstream/mod.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod setup;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
