Log when an engine is taken off new work for a reload

Cause: the log shows the orders to load newer weights, but not which engines wait for one. An engine that the leader takes for up to date and one whose turn does not come looked the same.

Change: a rolling reload reports each engine that it takes off new work, as event 330 `reload_waiting` with the versions that it lags and its requests in flight.

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -152,6 +152,15 @@
     Order(Order),
     /// Read the report of an engine.
     Read(String),
+    /// Report that an engine was taken off new work, and now waits for its order.
+    Withdrawn {
+        /// By how many versions the engine lags.
+        behind: u64,
+        /// Id of the engine.
+        id: String,
+        /// Number of its requests in flight.
+        running: u32,
+    },
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -329,12 +338,11 @@
         if self.orders_allowed_from.is_none_or(|from| now < from) {
             return Vec::new();
         }
-        self.withdraw_lagging(now);
+        let mut effects = self.withdraw_lagging(now);
         let policy = self.policy;
         let mut free_loads = self
             .max_loading()
             .saturating_sub(self.count(Phase::is_ordered));
-        let mut effects = Vec::new();
         for engine in self.engines.values_mut() {
             let due = match engine.phase {
                 Phase::Serving => continue,
@@ -380,7 +388,7 @@
 
     /// Takes engines off new work, as many as the share allows: those that are most versions behind
     /// first, and among these the ones with the fewest requests in flight.
-    fn withdraw_lagging(&mut self, now: Instant) {
+    fn withdraw_lagging(&mut self, now: Instant) -> Vec<Effect> {
         let max_withdrawn = self.max_loading() * 2;
         let out_of_service = self.count(|phase| phase != Phase::Serving);
         let running = |id: &str| self.loads.get(id).map_or(0, |load| load.running);
@@ -395,14 +403,19 @@
             })
             .collect();
         lagging.sort();
-        for (_, _, id) in lagging
-            .into_iter()
-            .take(max_withdrawn.saturating_sub(out_of_service))
-        {
-            if let Some(engine) = self.engines.get_mut(&id) {
+        lagging.truncate(max_withdrawn.saturating_sub(out_of_service));
+        for (_, _, id) in &lagging {
+            if let Some(engine) = self.engines.get_mut(id) {
                 engine.phase = Phase::Withdrawn { since: now };
             }
         }
+        let withdrawn = lagging.into_iter();
+        let withdrawn = withdrawn.map(|(Reverse(behind), running, id)| Effect::Withdrawn {
+            behind,
+            id,
+            running,
+        });
+        withdrawn.collect()
     }
 }
 
--- a/crates/coordination/tests/reload.rs
+++ b/crates/coordination/tests/reload.rs
@@ -115,7 +115,7 @@
         while let Some(effect) = effects.pop() {
             self.effect_log.push((self.now_ms, effect.clone()));
             let next = match effect {
-                Effect::Done { .. } => continue,
+                Effect::Done { .. } | Effect::Withdrawn { .. } => continue,
                 Effect::Order(order) => {
                     let outcome = self.order(&order.id, order.expected_orders, order.version);
                     Event::Answered(order.id, outcome)
@@ -160,7 +160,7 @@
             .iter()
             .filter_map(|(at, effect)| match effect {
                 Effect::Order(order) => Some((*at, order.id.clone(), order.version)),
-                Effect::Done { .. } | Effect::Read(_) => None,
+                Effect::Done { .. } | Effect::Read(_) | Effect::Withdrawn { .. } => None,
             });
         orders.collect()
     }
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -210,6 +210,15 @@
                 }
                 Effect::Order(order) => self.order(order),
                 Effect::Read(id) => self.read(id),
+                Effect::Withdrawn {
+                    behind,
+                    id,
+                    running,
+                } => {
+                    let details =
+                        slog::o!("upstream" => id, "behind" => behind, "running" => running);
+                    event::emit(&self.context.log, event::Event::ReloadWaiting, details);
+                }
             }
         }
     }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -126,6 +126,8 @@
     ReloadDone = 328,
     /// The leading host did not choose an engine for a long prompt.
     AssignFailed = 329,
+    /// An engine was taken off new work and waits for the order to load newer weights.
+    ReloadWaiting = 330,
 }
 
 impl Event {
@@ -172,6 +174,7 @@
             | Self::LinkMended
             | Self::ReloadDone
             | Self::ReloadOrdered
+            | Self::ReloadWaiting
             | Self::Reunited
             | Self::RolloutDone
             | Self::RolloutOrdered
