Order engines to reload by how long they have waited

Cause: engines are taken off new work by how far they lag, but among those that wait for their order, a free load went to the first by id. While versions follow each other, engines with lower ids are taken off again and again and are ordered before one with a high id. The class of fault is a queue in two stages whose second stage forgets the order of the first, so that an entry can starve.

Change: the engine that is most versions behind gets the next free load, and among equals the one that has waited longest.

Result: with 25 engines and a version every 4.5 s, engines e22 to e24 stayed at version 1 while the others were at 4 to 6; with the change no engine is older than the version named 22.5 s ago, which is the limit of the rule. The new test fails before the change with [4, 4, 4, 4, 5, 5, 5, 5, 5, 5, 5, 6, 6, 6, 6, 3, 3, 3, 4, 4, 4, 5, 1, 1, 1].

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -340,38 +340,62 @@
         }
         let mut effects = self.withdraw_lagging(now);
         let policy = self.policy;
-        let mut free_loads = self
+        let free_loads = self
             .max_loading()
             .saturating_sub(self.count(Phase::is_ordered));
-        for engine in self.engines.values_mut() {
-            let due = match engine.phase {
-                Phase::Serving => continue,
-                Phase::Withdrawn { since } if self.loads.contains_key(&engine.listed.id) => {
-                    since + policy.finish_wait_ms
-                }
-                Phase::Withdrawn { since } => since + policy.propagation_ms,
-                Phase::Reading { next_read } => next_read,
-                Phase::Loading { next_read, .. } => next_read,
-            };
-            let is_withdrawn = matches!(engine.phase, Phase::Withdrawn { .. });
-            if now < due || is_withdrawn && free_loads == 0 {
-                continue;
+        let mut due = self.due_reads(now);
+        due.extend(self.due_orders(now).into_iter().take(free_loads));
+        for id in due {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.phase = match engine.phase {
+                    Phase::Loading { version, .. } => Phase::Loading {
+                        next_read: now + policy.read_interval_ms,
+                        version,
+                    },
+                    _ => Phase::Reading {
+                        next_read: now + policy.retry_delay_ms,
+                    },
+                };
+                effects.push(Effect::Read(id));
             }
-            free_loads -= usize::from(is_withdrawn);
-            engine.phase = match engine.phase {
-                Phase::Loading { version, .. } => Phase::Loading {
-                    next_read: now + policy.read_interval_ms,
-                    version,
-                },
-                _ => Phase::Reading {
-                    next_read: now + policy.retry_delay_ms,
-                },
-            };
-            effects.push(Effect::Read(engine.listed.id.clone()));
         }
         effects
     }
 
+    /// Returns the ordered engines whose next read is due.
+    fn due_reads(&self, now: Instant) -> Vec<String> {
+        let is_due = |engine: &&Engine| match engine.phase {
+            Phase::Loading { next_read, .. } | Phase::Reading { next_read } => now >= next_read,
+            Phase::Serving | Phase::Withdrawn { .. } => false,
+        };
+        let due = self.engines.values().filter(is_due);
+        due.map(|engine| engine.listed.id.clone()).collect()
+    }
+
+    /// Returns the withdrawn engines that may get their order: those that are most versions behind
+    /// first, and among these the ones that wait longest. In any other order, an engine could wait
+    /// for as long as new versions appear.
+    fn due_orders(&self, now: Instant) -> Vec<String> {
+        let mut due: Vec<(Reverse<u64>, Instant, String)> = self
+            .engines
+            .values()
+            .filter_map(|engine| {
+                let Phase::Withdrawn { since } = engine.phase else {
+                    return None;
+                };
+                let wait_ms = match self.loads.contains_key(&engine.listed.id) {
+                    false => self.policy.propagation_ms,
+                    true => self.policy.finish_wait_ms,
+                };
+                let behind = engine.versions_behind(&self.newest_versions);
+                let behind = Reverse(behind.unwrap_or_default());
+                (now >= since + wait_ms).then(|| (behind, since, engine.listed.id.clone()))
+            })
+            .collect();
+        due.sort();
+        due.into_iter().map(|(_, _, id)| id).collect()
+    }
+
     /// Returns how many engines may load at once.
     fn max_loading(&self) -> usize {
         let staying = self
--- a/crates/coordination/tests/reload.rs
+++ b/crates/coordination/tests/reload.rs
@@ -22,6 +22,8 @@
     unresponsive: Vec<String>,
     engines: BTreeMap<String, Engine>,
     effect_log: Vec<(u64, Effect)>,
+    /// Whether only every fifth engine loads as fast as the policy expects; the others take longer.
+    uneven_loads: bool,
     reload: Reload,
     running: BTreeMap<String, UpstreamLoad>,
 }
@@ -52,6 +54,7 @@
             unresponsive: Vec::new(),
             engines,
             effect_log: Vec::new(),
+            uneven_loads: false,
             reload: Reload::new(Policy::default()),
             running: BTreeMap::new(),
         };
@@ -60,6 +63,11 @@
         simulation
     }
 
+    fn uneven_loads(mut self) -> Self {
+        self.uneven_loads = true;
+        self
+    }
+
     fn unresponsive(mut self, id: &str) -> Self {
         self.unresponsive.push(id.to_owned());
         self
@@ -131,12 +139,16 @@
 
     fn order(&mut self, id: &str, orders: u64, version: u64) -> Outcome {
         let at = self.now_ms;
+        let load_ms = match self.uneven_loads {
+            false => 1_900,
+            true => 1_900 + 400 * (id.bytes().map(u64::from).sum::<u64>() % 5),
+        };
         let engine = self.engines.get_mut(id).unwrap();
         if engine.loading.is_some() || engine.orders != orders {
             return Outcome::Refused;
         }
         engine.orders += 1;
-        engine.loading = Some((at + 1_900, version));
+        engine.loading = Some((at + load_ms, version));
         Outcome::Accepted
     }
 
@@ -234,6 +246,23 @@
     assert_eq!(ids[..4], ["e01", "e00", "e03", "e02"], "{orders:?}");
 }
 
+// Guards against engines that are off new work and never get their order, because others that were
+// taken off later get every load that becomes free.
+#[test]
+fn no_engine_waits_for_its_order_while_others_load_version_after_version() {
+    let mut simulation = Simulation::new(25).uneven_loads().advance(4_000);
+    for version in 2..=12 {
+        simulation = simulation.publish_version(version).advance(4_500);
+        // The version four before this one was named 22.5 s ago.
+        let oldest_allowed = version.saturating_sub(4);
+        let versions = simulation.versions();
+        assert!(
+            versions.iter().all(|v| *v >= oldest_allowed),
+            "{versions:?}"
+        );
+    }
+}
+
 // Four engines do not answer, more than may load at once.
 #[test]
 fn engines_that_do_not_answer_do_not_delay_the_others() {
