Count the age of weights on every host, across leaders

Callers got answers that began on weights replaced longer ago than the limit (VERSION).

- A new leader forgot since when versions had been named and counted from the start of its term, so that older weights went on serving for up to the whole limit again.
- A host learned that a version may serve no more only from the leader's next list.
Its routing data may be 4 s old, which is all the time that was set aside for a request to begin.

Cause: the age of a version was state of one term on one host.

Change: each voter records a version when it applies it, whether it leads or not (`coordination::version_history`). Routing updates carry the ages; each host keeps the greatest that it heard, counts on by its own clock, and asks for no older weights, of itself and of the leading host (`Demand::min_weights`).

--- a/crates/coordination/src/demand.rs
+++ b/crates/coordination/src/demand.rs
@@ -24,6 +24,8 @@
     pub left_ms: u64,
     /// Tokens that fit into the memory of one engine, if known.
     pub memory_tokens: Option<u64>,
+    /// Oldest version of the model's weights on which the request may begin.
+    pub min_weights: u64,
     /// Name of the model, if engines serve the request.
     pub model: Option<String>,
     /// Newest version of the model's weights.
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -355,13 +355,12 @@
 
     /// Returns whether the upstream's weights version may serve the request.
     fn is_current(&self, fleet: &Fleet, upstream: &Upstream, demand: &Demand) -> bool {
-        let min = demand.model.as_ref().and_then(|model| {
-            let min = fleet.min_weights.get(model)?;
-            Some((self.weights(upstream, model), *min))
-        });
-        let exact = demand.model.as_ref().zip(demand.exact_weights);
-        min.is_none_or(|(weights, min)| weights >= min)
-            && exact.is_none_or(|(model, exact)| self.weights(upstream, model) == exact)
+        demand.model.as_ref().is_none_or(|model| {
+            let weights = self.weights(upstream, model);
+            let min = fleet.min_weights.get(model).copied();
+            weights >= min.unwrap_or_default().max(demand.min_weights)
+                && demand.exact_weights.is_none_or(|exact| weights == exact)
+        })
     }
 
     /// Returns the upstreams of a service that this host does not use for now.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -56,5 +56,6 @@
 pub mod upstream;
 pub mod upstream_load;
 pub mod upstream_pool;
+pub mod version_history;
 pub mod view;
 pub mod voters;
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -17,6 +17,7 @@
 use crate::upstream::Edition;
 use crate::upstream::Fleet;
 use crate::upstream_load::UpstreamLoads;
+use crate::version_history::Ages;
 use state::routing::Table;
 use state::time::Instant;
 
@@ -52,6 +53,8 @@
     pub prefix_position: Position,
     /// The routed table, if the host lacks this version of it.
     pub table: Option<Arc<Table>>,
+    /// Time since the weights versions of each model were named.
+    pub version_ages: Ages,
     /// Newest weights version of each model.
     pub weights: BTreeMap<String, u64>,
 }
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -444,6 +444,21 @@
     assert_eq!(refusal, Err(Refusal::NoUpstream));
 }
 
+// The host knows which versions expire, also while the leader publishes no newer list.
+#[test]
+fn no_request_goes_to_weights_below_the_minimum_of_its_host() {
+    let fleet = fleet(&[("a", 1), ("b", 2)]);
+    let mut host = Dispatcher::new(0);
+    for random in 0..20 {
+        let demand = Demand {
+            min_weights: 2,
+            ..short(random)
+        };
+        let choice = host.choose(Instant(0), &fleet, &demand).unwrap();
+        assert_eq!(id(&choice), "b");
+    }
+}
+
 #[test]
 fn loading_and_leaving_engines_get_no_requests() {
     let mut fleet = fleet(&[("a", 1), ("b", 1), ("c", 1)]);
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -53,6 +53,7 @@
 use coordination::drain::Effect;
 use coordination::drain::Outcome;
 use coordination::upstream_load::LoadAggregator;
+use coordination::version_history::VersionHistory;
 use transport::clock::Clock;
 use transport::event;
 use transport::event::Event;
@@ -131,7 +132,11 @@
                 .map(|g| g.freshness)
                 .unwrap_or_default(),
         );
-        let gateway = bound.callers.map(|_| Arc::new(Gateway::new(routing)));
+        let weights_limit = settings.gateway.as_ref().map(|g| g.weights_limit);
+        let versions =
+            VersionHistory::new(weights_limit.map_or(u64::MAX, |l| l.as_millis() as u64));
+        let gateway = Gateway::new(routing, versions.clone());
+        let gateway = bound.callers.map(|_| Arc::new(gateway));
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone(), voter.table());
         let context = Arc::new(Context {
             address,
@@ -174,10 +179,17 @@
         voter.follow(member.view());
         voter_start::keep_up(&settings, &voter, member.view(), &log);
         let tally: Arc<Mutex<LoadAggregator>> = Arc::default();
+        let versions = Arc::new(Mutex::new(versions));
         let (publish, fleet) = watch::channel(Arc::default());
         let list = settings.gateway.as_ref().and_then(|gateway| gateway.list);
         if let Some(list) = list.filter(|_| settings.plays(Role::Voter)) {
-            tokio::spawn(steward::run(context.clone(), list, publish, tally.clone()));
+            tokio::spawn(steward::run(
+                context.clone(),
+                list,
+                publish,
+                tally.clone(),
+                versions.clone(),
+            ));
         }
         let service = peer::Service {
             broker,
@@ -188,6 +200,7 @@
             member,
             suspects,
             tally,
+            versions,
             voter,
         };
         links.serve(service, &log);
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -28,6 +28,7 @@
 use coordination::outage::Outage;
 use coordination::retry::Policy;
 use coordination::retry::RetryBudgets;
+use coordination::version_history::VersionHistory;
 use platform::caller;
 use platform::caller::RequestHead;
 use protocol::refusal::NotRun;
@@ -64,11 +65,13 @@
     pub routing: routing_snapshot::Handle,
     /// Budgets that limit attempts after the first one, by service.
     pub retry_budgets: Mutex<RetryBudgets>,
+    /// Weights versions, with the time at which each of them expires.
+    versions: Mutex<VersionHistory>,
 }
 
 impl Gateway {
     /// Returns a gateway without connections or observations.
-    pub fn new(routing: routing_snapshot::Handle) -> Self {
+    pub fn new(routing: routing_snapshot::Handle, versions: VersionHistory) -> Self {
         Self {
             dispatcher: Mutex::new(Dispatcher::new(rand::random())),
             connection_pool: ConnectionPool::default(),
@@ -77,6 +80,7 @@
                 host_retry_policy(0, 0, 1),
                 rand::random(),
             )),
+            versions: Mutex::new(versions),
         }
     }
 
@@ -94,6 +98,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the weights versions; ignores that another thread panicked while holding the lock.
+    pub fn versions(&self) -> MutexGuard<'_, VersionHistory> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adapts connections, observations and retry budgets to every change of the upstreams and of
     /// the hosts, until the task is dropped.
     pub async fn follow(self: Arc<Self>, context: Arc<Context>) {
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -13,6 +13,7 @@
 use coordination::choice::Choice;
 use coordination::choice::Refusal;
 use coordination::demand::Demand;
+use coordination::version_history::BEGIN_MARGIN_MS;
 use transport::event;
 use transport::event::Event;
 use transport::metric;
@@ -131,6 +132,8 @@
     let model = routed.request_head.model.clone().filter(|_| engine);
     let newest = model.as_ref().and_then(|model| snapshot.weights.get(model));
     let now = context.clock.now();
+    let min_weights = gateway.versions().min_versions(now, BEGIN_MARGIN_MS);
+    let min_weights = model.as_ref().and_then(|model| min_weights.get(model));
     let waited = now.since(routed.arrived);
     let shared_prefix = shared_prefix(routed).filter(|_| progress.exact_weights.is_none());
     let connected = match shared_prefix {
@@ -147,6 +150,7 @@
         first_byte_left_ms: routed.route.first_byte_goal_ms.saturating_sub(waited),
         left_ms: routed.left_ms(now),
         memory_tokens: service.and_then(|service| service.memory_tokens),
+        min_weights: min_weights.copied().unwrap_or_default(),
         newest_weights: newest.copied().unwrap_or_default(),
         model,
         prompt_tokens: routed.request_head.prompt_tokens,
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -37,6 +37,7 @@
 use coordination::state_machine::Command;
 use coordination::upstream::Fleet;
 use coordination::upstream_load::LoadAggregator;
+use coordination::version_history::VersionHistory;
 use protocol::operator::History;
 use protocol::operator::Voters;
 use protocol::peer::Peer;
@@ -74,6 +75,8 @@
     pub tally: Arc<Mutex<LoadAggregator>>,
     /// Answers for the requests that may crash upstreams.
     pub suspects: Suspects,
+    /// Knows since when each weights version has been named.
+    pub versions: Arc<Mutex<VersionHistory>>,
     /// Reaches the voters.
     pub voter: voter::Handle,
 }
@@ -164,12 +167,15 @@
         drop(bulletin);
         let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
         let loads = tally.report(now, ask.host, ask.loads);
+        drop(tally);
+        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         Ok(RoutingUpdate {
             fleet,
             cached_prefixes,
             loads,
             prefix_position,
             table: (table.version > ask.table_version).then(|| table.clone()),
+            version_ages: versions.ages(now),
             weights: reading.routed.weights_versions.clone(),
         })
     }
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -205,6 +205,10 @@
         };
         if let Some(gateway) = &context.gateway {
             let now = context.clock.now();
+            let mut versions = gateway.versions();
+            versions.merge(polled_at, &update.version_ages);
+            versions.record(polled_at, &update.weights);
+            drop(versions);
             let loads = std::mem::take(&mut update.loads);
             let cached_prefixes = std::mem::take(&mut update.cached_prefixes);
             let mut dispatcher = gateway.dispatcher();
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -1,7 +1,6 @@
 //! Looks after the upstreams of routed services, on the host whose voter leads: reads the
 //! platform's list, has engines reload, and publishes what hosts need to know.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -30,6 +29,8 @@
 use coordination::upstream::Standing;
 use coordination::upstream::Upstream;
 use coordination::upstream_load::LoadAggregator;
+use coordination::version_history;
+use coordination::version_history::VersionHistory;
 use platform::engine;
 use platform::header;
 use platform::path;
@@ -45,9 +46,6 @@
 const CALL_LIMIT: Duration = Duration::from_millis(600);
 /// Gives the time between two reads of the list, which itself lags by most of a second.
 const LIST_PERIOD_MS: u64 = 400;
-/// Gives the time that a request may wait at an engine under load before it begins, in
-/// milliseconds.
-const BEGIN_MS: u64 = 4_000;
 /// Bounds the pages of one read of the list, against a list that never ends.
 const PAGES: usize = 64;
 const RING_EVENTS: usize = 1_024;
@@ -65,13 +63,13 @@
     events: mpsc::Sender<Event>,
     connection_pool: ConnectionPool,
     list: SocketAddr,
-    named: BTreeMap<String, BTreeMap<u64, Instant>>,
     number: u64,
     publish: watch::Sender<Arc<Fleet>>,
     reload: Reload,
     seen: Vec<ListedUpstream>,
     tally: Arc<Mutex<LoadAggregator>>,
     term: Option<u64>,
+    versions: Arc<Mutex<VersionHistory>>,
 }
 
 /// Looks after upstreams whenever this host's voter leads, until the task is dropped.
@@ -80,6 +78,7 @@
     list: SocketAddr,
     publish: watch::Sender<Arc<Fleet>>,
     tally: Arc<Mutex<LoadAggregator>>,
+    versions: Arc<Mutex<VersionHistory>>,
 ) {
     let (events, mut arrived) = mpsc::channel(RING_EVENTS);
     let mut steward = Steward {
@@ -87,13 +86,13 @@
         events,
         connection_pool: ConnectionPool::default(),
         list,
-        named: BTreeMap::new(),
         number: 0,
         publish,
         reload: Reload::new(Policy::default()),
         seen: Vec::new(),
         tally,
         term: None,
+        versions,
     };
     let mut list_due = Instant::default();
     loop {
@@ -101,10 +100,12 @@
             Some(event) = arrived.recv() => event,
             () = tokio::time::sleep(TICK) => Event::Tick,
         };
+        steward.record_versions();
         let Some(reading) = steward.lead().await else {
             continue;
         };
-        steward.name(&reading.routed.weights_versions);
+        let newest_versions = reading.routed.weights_versions.clone();
+        steward.step(Event::NewestVersions(newest_versions));
         let now = steward.context.clock.now();
         if now >= list_due {
             list_due = now + LIST_PERIOD_MS;
@@ -126,7 +127,6 @@
         };
         if self.term != Some(reading.term) {
             self.term = Some(reading.term);
-            self.named.clear();
             self.number = 0;
             self.seen.clear();
             self.step(Event::LeadershipGained);
@@ -134,28 +134,16 @@
         Some(reading)
     }
 
-    /// Notes the newest weights and since when this host knows of them.
-    fn name(&mut self, weights: &BTreeMap<String, u64>) {
+    /// Records the weights versions that this host's voter has applied, whether it leads or not.
+    fn record_versions(&self) {
         let now = self.context.clock.now();
-        for (model, version) in weights {
-            let versions = self.named.entry(model.clone()).or_default();
-            versions.entry(*version).or_insert(now);
+        if let Some(status) = self.context.voter.status() {
+            self.versions().record(now, &status.weights_versions);
         }
-        self.step(Event::NewestVersions(weights.clone()));
     }
 
-    /// Returns the oldest version of each model that may still serve: the newest of those that were
-    /// named so long ago that no request may begin on an older one.
-    fn min_weights(&self) -> BTreeMap<String, u64> {
-        let now = self.context.clock.now();
-        let settings = self.context.settings.gateway.as_ref();
-        let limit = settings.map_or(u64::MAX, |gateway| gateway.weights_limit.as_millis() as u64);
-        let limit = limit.saturating_sub(BEGIN_MS);
-        let named = self.named.iter().filter_map(|(model, versions)| {
-            let mut old = versions.iter().filter(|(_, at)| now.since(**at) >= limit);
-            Some((model.clone(), *old.next_back()?.0))
-        });
-        named.collect()
+    fn versions(&self) -> MutexGuard<'_, VersionHistory> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn tally(&self) -> MutexGuard<'_, LoadAggregator> {
@@ -286,7 +274,10 @@
         };
         let upstreams: Vec<Upstream> = self.seen.iter().map(|seen| self.shown(seen)).collect();
         let shown = self.publish.borrow().clone();
-        let min_weights = self.min_weights();
+        let now = self.context.clock.now();
+        let min_weights = self
+            .versions()
+            .min_versions(now, version_history::BEGIN_MARGIN_MS);
         let same = shown.upstreams == upstreams && shown.min_weights == min_weights;
         if shown.edition.term == term && same {
             return;
--- a/crates/hibiscushoistd/src/voter_call.rs
+++ b/crates/hibiscushoistd/src/voter_call.rs
@@ -1,5 +1,6 @@
 //! What the duty of a voter is asked, and what it shows of itself.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -73,6 +74,8 @@
     pub matched: Vec<(MemberId, u64)>,
     /// Gives the newest term seen.
     pub term: u64,
+    /// Holds the newest weights version of each model that was applied here.
+    pub weights_versions: BTreeMap<String, u64>,
     /// Tells whether the voter works.
     pub works: bool,
 }
--- a/crates/hibiscushoistd/src/voter_duty.rs
+++ b/crates/hibiscushoistd/src/voter_duty.rs
@@ -416,6 +416,7 @@
             leads,
             matched: raft.matched(),
             term: raft.term(),
+            weights_versions: self.machine.routed().weights_versions.clone(),
             works: true,
         };
         metrics::gauge!(metric::LOG_COMMITTED).set(new.committed as f64);
