Cancel requests that wait at an engine until its weights expire

Callers saw answers that began on weights replaced longer ago than the limit: "a request began on version 2, 15014 ms after version 3 was acked" (VERSION), the very report of the users.

Cause: a host stops sending to old weights 4 s before they expire, which is the time set aside for a request to begin. Nothing bounds that time: at an engine that has turned slow a request waited 4.97 s (sent 10.84 s after version 3 was acknowledged, begun at 15.81 s). The class of fault is a deadline kept by an estimate of somebody else's speed.

Change: a host cancels a request whose answer has not begun half a second before the weights of its engine expire. One that may be repeated goes on at another engine; another one fails, since what it would get is what the limit forbids. The reason is counted as `old_weights`.

--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -53,6 +53,8 @@
     Mismatch,
     /// The answer had no end mark.
     NoEnd,
+    /// The upstream's weights expired before it began to answer.
+    OldWeights,
     /// The upstream refused the request.
     Refused,
     /// The upstream answered with an error status.
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -20,6 +20,7 @@
 use coordination::demand::Demand;
 use coordination::dispatch::InFlight;
 use coordination::retry;
+use coordination::version_history::CANCEL_MARGIN_MS;
 use platform::answer::AnswerHead;
 use platform::caller;
 use platform::caller::ForwardedHeaders;
@@ -226,8 +227,9 @@
     }
 }
 
-/// Waits until the attempt should be abandoned: the deadline has passed or, for an idempotent
-/// request, the upstream is unresponsive and another one can take the request.
+/// Waits until the attempt should be abandoned: the deadline has passed, the weights of the
+/// upstream are about to expire or, for an idempotent request, the upstream is unresponsive and
+/// another one can take the request.
 async fn wait_for_abandonment(
     context: &Context,
     routed: &RoutedRequest,
@@ -242,6 +244,9 @@
         }
         tokio::time::sleep(STALL_CHECK_INTERVAL.min(Duration::from_millis(left))).await;
         let now = context.clock.now();
+        if are_weights_expiring(now, in_flight.gateway(), routed, choice) {
+            return retry::Reason::OldWeights;
+        }
         let is_unresponsive = in_flight
             .gateway
             .dispatcher()
@@ -256,6 +261,21 @@
     }
 }
 
+/// Returns whether the weights of the chosen upstream are about to expire. A request that waits
+/// there must not begin on them any more.
+fn are_weights_expiring(
+    now: Instant,
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    choice: &Choice,
+) -> bool {
+    let model = routed.request_head.model.as_ref();
+    let expiry = model
+        .zip(choice.weights)
+        .and_then(|(model, weights)| gateway.versions().expiry(model, weights));
+    expiry.is_some_and(|expiry| expiry <= now + CANCEL_MARGIN_MS)
+}
+
 /// Returns the request to the upstream, or none if its URI cannot be parsed.
 fn upstream_request(
     routed: &RoutedRequest,
--- a/crates/hibiscushoistd/tests/routed_upstream/setup.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/setup.rs
@@ -27,7 +27,7 @@
 const CALLERS: &str = "callers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n";
 const CONTROL: &str = "control = 127.0.0.1:0\n";
 const GATEWAY: &str = "[gateway]\n";
-const SHORT_LIFETIME: &str = "address_lifetime_ms = 1\n";
+pub const SHORT_LIFETIME: &str = "address_lifetime_ms = 1\n";
 
 /// A host under test with two fake upstreams of one service.
 pub struct Setup {
@@ -134,8 +134,13 @@
 
     /// Starts such a host; `lifetime` sets how long callers keep using its address.
     pub async fn with_lifetime(service: &str, lifetime: &str) -> Self {
+        Self::with_settings(service, lifetime, "").await
+    }
+
+    /// Starts such a host; `gateway` holds lines of the section `[gateway]`.
+    pub async fn with_settings(service: &str, lifetime: &str, gateway: &str) -> Self {
         let (first, second, list) = start_upstreams(service).await;
-        let sections = format!("{lifetime}{GATEWAY}{CALLERS}{CONTROL}list = {list}\n");
+        let sections = format!("{lifetime}{GATEWAY}{gateway}{CALLERS}{CONTROL}list = {list}\n");
         let daemon = start_host("a", "broker, entry, voter", &sections, &[]).await;
         Self::new(daemon.bound().control[0], daemon, first, second)
     }
