Give up a load slot when an earlier order was carried out

Cause: an order without an answer is sent again, for the newest version. Where the engine carries out the first one, it has a version that was replaced since, counts as not done, and is ordered again at once.

Change: an engine that has accepted an order since it was read, and loads no more, has had its turn, whichever version it loaded.

Result: with 12 engines of which two may load at once, orders carried out 2.5 s late and a version every 2 s, the loads of each engine after 16 s were [3, 3, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]; with the change no engine loads twice. That is how the new test failed before.

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -165,8 +165,13 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
-    /// Was ordered to load `version`; the next read is due at `next_read`.
-    Loading { next_read: Instant, version: u64 },
+    /// Was ordered to load `version`, when it had accepted `orders` orders; the next read is due at
+    /// `next_read`.
+    Loading {
+        next_read: Instant,
+        orders: u64,
+        version: u64,
+    },
     /// Is being read before its order; a read without an answer is repeated at `next_read`.
     Reading { next_read: Instant },
     /// Accepts new work.
@@ -272,7 +277,10 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        let Phase::Loading { version, .. } = engine.phase else {
+        let Phase::Loading {
+            orders, version, ..
+        } = engine.phase
+        else {
             return;
         };
         let wait = match outcome {
@@ -280,8 +288,11 @@
             Outcome::Holds => 0,
             Outcome::Refused | Outcome::Unknown => policy.retry_delay_ms,
         };
-        let next_read = now + wait;
-        engine.phase = Phase::Loading { next_read, version };
+        engine.phase = Phase::Loading {
+            next_read: now + wait,
+            orders,
+            version,
+        };
     }
 
     fn reported(&mut self, now: Instant, id: &str, report: Option<Report>) -> Vec<Effect> {
@@ -299,28 +310,44 @@
         let update = engine.next_update(&self.newest_versions);
         match (engine.phase, update) {
             (Phase::Serving, _) => {}
-            (Phase::Loading { version, .. }, _) if engine.has_version(version) => {
+            (
+                Phase::Loading {
+                    orders, version, ..
+                },
+                _,
+            ) if engine.has_version(version)
+                || !report.loading && report.accepted_orders > orders =>
+            {
                 // If a newer version has appeared, other engines may be further behind; this one
-                // waits for its turn.
+                // waits for its turn. So does an engine that carried out an earlier order, whose
+                // answer was lost, in place of the last one.
                 engine.phase = Phase::Serving;
                 return vec![Effect::Done {
                     id: id.to_owned(),
                     took_ms: now.since(engine.ordered),
-                    version,
+                    version: engine.newest_weights().min(version),
                 }];
             }
             (_, None) => engine.phase = Phase::Serving,
             (phase, Some((_, newest_version))) if report.loading => {
-                let version = match phase {
-                    Phase::Loading { version, .. } => version,
-                    _ => newest_version,
+                let (orders, version) = match phase {
+                    Phase::Loading {
+                        orders, version, ..
+                    } => (orders, version),
+                    _ => (report.accepted_orders.saturating_sub(1), newest_version),
+                };
+                engine.phase = Phase::Loading {
+                    next_read: now + policy.read_interval_ms,
+                    orders,
+                    version,
                 };
-                let next_read = now + policy.read_interval_ms;
-                engine.phase = Phase::Loading { next_read, version };
             }
             (_, Some((model, version))) => {
-                let next_read = now + policy.min_load_ms;
-                engine.phase = Phase::Loading { next_read, version };
+                engine.phase = Phase::Loading {
+                    next_read: now + policy.min_load_ms,
+                    orders: report.accepted_orders,
+                    version,
+                };
                 engine.ordered = now;
                 return vec![Effect::Order(Order {
                     id: id.to_owned(),
@@ -348,8 +375,11 @@
         for id in due {
             if let Some(engine) = self.engines.get_mut(&id) {
                 engine.phase = match engine.phase {
-                    Phase::Loading { version, .. } => Phase::Loading {
+                    Phase::Loading {
+                        orders, version, ..
+                    } => Phase::Loading {
                         next_read: now + policy.read_interval_ms,
+                        orders,
                         version,
                     },
                     _ => Phase::Reading {
@@ -454,7 +484,12 @@
 
     /// Returns whether any model has version `version` or a newer one.
     fn has_version(&self, version: u64) -> bool {
-        self.weights.values().any(|known| *known >= version)
+        self.newest_weights() >= version
+    }
+
+    /// Returns the newest weights version of all models.
+    fn newest_weights(&self) -> u64 {
+        self.weights.values().copied().max().unwrap_or_default()
     }
 
     /// Returns by how many versions the engine lags, for the model that lags most.
--- a/crates/coordination/tests/reload.rs
+++ b/crates/coordination/tests/reload.rs
@@ -22,6 +22,9 @@
     unresponsive: Vec<String>,
     engines: BTreeMap<String, Engine>,
     effect_log: Vec<(u64, Effect)>,
+    /// Time after which orders are carried out without an answer, in milliseconds; 0 if they are
+    /// answered at once.
+    order_delay_ms: u64,
     /// Whether only every fifth engine loads as fast as the policy expects; the others take longer.
     uneven_loads: bool,
     reload: Reload,
@@ -30,6 +33,8 @@
 
 #[derive(Default)]
 struct Engine {
+    /// Unanswered orders: the time at which each is carried out, its condition and its version.
+    late_orders: Vec<(u64, u64, u64)>,
     /// End of the load under way, and the version being loaded.
     loading: Option<(u64, u64)>,
     orders: u64,
@@ -54,6 +59,7 @@
             unresponsive: Vec::new(),
             engines,
             effect_log: Vec::new(),
+            order_delay_ms: 0,
             uneven_loads: false,
             reload: Reload::new(Policy::default()),
             running: BTreeMap::new(),
@@ -63,6 +69,11 @@
         simulation
     }
 
+    fn order_delay_ms(mut self, order_delay_ms: u64) -> Self {
+        self.order_delay_ms = order_delay_ms;
+        self
+    }
+
     fn uneven_loads(mut self) -> Self {
         self.uneven_loads = true;
         self
@@ -105,6 +116,7 @@
                     engine.loading = None;
                 }
             }
+            self.carry_out_late_orders();
             self.step(Event::Loads(self.running.clone()));
             self.step(Event::Tick);
         }
@@ -137,7 +149,32 @@
         }
     }
 
+    fn carry_out_late_orders(&mut self) {
+        let now_ms = self.now_ms;
+        let ids: Vec<String> = self.engines.keys().cloned().collect();
+        for id in ids {
+            let engine = self.engines.get_mut(&id).unwrap();
+            let due: Vec<(u64, u64, u64)> = engine
+                .late_orders
+                .extract_if(.., |(at, _, _)| *at <= now_ms)
+                .collect();
+            for (_, orders, version) in due {
+                self.carry_out(&id, orders, version);
+            }
+        }
+    }
+
     fn order(&mut self, id: &str, orders: u64, version: u64) -> Outcome {
+        if self.order_delay_ms == 0 {
+            return self.carry_out(id, orders, version);
+        }
+        let at = self.now_ms + self.order_delay_ms;
+        let engine = self.engines.get_mut(id).unwrap();
+        engine.late_orders.push((at, orders, version));
+        Outcome::Unknown
+    }
+
+    fn carry_out(&mut self, id: &str, orders: u64, version: u64) -> Outcome {
         let at = self.now_ms;
         let load_ms = match self.uneven_loads {
             false => 1_900,
@@ -263,6 +300,19 @@
     }
 }
 
+// Guards against engines that keep their place among those that load: an order that is carried out
+// late leaves them at a version that was replaced since, and they get the next order at once.
+#[test]
+fn an_engine_that_loaded_an_older_version_waits_for_its_next_turn() {
+    let mut simulation = Simulation::new(12).order_delay_ms(2_500).advance(4_000);
+    for version in 2..=9 {
+        simulation = simulation.publish_version(version).advance(2_000);
+    }
+    let loads: Vec<u64> = simulation.engines.values().map(|e| e.orders).collect();
+    assert!(loads.iter().all(|loads| *loads <= 1), "{loads:?}");
+    assert!(loads.iter().sum::<u64>() >= 6, "{loads:?}");
+}
+
 // Four engines do not answer, more than may load at once.
 #[test]
 fn engines_that_do_not_answer_do_not_delay_the_others() {
