Order engines of a roll-out by how long they have waited

Cause: the roll-out controller of the table went through the engines by name.

Change: the controller notes since when an engine has lacked its goal without an order, and orders the ones that have waited longest first.

--- a/crates/coordination/src/rollout.rs
+++ b/crates/coordination/src/rollout.rs
@@ -134,6 +134,8 @@
     /// Number of orders tried: 0 until the first order towards the goal, one more after each that
     /// was refused.
     tries: u32,
+    /// Time since which the engine has not had its goal and has got no order to load.
+    waiting_since: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -246,7 +248,8 @@
         engine.read_at = now;
         let goal = self.desired.goals.get(upstream);
         let serves = |s: &EngineState| goal.is_some_and(|goal| goal.next_action(s).is_none());
-        engine.next_read = match state.as_ref().is_some_and(serves) {
+        let has_reached_goal = state.as_ref().is_some_and(serves);
+        engine.next_read = match has_reached_goal {
             false => now + READ_PERIOD_MS,
             true => now + SETTLED_READ_PERIOD_MS,
         };
@@ -257,6 +260,10 @@
                 true => engine.loading_since.or(Some(now)),
             };
             engine.stuck &= is_loading;
+            engine.waiting_since = match has_reached_goal || is_loading {
+                false => engine.waiting_since.or(Some(now)),
+                true => None,
+            };
         }
         engine.state = state;
         if engine.state.is_some() && !is_loading {
@@ -295,11 +302,22 @@
             self.engines.entry(name.clone()).or_default();
             self.poll(name, &models_being_left);
         }
-        for name in &names {
+        for name in &self.in_order_of_waiting(names) {
             self.order_next(name, lease);
         }
     }
 
+    /// Returns the engines that have waited longest for an order first. In any other order, an
+    /// engine could wait for as long as the table changes.
+    fn in_order_of_waiting(&self, mut names: Vec<String>) -> Vec<String> {
+        let waiting_since = |name: &String| self.engines.get(name)?.waiting_since;
+        names.sort_by_key(|name| {
+            let since = waiting_since(name);
+            (since.is_none(), since)
+        });
+        names
+    }
+
     /// Returns the models that some engine is to leave. The states of all engines that serve such a
     /// model must be fresh, so that enough of them remain.
     fn models_being_left(&self) -> BTreeSet<String> {
@@ -364,6 +382,7 @@
         if let Some(engine) = self.engines.get_mut(name) {
             engine.blocked = false;
             engine.loading_since = matches!(action, Action::Load { .. }).then_some(now);
+            engine.waiting_since = None;
             engine.phase = Phase::Ordering;
             engine.tries = engine.tries.max(1);
         }
