Keep engines serving while their order may be lost

Cause: an order without an answer counted as a load from the moment it was sent, and took the engine off new work.

Change: an engine whose order got no answer goes on serving until a read shows that it loads, and does not count as loading. At most as many engines as may load at once can be in that state besides.

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -189,6 +189,9 @@
 
 #[derive(Clone, Debug)]
 struct Engine {
+    /// Whether its last order got no answer and the engine has not been seen to load since. The
+    /// order may be lost, so the engine goes on serving.
+    is_unconfirmed: bool,
     /// Time before which the engine is skipped, because it did not answer.
     not_before: Instant,
     ordered: Instant,
@@ -236,7 +239,7 @@
     /// Returns whether an engine is off new work because its weights are being updated.
     pub fn is_loading(&self, id: &str) -> bool {
         let engine = self.engines.get(id);
-        engine.is_some_and(|engine| engine.phase != Phase::Serving)
+        engine.is_some_and(Engine::is_out_of_service)
     }
 
     /// Returns the newest weights versions that an engine is known to have.
@@ -247,7 +250,7 @@
     fn leadership_gained(&mut self, now: Instant) {
         self.orders_allowed_from = Some(now + self.policy.takeover_delay_ms);
         for engine in self.engines.values_mut() {
-            engine.phase = Phase::Serving;
+            engine.serve();
         }
     }
 
@@ -260,6 +263,7 @@
             let known = old.remove(&listed.id);
             let known = known.filter(|known| known.listed.started == listed.started);
             let mut engine = known.unwrap_or_else(|| Engine {
+                is_unconfirmed: false,
                 not_before: Instant::default(),
                 ordered: Instant::default(),
                 phase: Phase::Serving,
@@ -288,6 +292,11 @@
             Outcome::Holds => 0,
             Outcome::Refused | Outcome::Unknown => policy.retry_delay_ms,
         };
+        engine.is_unconfirmed = match outcome {
+            Outcome::Accepted | Outcome::Holds => false,
+            Outcome::Refused => engine.is_unconfirmed,
+            Outcome::Unknown => true,
+        };
         engine.phase = Phase::Loading {
             next_read: now + wait,
             orders,
@@ -302,7 +311,7 @@
         };
         let Some(report) = report else {
             // An engine that does not answer must not delay the other engines.
-            engine.phase = Phase::Serving;
+            engine.serve();
             engine.not_before = now + policy.unanswered_delay_ms;
             return Vec::new();
         };
@@ -321,14 +330,14 @@
                 // If a newer version has appeared, other engines may be further behind; this one
                 // waits for its turn. So does an engine that carried out an earlier order, whose
                 // answer was lost, in place of the last one.
-                engine.phase = Phase::Serving;
+                engine.serve();
                 return vec![Effect::Done {
                     id: id.to_owned(),
                     took_ms: now.since(engine.ordered),
                     version: engine.newest_weights().min(version),
                 }];
             }
-            (_, None) => engine.phase = Phase::Serving,
+            (_, None) => engine.serve(),
             (phase, Some((_, newest_version))) if report.loading => {
                 let (orders, version) = match phase {
                     Phase::Loading {
@@ -336,6 +345,7 @@
                     } => (orders, version),
                     _ => (report.accepted_orders.saturating_sub(1), newest_version),
                 };
+                engine.is_unconfirmed = false;
                 engine.phase = Phase::Loading {
                     next_read: now + policy.read_interval_ms,
                     orders,
@@ -367,9 +377,7 @@
         }
         let mut effects = self.withdraw_lagging(now);
         let policy = self.policy;
-        let free_loads = self
-            .max_loading()
-            .saturating_sub(self.count(Phase::is_ordered));
+        let free_loads = self.free_loads();
         let mut due = self.due_reads(now);
         due.extend(self.due_orders(now).into_iter().take(free_loads));
         for id in due {
@@ -426,6 +434,16 @@
         due.into_iter().map(|(_, _, id)| id).collect()
     }
 
+    /// Returns how many more engines may get an order. As many orders as may load at once may
+    /// besides be without an answer, since most of these are lost or late.
+    fn free_loads(&self) -> usize {
+        let max_loading = self.max_loading();
+        let is_ordered = |engine: &Engine| engine.phase.is_ordered();
+        let is_confirmed = |engine: &Engine| is_ordered(engine) && !engine.is_unconfirmed;
+        let by_loads = max_loading.saturating_sub(self.count(is_confirmed));
+        by_loads.min((2 * max_loading).saturating_sub(self.count(is_ordered)))
+    }
+
     /// Returns how many engines may load at once.
     fn max_loading(&self) -> usize {
         let staying = self
@@ -435,16 +453,16 @@
         (staying.count() * self.policy.share_percent / 100).max(self.policy.min_concurrent)
     }
 
-    fn count(&self, matches_phase: impl Fn(Phase) -> bool) -> usize {
+    fn count(&self, is_counted: impl Fn(&Engine) -> bool) -> usize {
         let engines = self.engines.values();
-        engines.filter(|engine| matches_phase(engine.phase)).count()
+        engines.filter(|engine| is_counted(engine)).count()
     }
 
     /// Takes engines off new work, as many as the share allows: those that are most versions behind
     /// first, and among these the ones with the fewest requests in flight.
     fn withdraw_lagging(&mut self, now: Instant) -> Vec<Effect> {
         let max_withdrawn = self.max_loading() * 2;
-        let out_of_service = self.count(|phase| phase != Phase::Serving);
+        let in_turn = self.count(|engine| engine.phase != Phase::Serving);
         let running = |id: &str| self.loads.get(id).map_or(0, |load| load.running);
         let mut lagging: Vec<(Reverse<u64>, u32, String)> = self
             .engines
@@ -457,7 +475,7 @@
             })
             .collect();
         lagging.sort();
-        lagging.truncate(max_withdrawn.saturating_sub(out_of_service));
+        lagging.truncate(max_withdrawn.saturating_sub(in_turn));
         for (_, _, id) in &lagging {
             if let Some(engine) = self.engines.get_mut(id) {
                 engine.phase = Phase::Withdrawn { since: now };
@@ -474,6 +492,17 @@
 }
 
 impl Engine {
+    /// Returns whether the engine is off new work.
+    fn is_out_of_service(&self) -> bool {
+        self.phase != Phase::Serving && !self.is_unconfirmed
+    }
+
+    /// Returns the engine to service, without an order.
+    fn serve(&mut self) {
+        self.phase = Phase::Serving;
+        self.is_unconfirmed = false;
+    }
+
     /// Records weights versions of the engine; a version never decreases while its process runs.
     fn record_weights(&mut self, weights: &BTreeMap<String, u64>) {
         for (model, version) in weights {
--- a/crates/coordination/tests/reload.rs
+++ b/crates/coordination/tests/reload.rs
@@ -22,6 +22,8 @@
     unresponsive: Vec<String>,
     engines: BTreeMap<String, Engine>,
     effect_log: Vec<(u64, Effect)>,
+    /// Largest number of engines that were off new work at once.
+    max_out_of_service: usize,
     /// Time after which orders are carried out without an answer, in milliseconds; 0 if they are
     /// answered at once.
     order_delay_ms: u64,
@@ -59,6 +61,7 @@
             unresponsive: Vec::new(),
             engines,
             effect_log: Vec::new(),
+            max_out_of_service: 0,
             order_delay_ms: 0,
             uneven_loads: false,
             reload: Reload::new(Policy::default()),
@@ -119,6 +122,8 @@
             self.carry_out_late_orders();
             self.step(Event::Loads(self.running.clone()));
             self.step(Event::Tick);
+            let out_of_service = self.engines.keys().filter(|id| self.reload.is_loading(id));
+            self.max_out_of_service = self.max_out_of_service.max(out_of_service.count());
         }
         self
     }
@@ -313,6 +318,19 @@
     assert!(loads.iter().sum::<u64>() >= 6, "{loads:?}");
 }
 
+// Guards against a reload that takes too long because orders without an answer, which may be lost,
+// count as loads.
+#[test]
+fn all_engines_load_within_the_limit_though_no_order_is_answered() {
+    let simulation = Simulation::new(18)
+        .order_delay_ms(4_000)
+        .advance(4_000)
+        .publish_version(2)
+        .advance(22_500);
+    assert_eq!(simulation.versions(), vec![2; 18]);
+    assert!(simulation.max_out_of_service <= 6);
+}
+
 // Four engines do not answer, more than may load at once.
 #[test]
 fn engines_that_do_not_answer_do_not_delay_the_others() {
