Log the engines that crash under routed requests

On-call engineers saw `attempt_failed` with reason `cut` and then `connect`, for one answer that broke off as for an engine that crashed, and no event named the parts of the prompt.

Change: when an attempt or a stream of a prompt with shared parts ends with its connection, the host checks with a new connection whether the engine refuses it; one check serves all requests that break off at that engine. If it is refused and no idle connection is open, event 130 `engine_crashed` names the request, the upstream and the parts, and `hibiscushoist_crashes_total` counts it. Answers that had been streaming for a second, and engines listed as leaving, are left out.

--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::answer::Failure;
 use crate::caller as responses;
 use crate::context::Context;
+use crate::gateway_crash::CrashChecks;
 use crate::gateway_retry;
 use crate::request::Request;
 use crate::routing_snapshot;
@@ -61,6 +62,8 @@
     pub dispatcher: Mutex<Dispatcher>,
     /// Connections to upstreams.
     pub connection_pool: ConnectionPool,
+    /// Checks whether engines that broke off an answer still run.
+    pub crash_checks: CrashChecks,
     /// Access to the latest routing snapshot.
     pub routing: routing_snapshot::Handle,
     /// Budgets that limit attempts after the first one, by service.
@@ -75,6 +78,7 @@
         Self {
             dispatcher: Mutex::new(Dispatcher::new(rand::random())),
             connection_pool: ConnectionPool::default(),
+            crash_checks: CrashChecks::default(),
             routing,
             retry_budgets: Mutex::new(RetryBudgets::new(
                 host_retry_policy(0, 0, 1),
--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -21,6 +21,7 @@
 use crate::gateway_answer_log::Outcome;
 use crate::gateway_attempt::InFlightGuard;
 use crate::gateway_attempt::UpstreamAnswer;
+use crate::gateway_crash::Exposure;
 use state::time::Instant;
 use transport::connection_pool::PooledConnection;
 
@@ -30,7 +31,9 @@
     context: Arc<Context>,
     body: Incoming,
     connection: Option<(PooledConnection, Option<Duration>)>,
+    began_at: Instant,
     deadline_timer: Pin<Box<Sleep>>,
+    exposure: Exposure,
     in_flight: InFlightGuard,
 }
 
@@ -41,15 +44,19 @@
         answered: UpstreamAnswer,
         deadline: Instant,
         answer_log: AnswerLog,
+        exposure: Exposure,
     ) -> Self {
-        let left = deadline.since(context.clock.now());
+        let now = context.clock.now();
+        let left = deadline.since(now);
         let (body, connection, idle_limit, in_flight) = answered.into_stream();
         Self {
             answer_log,
             context: context.clone(),
             body,
             connection: Some((connection, idle_limit)),
+            began_at: now,
             deadline_timer: Box::pin(tokio::time::sleep(Duration::from_millis(left))),
+            exposure,
             in_flight,
         }
     }
@@ -88,6 +95,11 @@
                     .dispatcher()
                     .record_failure(now, &self.in_flight.handle);
                 self.answer_log.set_outcome(Outcome::Cut);
+                let (context, exposure) = (self.context.clone(), self.exposure.clone());
+                let streamed_ms = now.since(self.began_at);
+                tokio::spawn(async move {
+                    exposure.record_break(&context, &gateway, streamed_ms).await;
+                });
                 Poll::Ready(Some(Err(io::Error::other(error))))
             }
             Poll::Ready(Some(Ok(frame))) => {
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -1,6 +1,7 @@
 //! Retries of a routed request: sends it to one upstream after another until one answers or the
 //! retry policy forbids another attempt.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 use crate::gateway_attempt::UpstreamAnswer;
 use crate::gateway_attempt::attempt;
 use crate::gateway_body;
+use crate::gateway_crash::Exposure;
 use crate::gateway_placement;
 use crate::gateway_placement::place;
 use crate::gateway_stream;
@@ -93,7 +95,7 @@
                 }
             });
         }
-        let upstream = answered.choice.upstream.id.clone();
+        let upstream = answered.choice.upstream.clone();
         match buffer_answer(context, &routed, answered).await {
             Ok(response) => {
                 answer_log.set_outcome(Outcome::Whole);
@@ -102,10 +104,13 @@
             Err(reason) => {
                 answer_log.set_outcome(Outcome::Cut);
                 let failed_attempt = FailedAttempt {
+                    address: upstream.address,
                     may_have_run: true,
                     reason,
-                    upstream,
+                    streamed_ms: 0,
+                    upstream: upstream.id,
                 };
+                detect_crash(context, gateway, &routed, &failed_attempt).await;
                 record_failed_attempt(context, gateway, &routed, &mut progress, failed_attempt)?;
             }
         }
@@ -121,6 +126,7 @@
     progress: &mut Progress,
     failed_attempt: FailedAttempt,
 ) -> Option<UpstreamAnswer> {
+    detect_crash(context, gateway, routed, &failed_attempt).await;
     record_failed_attempt(context, gateway, routed, progress, failed_attempt).ok()?;
     let next = send_until_answered(context, gateway, routed, progress)
         .await
@@ -150,10 +156,14 @@
 /// An attempt that brought no complete answer.
 #[derive(Clone, Debug)]
 pub struct FailedAttempt {
+    /// Address of the upstream.
+    pub address: SocketAddr,
     /// Whether the upstream may have run the request.
     pub may_have_run: bool,
     /// Cause of the failure.
     pub reason: retry::Reason,
+    /// Time for which the answer had been streaming, in milliseconds.
+    pub streamed_ms: u64,
     /// ID of the upstream.
     pub upstream: String,
 }
@@ -194,14 +204,32 @@
                 }
             };
         let failed_attempt = FailedAttempt {
+            address: choice.upstream.address,
             may_have_run,
             reason,
+            streamed_ms: 0,
             upstream: choice.upstream.id,
         };
+        detect_crash(context, gateway, routed, &failed_attempt).await;
         record_failed_attempt(context, gateway, routed, progress, failed_attempt)?;
     }
 }
 
+/// Checks whether the upstream crashed, if an attempt ended with its connection.
+async fn detect_crash(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    failed_attempt: &FailedAttempt,
+) {
+    if failed_attempt.reason == retry::Reason::Cut {
+        let (upstream, address) = (&failed_attempt.upstream, failed_attempt.address);
+        Exposure::new(routed, upstream, address)
+            .record_break(context, gateway, failed_attempt.streamed_ms)
+            .await;
+    }
+}
+
 /// Records and logs a failed attempt. Returns the failure for the caller if no other attempt is
 /// allowed.
 fn record_failed_attempt(
@@ -228,8 +256,10 @@
     choice: &Choice,
 ) -> bool {
     let failed_attempt = FailedAttempt {
+        address: choice.upstream.address,
         may_have_run: true,
         reason: retry::Reason::Status,
+        streamed_ms: 0,
         upstream: choice.upstream.id.clone(),
     };
     let retry_allowed = record_failed_attempt(context, gateway, routed, progress, failed_attempt);
@@ -349,7 +379,10 @@
     gateway
         .dispatcher()
         .record_success(&answered.in_flight.handle);
-    let body = gateway_body::ForwardedBody::new(context, answered, routed.deadline, answer_log);
+    let upstream = &answered.choice.upstream;
+    let exposure = Exposure::new(routed, &upstream.id, upstream.address);
+    let body =
+        gateway_body::ForwardedBody::new(context, answered, routed.deadline, answer_log, exposure);
     Response::from_parts(head, Body::new(body))
 }
 
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -103,8 +103,9 @@
     async fn run(mut self, mut progress: Progress, mut answered: UpstreamAnswer) {
         let weights = answered.choice.weights;
         loop {
-            let upstream = answered.choice.upstream.id.clone();
+            let upstream = answered.choice.upstream.clone();
             progress.exact_weights = weights;
+            let began_at = Instant::now();
             let reason = match self.forward_attempt(&progress, answered).await {
                 End::Caller => return self.abort(Outcome::Left).await,
                 End::Complete => return self.answer_log.set_outcome(Outcome::Whole),
@@ -113,10 +114,13 @@
             };
             self.splitter.restart();
             self.routed.resume_after = self.splitter.last();
+            let streamed_ms = began_at.elapsed().as_millis();
             let failed_attempt = FailedAttempt {
+                address: upstream.address,
                 may_have_run: true,
                 reason,
-                upstream,
+                streamed_ms: u64::try_from(streamed_ms).unwrap_or(u64::MAX),
+                upstream: upstream.id,
             };
             let (context, gateway) = (&self.context, &self.gateway);
             let resumed = gateway_retry::resume(
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gateway_answer_log;
 pub mod gateway_attempt;
 pub mod gateway_body;
+pub mod gateway_crash;
 pub mod gateway_placement;
 pub mod gateway_retry;
 pub mod gateway_stream;
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -38,6 +38,8 @@
     StreamBroken = 124,
     /// The answer to a routed request ended; the details say how, and how its upstream was chosen.
     RequestAnswered = 125,
+    /// An engine crashed under a request whose prompt has parts that others share.
+    EngineCrashed = 130,
     /// An accepted edit is in force on this host.
     TableApplied = 200,
     /// An edit was refused.
@@ -147,6 +149,7 @@
             | Self::ConnectionLimit
             | Self::DiskFull
             | Self::DrainLimitPassed
+            | Self::EngineCrashed
             | Self::HostDied
             | Self::LeadershipLost
             | Self::LinkCut
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peer_server;
 pub mod platform;
 pub mod raft_store;
+pub mod reachability;
 pub mod service;
 pub mod sse;
 pub mod upstream;
