--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -29,6 +29,8 @@
 pub mod membership;
 pub mod order;
 pub mod outage;
+pub mod part_evidence;
+pub mod part_quarantine;
 pub mod placement;
 pub mod placement_request;
 pub mod prefix_index;
--- /dev/null
+++ b/crates/coordination/src/part_evidence.rs
@@ -0,0 +1,343 @@
+//! Exchange of evidence on prompt parts between each host and the leading host.
+//!
+//! A host sends its crashes and whole answers with its requests for routing updates, and obeys the
+//! quarantines in the answers. While no leader answers, it judges by its own evidence. A new leader
+//! gets the evidence and the quarantines again from every host.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::part_quarantine::Change;
+use crate::part_quarantine::Crash;
+use crate::part_quarantine::PartQuarantine;
+use crate::part_quarantine::Sentence;
+use crate::part_quarantine::Success;
+use crate::part_quarantine::Suspect;
+use state::time::Instant;
+
+/// Time without an answer of the leader after which a host judges by its own evidence, in
+/// milliseconds.
+const ALONE_AFTER_MS: u64 = 1_000;
+/// How long the crashes that a host saw are kept for a new leader, in milliseconds.
+const CRASH_MEMORY_MS: u64 = 30_000;
+/// Most crashes that a host keeps for a new leader.
+const MAX_CRASHES: usize = 64;
+/// Most parts whose last whole answer a host remembers.
+const MAX_SUCCESSES: usize = 4_096;
+/// Random extra length of quarantines at a host, at most, in percent.
+const MAX_EXTRA_PERCENT: u64 = 25;
+/// Least time between two versions of the verdict, in milliseconds; hosts ask as often.
+const VERDICT_INTERVAL_MS: u64 = 100;
+/// Parts of a prompt that are looked at; further ones are ignored.
+const MAX_PARTS: usize = 16;
+/// Length to which IDs of parts are cut, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// Version of the leader's verdict that a host has.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Position {
+    /// Term of the leader.
+    pub term: u64,
+    /// Number of the verdict within the term.
+    pub number: u64,
+}
+
+/// What a host reports to the leader.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evidence {
+    /// Crashes since the last report.
+    pub crashes: Vec<Crash>,
+    /// Version of the verdict that the host has.
+    pub position: Position,
+    /// Quarantines that the host obeys, for a leader that may not know them.
+    pub sentences: Vec<Sentence>,
+    /// Whole answers to prompts with suspected parts since the last report.
+    pub successes: Vec<Success>,
+}
+
+/// What the leader makes of the evidence of all hosts.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Verdict {
+    /// Version of the verdict.
+    pub position: Position,
+    /// All quarantines.
+    pub sentences: Vec<Sentence>,
+    /// Parts whose whole answers hosts report.
+    pub suspected: Vec<String>,
+}
+
+/// Evidence of all hosts, as the leading host keeps it.
+#[derive(Clone, Debug, Default)]
+pub struct EvidenceCollector {
+    changed: bool,
+    quarantine: PartQuarantine,
+    stated_at: Instant,
+    verdict: Verdict,
+}
+
+impl EvidenceCollector {
+    /// Records the evidence of `host`. Returns the verdict, if the host lacks it, and the changes
+    /// of quarantines for the log.
+    pub fn exchange(
+        &mut self,
+        now: Instant,
+        term: u64,
+        host: impl Into<String>,
+        evidence: &Evidence,
+    ) -> (Option<Verdict>, Vec<Change>) {
+        let host = host.into();
+        let has_evidence = !evidence.crashes.is_empty()
+            || !evidence.successes.is_empty()
+            || !evidence.sentences.is_empty();
+        let is_known = evidence.position != Position::default() || self.verdict.position.number > 0;
+        if !has_evidence && !is_known {
+            return (None, Vec::new());
+        }
+        let mut changes = Vec::new();
+        for success in &evidence.successes {
+            changes.extend(self.quarantine.record_success(now, success));
+        }
+        self.quarantine.merge(now, &evidence.sentences);
+        for crash in &evidence.crashes {
+            changes.extend(self.quarantine.record_crash(now, host.clone(), crash));
+        }
+        changes.extend(self.quarantine.judge(now));
+        self.changed |= has_evidence || !changes.is_empty();
+        let is_new_term = self.verdict.position.term != term;
+        let is_due = !changes.is_empty() || now.since(self.stated_at) >= VERDICT_INTERVAL_MS;
+        if is_new_term || self.changed && is_due {
+            self.state_verdict(now, term);
+        }
+        let lacks = evidence.position != self.verdict.position;
+        (lacks.then(|| self.current(now)), changes)
+    }
+
+    /// Computes the verdict anew.
+    fn state_verdict(&mut self, now: Instant, term: u64) {
+        self.quarantine.expire(now);
+        self.changed = false;
+        self.stated_at = now;
+        self.verdict = Verdict {
+            position: Position {
+                term,
+                number: self.verdict.position.number + 1,
+            },
+            sentences: Vec::new(),
+            suspected: self.quarantine.suspected(),
+        };
+    }
+
+    /// Returns the verdict with the current ages of the quarantines.
+    fn current(&self, now: Instant) -> Verdict {
+        Verdict {
+            sentences: self.quarantine.sentences(now),
+            ..self.verdict.clone()
+        }
+    }
+}
+
+/// A crash that this host saw.
+#[derive(Clone, Debug)]
+struct OwnCrash {
+    at: Instant,
+    is_reported: bool,
+    suspects: Vec<Suspect>,
+    upstream: String,
+}
+
+/// Evidence and quarantines of one host.
+#[derive(Clone, Debug, Default)]
+pub struct PartMonitor {
+    answered_at: Instant,
+    crashes: VecDeque<OwnCrash>,
+    extra_percent: u64,
+    hands_over: bool,
+    position: Position,
+    quarantine: PartQuarantine,
+    reported: BTreeMap<String, Instant>,
+    successes: BTreeMap<String, Instant>,
+    suspected: BTreeSet<String>,
+}
+
+impl PartMonitor {
+    /// Returns a monitor without evidence; `random` makes hosts end quarantines at different times.
+    pub fn new(random: u64) -> Self {
+        Self {
+            extra_percent: random % (MAX_EXTRA_PERCENT + 1),
+            ..Self::default()
+        }
+    }
+
+    /// Records that an engine crashed while prompts with these shared parts waited there for an
+    /// answer, or had just got its beginning.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        host: impl Into<String>,
+        upstream: impl Into<String>,
+        parts: impl IntoIterator<Item = impl Into<String>>,
+    ) {
+        let suspects: Vec<Suspect> = shared_ids(parts)
+            .zip(0..)
+            .map(|(part, depth)| Suspect { part, depth })
+            .collect();
+        let own = OwnCrash {
+            at: now,
+            is_reported: false,
+            suspects,
+            upstream: upstream.into(),
+        };
+        self.quarantine.record_crash(now, host, &own.report(now));
+        self.crashes.push_back(own);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Records a whole answer to a prompt with these shared parts. Returns the parts whose
+    /// quarantine it ends.
+    pub fn record_success(
+        &mut self,
+        now: Instant,
+        parts: impl IntoIterator<Item = impl Into<String>>,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for part in shared_ids(parts) {
+            let success = Success { part, age_ms: 0 };
+            changes.extend(self.quarantine.record_success(now, &success));
+            self.successes.insert(success.part, now);
+        }
+        if self.successes.len() > MAX_SUCCESSES {
+            let mut times: Vec<Instant> = self.successes.values().copied().collect();
+            let middle = times.len() / 2;
+            let (_, median, _) = times.select_nth_unstable(middle);
+            let median = *median;
+            self.successes.retain(|_, at| *at > median);
+        }
+        changes
+    }
+
+    /// Returns whether nothing is known of any part, as long as no engine crashes.
+    pub fn is_empty(&self) -> bool {
+        self.quarantine.is_empty()
+    }
+
+    /// Returns the part of a prompt that is quarantined longest, and for how many more
+    /// milliseconds, if one is.
+    pub fn quarantined(
+        &mut self,
+        now: Instant,
+        parts: impl IntoIterator<Item = impl Into<String>>,
+    ) -> Option<(String, u64)> {
+        if self.quarantine.is_empty() {
+            return None;
+        }
+        let left = shared_ids(parts).filter_map(|part| {
+            let left_ms = self.quarantine.left_ms(now, &part, self.extra_percent)?;
+            Some((part, left_ms))
+        });
+        left.max_by_key(|(_, left_ms)| *left_ms)
+    }
+
+    /// Judges by this host's own evidence, if no leader has answered lately.
+    pub fn judge_alone(&mut self, now: Instant) -> Vec<Change> {
+        match now.since(self.answered_at) > ALONE_AFTER_MS {
+            false => Vec::new(),
+            true => self.quarantine.judge(now),
+        }
+    }
+
+    /// Takes the evidence that was not reported yet.
+    pub fn take_evidence(&mut self, now: Instant) -> Evidence {
+        self.crashes
+            .retain(|crash| now.since(crash.at) < CRASH_MEMORY_MS);
+        let unreported = self.crashes.iter_mut().filter(|crash| !crash.is_reported);
+        let crashes = unreported.map(|crash| {
+            crash.is_reported = true;
+            crash.report(now)
+        });
+        let crashes = crashes.collect();
+        let mut successes = Vec::new();
+        for part in &self.suspected {
+            let Some(at) = self.successes.get(part) else {
+                continue;
+            };
+            if self.reported.get(part) == Some(at) {
+                continue;
+            }
+            self.reported.insert(part.clone(), *at);
+            successes.push(Success {
+                part: part.clone(),
+                age_ms: now.since(*at),
+            });
+        }
+        let hands_over = std::mem::take(&mut self.hands_over);
+        Evidence {
+            crashes,
+            position: self.position,
+            sentences: match hands_over {
+                false => Vec::new(),
+                true => self.quarantine.sentences(now),
+            },
+            successes,
+        }
+    }
+
+    /// Reports all evidence again, because the last report was not answered or a new leader may
+    /// lack earlier ones.
+    pub fn requeue_evidence(&mut self) {
+        self.hands_over = true;
+        self.reported.clear();
+        for crash in &mut self.crashes {
+            crash.is_reported = false;
+        }
+    }
+
+    /// Records an answer of the leader, with the verdict if this host lacked it.
+    pub fn adopt(&mut self, now: Instant, verdict: Option<Verdict>) {
+        self.answered_at = now;
+        let Some(verdict) = verdict else {
+            return;
+        };
+        match verdict.position.term == self.position.term {
+            false => {
+                self.quarantine.merge(now, &verdict.sentences);
+                self.requeue_evidence();
+            }
+            true => self.quarantine.replace(now, &verdict.sentences),
+        }
+        self.position = verdict.position;
+        self.suspected = verdict.suspected.into_iter().collect();
+        let quarantined = self.quarantine.sentences(now);
+        let quarantined = quarantined.into_iter().map(|sentence| sentence.part);
+        self.suspected.extend(quarantined);
+        self.reported
+            .retain(|part, _| self.suspected.contains(part));
+    }
+}
+
+impl OwnCrash {
+    fn report(&self, now: Instant) -> Crash {
+        Crash {
+            upstream: self.upstream.clone(),
+            suspects: self.suspects.clone(),
+            age_ms: now.since(self.at),
+        }
+    }
+}
+
+/// Returns the IDs of the parts that other prompts may share, which are all but the last.
+fn shared_ids(parts: impl IntoIterator<Item = impl Into<String>>) -> impl Iterator<Item = String> {
+    let mut parts: Vec<String> = parts.into_iter().map(Into::into).collect();
+    parts.pop();
+    parts.truncate(MAX_PARTS);
+    parts.into_iter().map(|mut part| {
+        let end = part.floor_char_boundary(MAX_ID_BYTES.min(part.len()));
+        part.truncate(end);
+        part
+    })
+}
--- /dev/null
+++ b/crates/coordination/src/part_quarantine.rs
@@ -0,0 +1,410 @@
+//! Quarantine of prompt parts that crash engines.
+//!
+//! A part may crash every engine that begins an answer to a prompt with it, whatever else the
+//! prompt holds. Hosts report which parts were at risk at an engine that crashed, and which parts
+//! of those were in a prompt that got its whole answer. A part is quarantined after several crashes
+//! without a whole answer in between. Of the parts that the same crashes leave under suspicion, one
+//! is quarantined, and the crashes in which it took part no longer count against the others.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use state::time::Instant;
+
+/// Crashes without a whole answer in between after which a part is quarantined.
+pub const CRASHES_TO_QUARANTINE: u32 = 3;
+/// The same, if all crashes are of one upstream, which may be faulty itself.
+pub const CRASHES_OF_ONE_UPSTREAM: u32 = 5;
+/// Length of the first quarantine of a part, in milliseconds; each further one lasts twice as long.
+pub const QUARANTINE_MS: u64 = 60_000;
+/// Longest quarantine, in milliseconds.
+pub const QUARANTINE_LIMIT_MS: u64 = 600_000;
+/// How long a crash counts, and how long a quarantine is remembered after its end, in milliseconds.
+pub const MEMORY_MS: u64 = 600_000;
+/// Time within which reports of a crash of the same upstream mean the same crash, in milliseconds;
+/// an engine takes longer to start.
+pub const SAME_CRASH_MS: u64 = 2_000;
+/// Time within which crashes of several upstreams count once, in milliseconds. The upstreams of a
+/// failure domain that dies crash together, whatever they run.
+pub const JOINT_CRASH_MS: u64 = 200;
+/// Time from a crash until it is judged, in milliseconds: within two reports of every host, so that
+/// the other hosts' suspects and whole answers are known.
+pub const SETTLE_MS: u64 = 500;
+/// Least time between two searches for what can be forgotten, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 1_000;
+/// Most crashes that are kept; the oldest are dropped first.
+const MAX_CRASHES: usize = 64;
+/// Most suspects of one crash that are kept.
+const MAX_SUSPECTS: usize = 128;
+/// Most quarantined parts that are kept.
+const MAX_QUARANTINED: usize = 256;
+/// Most suspected parts that hosts are told of, the most suspected first.
+const MAX_SUSPECTED: usize = 64;
+
+/// A part of a prompt whose answer was about to begin when an engine crashed.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Suspect {
+    /// ID of the part.
+    pub part: String,
+    /// Number of parts before it in the prompt.
+    pub depth: u32,
+}
+
+/// A crash of an engine, as one host saw it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Crash {
+    /// ID of the upstream.
+    pub upstream: String,
+    /// Parts of the host's requests there, without those that belong to one request alone.
+    pub suspects: Vec<Suspect>,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The last whole answer to a prompt with a suspected part, as one host saw it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Success {
+    /// ID of the part.
+    pub part: String,
+    /// Time since the answer ended, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A quarantined part; after its quarantine it stays on trial, and a single crash renews it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sentence {
+    /// ID of the part.
+    pub part: String,
+    /// Time since the last crash with the part, in milliseconds.
+    pub age_ms: u64,
+    /// Length of the quarantine from that crash, in milliseconds.
+    pub length_ms: u64,
+}
+
+/// A change of the quarantined parts, for the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A part was quarantined.
+    Quarantined {
+        /// ID of the part.
+        part: String,
+        /// Crashes that count against it.
+        crashes: u32,
+        /// Length of the quarantine, in milliseconds.
+        length_ms: u64,
+        /// Upstreams that crashed, as far as they are known.
+        upstreams: Vec<String>,
+        /// Hosts that saw the crashes, as far as they are known.
+        hosts: Vec<String>,
+    },
+    /// A whole answer ended the quarantine of the part with this ID.
+    Released(String),
+}
+
+/// A crash with the reports of all hosts.
+#[derive(Clone, Debug)]
+struct KnownCrash {
+    at: Instant,
+    hosts: BTreeSet<String>,
+    judged: bool,
+    /// Suspects with their depths.
+    suspects: BTreeMap<String, u32>,
+    upstream: String,
+}
+
+/// A quarantine of a part.
+#[derive(Clone, Copy, Debug)]
+struct Quarantine {
+    crashed_at: Instant,
+    length_ms: u64,
+}
+
+impl Quarantine {
+    fn until(self) -> Instant {
+        self.crashed_at + self.length_ms
+    }
+}
+
+/// What speaks against one part.
+#[derive(Clone, Debug, Default)]
+struct Suspicion<'a> {
+    counted_at: Instant,
+    crashes: u32,
+    depth: u32,
+    upstreams: BTreeSet<&'a str>,
+    hosts: BTreeSet<&'a str>,
+}
+
+impl Suspicion<'_> {
+    fn is_enough(&self) -> bool {
+        self.crashes >= CRASHES_OF_ONE_UPSTREAM
+            || self.crashes >= CRASHES_TO_QUARANTINE && self.upstreams.len() > 1
+    }
+}
+
+/// Evidence on prompt parts, and the quarantines that follow from it. The leading host keeps it for
+/// the fleet, and each host for itself.
+#[derive(Clone, Debug, Default)]
+pub struct PartQuarantine {
+    crashes: VecDeque<KnownCrash>,
+    expired_at: Instant,
+    quarantines: BTreeMap<String, Quarantine>,
+    successes: BTreeMap<String, Instant>,
+}
+
+impl PartQuarantine {
+    /// Records a crash that `host` saw. Returns the quarantines that it renews.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        host: impl Into<String>,
+        crash: &Crash,
+    ) -> Vec<Change> {
+        self.expire(now);
+        let at = now.before(crash.age_ms);
+        let is_same = |known: &KnownCrash| {
+            known.upstream == crash.upstream
+                && at.since(known.at).max(known.at.since(at)) <= SAME_CRASH_MS
+        };
+        let index = self.crashes.iter().position(is_same);
+        let index = index.unwrap_or_else(|| {
+            let later = self.crashes.iter().position(|known| known.at > at);
+            let index = later.unwrap_or(self.crashes.len());
+            self.crashes.insert(
+                index,
+                KnownCrash {
+                    at,
+                    hosts: BTreeSet::new(),
+                    judged: false,
+                    suspects: BTreeMap::new(),
+                    upstream: crash.upstream.clone(),
+                },
+            );
+            index
+        });
+        let known = &mut self.crashes[index];
+        known.hosts.insert(host.into());
+        for suspect in &crash.suspects {
+            if known.suspects.len() < MAX_SUSPECTS && !known.suspects.contains_key(&suspect.part) {
+                known.suspects.insert(suspect.part.clone(), suspect.depth);
+                known.judged = false;
+            }
+        }
+        let crashed = known.clone();
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        self.renew(&crashed)
+    }
+
+    /// Records a whole answer to a prompt with a part, and returns the change if it ends a
+    /// quarantine.
+    pub fn record_success(&mut self, now: Instant, success: &Success) -> Option<Change> {
+        let at = now.before(success.age_ms);
+        let part = &success.part;
+        let is_known = self.crashes.iter().any(|c| c.suspects.contains_key(part))
+            || self.quarantines.contains_key(part);
+        if !is_known {
+            return None;
+        }
+        let last = self.successes.entry(part.clone()).or_default();
+        *last = at.max(*last);
+        let is_over = self
+            .quarantines
+            .get(part)
+            .is_some_and(|quarantine| at > quarantine.crashed_at);
+        is_over.then(|| {
+            self.quarantines.remove(part);
+            Change::Released(part.clone())
+        })
+    }
+
+    /// Quarantines the parts that the settled crashes convict.
+    pub fn judge(&mut self, now: Instant) -> Vec<Change> {
+        let is_due = |c: &KnownCrash| !c.judged && now.since(c.at) >= SETTLE_MS;
+        if !self.crashes.iter().any(is_due) {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        let mut due: BTreeSet<String> = BTreeSet::new();
+        for crash in self.crashes.iter_mut().filter(|crash| is_due(crash)) {
+            crash.judged = true;
+            due.extend(crash.suspects.keys().cloned());
+        }
+        while self.quarantines.len() < MAX_QUARANTINED {
+            let suspicions = self.suspicions();
+            let convicted = suspicions.into_iter().filter(|(part, suspicion)| {
+                suspicion.is_enough()
+                    && due.contains(*part)
+                    && !self.quarantines.contains_key(*part)
+            });
+            let convicted = convicted.max_by_key(|(part, suspicion)| self.rank(part, suspicion));
+            let Some((part, suspicion)) = convicted else {
+                break;
+            };
+            let part = part.to_owned();
+            let quarantine = Quarantine {
+                crashed_at: suspicion.counted_at,
+                length_ms: QUARANTINE_MS,
+            };
+            let owned = |names: BTreeSet<&str>| names.into_iter().map(str::to_owned).collect();
+            changes.push(Change::Quarantined {
+                part: part.clone(),
+                crashes: suspicion.crashes,
+                length_ms: QUARANTINE_MS,
+                upstreams: owned(suspicion.upstreams),
+                hosts: owned(suspicion.hosts),
+            });
+            self.quarantines.insert(part, quarantine);
+        }
+        changes
+    }
+
+    /// Returns how long a part is still quarantined, in milliseconds, if it is. `extra_percent` of
+    /// its length is added: hosts that resume at different times try the part one after another.
+    pub fn left_ms(&self, now: Instant, part: &str, extra_percent: u64) -> Option<u64> {
+        let quarantine = self.quarantines.get(part)?;
+        let until = quarantine.until() + quarantine.length_ms * extra_percent / 100;
+        let left_ms = until.since(now);
+        (left_ms > 0).then_some(left_ms)
+    }
+
+    /// Returns whether nothing is known of any part.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.quarantines.is_empty()
+    }
+
+    /// Returns the quarantines, those on trial included.
+    pub fn sentences(&self, now: Instant) -> Vec<Sentence> {
+        let sentence = |(part, quarantine): (&String, &Quarantine)| Sentence {
+            part: part.clone(),
+            age_ms: now.since(quarantine.crashed_at),
+            length_ms: quarantine.length_ms,
+        };
+        self.quarantines.iter().map(sentence).collect()
+    }
+
+    /// Returns the parts that crashes speak against, the most suspected first.
+    pub fn suspected(&self) -> Vec<String> {
+        let mut suspected: Vec<_> = self.suspicions().into_iter().collect();
+        suspected.sort_by_cached_key(|(part, suspicion)| Reverse(self.rank(part, suspicion)));
+        suspected.truncate(MAX_SUSPECTED);
+        let parts = suspected.into_iter();
+        parts.map(|(part, _)| part.to_owned()).collect()
+    }
+
+    /// Adds the quarantines of another host, unless a later whole answer is known.
+    pub fn merge(&mut self, now: Instant, sentences: &[Sentence]) {
+        for sentence in sentences {
+            let theirs = Quarantine {
+                crashed_at: now.before(sentence.age_ms),
+                length_ms: sentence.length_ms.min(QUARANTINE_LIMIT_MS),
+            };
+            let succeeded = self.successes.get(&sentence.part);
+            let is_over = succeeded.is_some_and(|at| *at > theirs.crashed_at);
+            let is_full = self.quarantines.len() >= MAX_QUARANTINED;
+            if is_over || is_full && !self.quarantines.contains_key(&sentence.part) {
+                continue;
+            }
+            let ours = self.quarantines.entry(sentence.part.clone());
+            let ours = ours.or_insert(theirs);
+            if theirs.until() > ours.until() {
+                *ours = theirs;
+            }
+        }
+    }
+
+    /// Replaces the quarantines by those of the leading host.
+    pub fn replace(&mut self, now: Instant, sentences: &[Sentence]) {
+        self.quarantines.clear();
+        self.merge(now, sentences);
+    }
+
+    /// Forgets what is older than [`MEMORY_MS`].
+    pub fn expire(&mut self, now: Instant) {
+        if now.since(self.expired_at) < EXPIRY_INTERVAL_MS {
+            return;
+        }
+        self.expired_at = now;
+        self.crashes.retain(|c| now.since(c.at) < MEMORY_MS);
+        self.quarantines
+            .retain(|_, quarantine| now.since(quarantine.until()) < MEMORY_MS);
+        let Self {
+            crashes,
+            quarantines,
+            successes,
+            ..
+        } = self;
+        successes.retain(|part, _| {
+            quarantines.contains_key(part) || crashes.iter().any(|c| c.suspects.contains_key(part))
+        });
+    }
+
+    /// Renews the quarantines of the suspects of a crash: one that is over begins again for twice
+    /// the time.
+    fn renew(&mut self, crash: &KnownCrash) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for part in crash.suspects.keys() {
+            let Some(quarantine) = self.quarantines.get_mut(part) else {
+                continue;
+            };
+            if crash.at <= quarantine.crashed_at {
+                continue;
+            }
+            if crash.at >= quarantine.until() {
+                quarantine.length_ms = (quarantine.length_ms * 2).min(QUARANTINE_LIMIT_MS);
+                changes.push(Change::Quarantined {
+                    part: part.clone(),
+                    crashes: 1,
+                    length_ms: quarantine.length_ms,
+                    upstreams: vec![crash.upstream.clone()],
+                    hosts: crash.hosts.iter().cloned().collect(),
+                });
+            }
+            quarantine.crashed_at = crash.at;
+        }
+        changes
+    }
+
+    /// Returns what speaks against each part: the crashes since its last whole answer, except those
+    /// that a quarantined part accounts for.
+    fn suspicions(&self) -> BTreeMap<&str, Suspicion<'_>> {
+        let mut suspicions: BTreeMap<&str, Suspicion<'_>> = BTreeMap::new();
+        for crash in &self.crashes {
+            let mut parts = crash.suspects.keys();
+            if parts.any(|part| self.quarantines.contains_key(part)) {
+                continue;
+            }
+            for (part, depth) in &crash.suspects {
+                let succeeded = self.successes.get(part);
+                if succeeded.is_some_and(|at| *at >= crash.at) {
+                    continue;
+                }
+                let suspicion = suspicions.entry(part).or_default();
+                let is_first = suspicion.crashes == 0;
+                if is_first || crash.at.since(suspicion.counted_at) >= JOINT_CRASH_MS {
+                    suspicion.crashes += 1;
+                    suspicion.counted_at = crash.at;
+                }
+                suspicion.depth = suspicion.depth.max(*depth);
+                suspicion.upstreams.insert(&crash.upstream);
+                suspicion
+                    .hosts
+                    .extend(crash.hosts.iter().map(String::as_str));
+            }
+        }
+        suspicions
+    }
+
+    /// Returns the order in which suspected parts are quarantined: most crashes, longest without a
+    /// whole answer, shared by the fewest prompts.
+    fn rank(&self, part: &str, suspicion: &Suspicion<'_>) -> (u32, Reverse<Option<Instant>>, u32) {
+        let succeeded = self.successes.get(part).copied();
+        (suspicion.crashes, Reverse(succeeded), suspicion.depth)
+    }
+}
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::part_evidence::Evidence;
+use crate::part_evidence::Verdict;
 use crate::prefix_index::CachedPrefix;
 use crate::prefix_log::Position;
 use crate::upstream::Edition;
@@ -28,6 +30,8 @@
     pub edition: Edition,
     /// IDs of the assignments that `loads` includes for the first time.
     pub assignment_ids: Vec<u64>,
+    /// Evidence of the host on prompt parts that crash engines.
+    pub part_evidence: Evidence,
     /// Position of the last entry of the prefix log that the host has.
     pub prefix_position: Position,
     /// Name of the host.
@@ -49,6 +53,8 @@
     pub cached_prefixes: Vec<CachedPrefix>,
     /// Load that the other hosts cause at each upstream.
     pub loads: UpstreamLoads,
+    /// What is known of prompt parts that crash engines, if the host lacks this version of it.
+    pub part_verdict: Option<Verdict>,
     /// Position of the last entry of the prefix log.
     pub prefix_position: Position,
     /// The routed table, if the host lacks this version of it.
--- a/crates/hibiscushoistd/src/caller.rs
+++ b/crates/hibiscushoistd/src/caller.rs
@@ -111,6 +111,9 @@
         Reason::NoUpstream => "no upstream can take the request at the moment",
         Reason::OutcomeUnknown => "the order may or may not have run; it will not be run again",
         Reason::Overloaded => "too much work is waiting; come back later",
+        Reason::PartQuarantined => {
+            "a part of this prompt crashes engines and is quarantined; come back later"
+        }
         Reason::Quarantined => "this request crashed upstreams and is held back",
         Reason::QuorumAway => "the voters cannot agree at the moment; come back later",
         Reason::RateLimit => "the workspace has used its tokens for now",
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -27,6 +27,7 @@
 use coordination::dispatch::Dispatcher;
 use coordination::host::Role;
 use coordination::outage::Outage;
+use coordination::part_evidence::PartMonitor;
 use coordination::retry::Policy;
 use coordination::retry::RetryBudgets;
 use coordination::version_history::VersionHistory;
@@ -64,6 +65,8 @@
     pub connection_pool: ConnectionPool,
     /// Checks whether engines that broke off an answer still run.
     pub crash_checks: CrashChecks,
+    /// Evidence on prompt parts that crash engines, and their quarantines.
+    pub part_monitor: Mutex<PartMonitor>,
     /// Access to the latest routing snapshot.
     pub routing: routing_snapshot::Handle,
     /// Budgets that limit attempts after the first one, by service.
@@ -79,6 +82,7 @@
             dispatcher: Mutex::new(Dispatcher::new(rand::random())),
             connection_pool: ConnectionPool::default(),
             crash_checks: CrashChecks::default(),
+            part_monitor: Mutex::new(PartMonitor::new(rand::random())),
             routing,
             retry_budgets: Mutex::new(RetryBudgets::new(
                 host_retry_policy(0, 0, 1),
@@ -95,6 +99,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the evidence on prompt parts; ignores that another thread panicked while holding the
+    /// lock.
+    pub fn part_monitor(&self) -> MutexGuard<'_, PartMonitor> {
+        self.part_monitor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the retry budgets; ignores that another thread panicked while holding the lock.
     pub fn retry_budgets(&self) -> MutexGuard<'_, RetryBudgets> {
         self.retry_budgets
--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -34,11 +34,13 @@
     began_at: Instant,
     deadline_timer: Pin<Box<Sleep>>,
     exposure: Exposure,
+    has_data: bool,
     in_flight: InFlightGuard,
 }
 
 impl ForwardedBody {
-    /// Returns the body of `answered`; reading it fails with a timeout after `deadline`.
+    /// Returns the body of `answered`; reading it fails with a timeout after `deadline`. The answer
+    /// counts for or against the parts of `exposure`.
     pub fn new(
         context: &Arc<Context>,
         answered: UpstreamAnswer,
@@ -57,13 +59,29 @@
             began_at: now,
             deadline_timer: Box::pin(tokio::time::sleep(Duration::from_millis(left))),
             exposure,
+            has_data: false,
             in_flight,
         }
     }
 
+    /// Checks in the background whether the engine crashed.
+    fn check_for_crash(&self, streamed_ms: u64) {
+        let (context, exposure) = (self.context.clone(), self.exposure.clone());
+        let gateway = self.in_flight.gateway().clone();
+        tokio::spawn(async move {
+            exposure.record_break(&context, &gateway, streamed_ms).await;
+        });
+    }
+
     /// Records that the body is complete, and keeps the connection for later requests.
     fn complete(&mut self) {
         self.answer_log.set_outcome(Outcome::Whole);
+        match self.has_data {
+            false => self.check_for_crash(0),
+            true => self
+                .exposure
+                .record_whole(&self.context, self.in_flight.gateway()),
+        }
         if let Some((connection, Some(idle))) = self.connection.take() {
             tokio::spawn(connection.release(idle));
         }
@@ -95,11 +113,7 @@
                     .dispatcher()
                     .record_failure(now, &self.in_flight.handle);
                 self.answer_log.set_outcome(Outcome::Cut);
-                let (context, exposure) = (self.context.clone(), self.exposure.clone());
-                let streamed_ms = now.since(self.began_at);
-                tokio::spawn(async move {
-                    exposure.record_break(&context, &gateway, streamed_ms).await;
-                });
+                self.check_for_crash(now.since(self.began_at));
                 Poll::Ready(Some(Err(io::Error::other(error))))
             }
             Poll::Ready(Some(Ok(frame))) => {
@@ -108,6 +122,7 @@
                 gateway
                     .dispatcher()
                     .record_byte(now, &self.in_flight.handle);
+                self.has_data |= frame.is_data();
                 if self.body.is_end_stream() {
                     self.complete();
                 }
--- a/crates/hibiscushoistd/src/gateway_crash.rs
+++ b/crates/hibiscushoistd/src/gateway_crash.rs
@@ -1,4 +1,5 @@
-//! Detection of engines that crash under routed requests.
+//! Detection of engines that crash under routed requests, and refusal of prompts with quarantined
+//! parts.
 //!
 //! One broken answer proves no crash. An engine counts as crashed if it also refuses a new
 //! connection, and no idle connection to it is open.
@@ -13,12 +14,18 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use futures::future::Shared;
+use slog::Logger;
 
+use crate::answer::Failure;
 use crate::context::Context;
 use crate::gateway::Gateway;
 use crate::gateway::RoutedRequest;
+use crate::gateway::retryable_failure;
 use crate::gateway_attempt::connection_limits;
+use coordination::part_quarantine::Change;
 use coordination::upstream;
+use protocol::refusal::NotRun;
+use protocol::refusal::Reason;
 use transport::connection_pool;
 use transport::event;
 use transport::event::Event;
@@ -90,11 +97,12 @@
     }
 
     /// Checks whether the engine crashed, after it broke off an answer that had been streaming for
-    /// `streamed_ms`, and logs the crash if so.
+    /// `streamed_ms`, and records the crash if so.
     pub async fn record_break(&self, context: &Context, gateway: &Gateway, streamed_ms: u64) {
         if self.parts.len() < 2 || streamed_ms > SUSPECT_STREAM_MS || self.is_leaving(gateway) {
             return;
         }
+        let broken_at = context.clock.now();
         let is_connected = || {
             let idle = gateway.connection_pool.idle_addresses(self.limits);
             idle.contains(&self.address)
@@ -110,6 +118,23 @@
             "streamed_ms" => streamed_ms,
         );
         event::emit(&context.log, Event::EngineCrashed, details);
+        let host = context.settings.name.clone();
+        let (upstream, parts) = (self.upstream.clone(), self.parts.iter());
+        gateway
+            .part_monitor()
+            .record_crash(broken_at, host, upstream, parts);
+    }
+
+    /// Records that the engine gave a whole answer.
+    pub fn record_whole(&self, context: &Context, gateway: &Gateway) {
+        if self.parts.len() < 2 {
+            return;
+        }
+        let now = context.clock.now();
+        let changes = gateway
+            .part_monitor()
+            .record_success(now, self.parts.iter());
+        log_changes(&context.log, changes);
     }
 
     /// Returns whether the list says that the engine leaves; it may end with answers in flight.
@@ -121,6 +146,75 @@
     }
 }
 
+/// Checks whether a prompt has a quarantined part.
+///
+/// # Errors
+///
+/// Returns the failure for the caller if so; it states whether the request `may_have_run`.
+pub fn admit(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    may_have_run: bool,
+) -> Result<(), Failure> {
+    let now = context.clock.now();
+    let quarantined = {
+        let mut monitor = gateway.part_monitor();
+        if monitor.is_empty() {
+            return Ok(());
+        }
+        log_changes(&context.log, monitor.judge_alone(now));
+        monitor.quarantined(now, part_ids(routed))
+    };
+    let Some((part, left_ms)) = quarantined else {
+        return Ok(());
+    };
+    let details = slog::o!(
+        "request" => routed.request_head.request_id.clone(),
+        "part" => part,
+        "left_ms" => left_ms,
+        "may_have_run" => may_have_run,
+    );
+    event::emit(&context.log, Event::PartRefused, details);
+    Err(match may_have_run {
+        false => retryable_failure(Reason::PartQuarantined, left_ms),
+        true => Failure {
+            not_run: NotRun::Unknown,
+            reason: Reason::OutcomeUnknown,
+            retry_after_ms: None,
+        },
+    })
+}
+
+/// Logs and counts changes of the quarantined parts.
+pub fn log_changes(log: &Logger, changes: Vec<Change>) {
+    for change in changes {
+        match change {
+            Change::Quarantined {
+                part,
+                crashes,
+                length_ms,
+                upstreams,
+                hosts,
+            } => {
+                metrics::counter!(metric::PART_QUARANTINES, "change" => "quarantined").increment(1);
+                let details = slog::o!(
+                    "part" => part,
+                    "crashes" => crashes,
+                    "length_ms" => length_ms,
+                    "upstreams" => upstreams.join(","),
+                    "hosts" => hosts.join(","),
+                );
+                event::emit(log, Event::PartQuarantined, details);
+            }
+            Change::Released(part) => {
+                metrics::counter!(metric::PART_QUARANTINES, "change" => "released").increment(1);
+                event::emit(log, Event::PartReleased, slog::o!("part" => part));
+            }
+        }
+    }
+}
+
 /// Returns the IDs of the parts of a prompt, in order.
 fn part_ids(routed: &RoutedRequest) -> Vec<String> {
     let parts = routed.request_head.parts.iter();
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -23,6 +23,7 @@
 use crate::gateway_attempt::UpstreamAnswer;
 use crate::gateway_attempt::attempt;
 use crate::gateway_body;
+use crate::gateway_crash;
 use crate::gateway_crash::Exposure;
 use crate::gateway_placement;
 use crate::gateway_placement::place;
@@ -99,6 +100,10 @@
         match buffer_answer(context, &routed, answered).await {
             Ok(response) => {
                 answer_log.set_outcome(Outcome::Whole);
+                if response.status().is_success() {
+                    Exposure::new(&routed, upstream.id, upstream.address)
+                        .record_whole(context, gateway);
+                }
                 return Ok(response);
             }
             Err(reason) => {
@@ -176,10 +181,13 @@
     progress: &mut Progress,
 ) -> Result<UpstreamAnswer, Failure> {
     loop {
+        gateway_crash::admit(context, gateway, routed, progress.may_have_run)?;
         let (demand, choice) = match place(context, gateway, routed, progress).await {
             Err(refusal) => return Err(placement_failure(&context.log, routed, progress, refusal)),
             Ok(placed) => placed,
         };
+        // A part may have been quarantined while the request waited for a free engine.
+        gateway_crash::admit(context, gateway, routed, progress.may_have_run)?;
         let (may_have_run, reason) =
             match attempt(context, gateway, routed, progress, &demand, &choice).await {
                 Attempt::Answered(answered) => {
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -23,6 +23,7 @@
 use crate::gateway_answer_log::AnswerLog;
 use crate::gateway_answer_log::Outcome;
 use crate::gateway_attempt::UpstreamAnswer;
+use crate::gateway_crash::Exposure;
 use crate::gateway_retry;
 use crate::gateway_retry::FailedAttempt;
 use crate::gateway_retry::Progress;
@@ -108,7 +109,17 @@
             let began_at = Instant::now();
             let reason = match self.forward_attempt(&progress, answered).await {
                 End::Caller => return self.abort(Outcome::Left).await,
-                End::Complete => return self.answer_log.set_outcome(Outcome::Whole),
+                End::Complete => {
+                    self.answer_log.set_outcome(Outcome::Whole);
+                    let exposure = Exposure::new(&self.routed, upstream.id, upstream.address);
+                    let (context, gateway) = (&self.context, &self.gateway);
+                    // An answer that ends with its connection looks complete after a crash too.
+                    match self.splitter.last() > self.routed.resume_after {
+                        false => exposure.record_break(context, gateway, 0).await,
+                        true => exposure.record_whole(context, gateway),
+                    }
+                    return;
+                }
                 End::Deadline => return self.abort(Outcome::Deadline).await,
                 End::Broken(reason) => reason,
             };
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -14,6 +14,7 @@
 
 use crate::broker::Error;
 use crate::broker::Handle;
+use crate::gateway_crash;
 use crate::member;
 use crate::owner::Part;
 use crate::suspects::Suspects;
@@ -29,6 +30,7 @@
 use coordination::choice;
 use coordination::choice::Choice;
 use coordination::gossip::Message;
+use coordination::part_evidence::EvidenceCollector;
 use coordination::prefix_log::PrefixLog;
 use coordination::quarantine;
 use coordination::routing_update;
@@ -69,6 +71,10 @@
     pub desk: Arc<Mutex<Assigner>>,
     /// Shows the upstreams of routed services, as this host published them while it led.
     pub fleet: watch::Receiver<Arc<Fleet>>,
+    /// Collects evidence on prompt parts that crash engines while this host leads.
+    pub evidence: Arc<Mutex<EvidenceCollector>>,
+    /// Receives the events.
+    pub log: Logger,
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
     /// Adds up what hosts have under way at upstreams.
@@ -165,6 +171,11 @@
             ask.prefix_position,
         );
         drop(bulletin);
+        let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
+        let (part_verdict, changes) =
+            evidence.exchange(now, reading.term, &ask.host, &ask.part_evidence);
+        drop(evidence);
+        gateway_crash::log_changes(&self.log, changes);
         let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
         let loads = tally.report(now, ask.host, ask.loads);
         drop(tally);
@@ -173,6 +184,7 @@
             fleet,
             cached_prefixes,
             loads,
+            part_verdict,
             prefix_position,
             table: (table.version > ask.table_version).then(|| table.clone()),
             version_ages: versions.ages(now),
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -148,6 +148,7 @@
                         gateway
                             .dispatcher()
                             .requeue_prefix_updates(context.clock.now());
+                        gateway.part_monitor().requeue_evidence();
                     }
                     leader = hint.filter(|hint| *hint != target);
                     tokio::time::sleep(FAILURE_PAUSE).await;
@@ -179,9 +180,15 @@
             )
         });
         let (assignment_ids, loads, cached_prefixes) = local_updates.unwrap_or_default();
+        let gateway = context.gateway.as_ref();
+        let part_evidence = gateway.map(|gateway| {
+            let mut monitor = gateway.part_monitor();
+            monitor.take_evidence(polled_at)
+        });
         let request = Request {
             edition: snapshot.fleet.edition,
             assignment_ids,
+            part_evidence: part_evidence.unwrap_or_default(),
             prefix_position: *prefix_position,
             host: context.settings.name.clone(),
             loads,
@@ -209,6 +216,8 @@
             versions.merge(polled_at, &update.version_ages);
             versions.record(polled_at, &update.weights);
             drop(versions);
+            let verdict = update.part_verdict.take();
+            gateway.part_monitor().adopt(now, verdict);
             let loads = std::mem::take(&mut update.loads);
             let cached_prefixes = std::mem::take(&mut update.cached_prefixes);
             let mut dispatcher = gateway.dispatcher();
--- a/crates/hibiscushoistd/tests/routed_upstream/mod.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/mod.rs
@@ -19,6 +19,7 @@
 use http_body_util::StreamBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -27,10 +28,14 @@
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 /// Length of the stall in a stream; long enough for a host to check several times whether another
 /// upstream can take over.
 const STALL_TIME: Duration = Duration::from_millis(2_500);
+/// Time from a crash until the upstream listens again.
+const DOWN_TIME: Duration = Duration::from_millis(500);
 /// Number of events of a complete stream.
 pub const EVENTS: u64 = 6;
 
@@ -69,12 +74,33 @@
 #[derive(Debug, Default)]
 struct Shared {
     cancelled: u32,
+    crash: Arc<Notify>,
+    crashes: u32,
+    deadly_part: Option<String>,
+    has_unframed_crashes: bool,
     mode: Mode,
     orders: Vec<Value>,
     received: Vec<Received>,
     version: u64,
 }
 
+impl Shared {
+    /// Closes the listener and all connections for a while.
+    fn crash(&mut self) {
+        self.crashes += 1;
+        self.crash.notify_one();
+    }
+
+    /// Returns whether a prompt has the deadly part.
+    fn is_deadly(&self, parts: &str) -> bool {
+        let Some(deadly) = &self.deadly_part else {
+            return false;
+        };
+        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+        ids.any(|id| id == deadly)
+    }
+}
+
 /// A fake upstream; clones share one state.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -95,8 +121,9 @@
         let name = id.to_owned();
         let handle =
             move |request| -> Answer { Box::pin(answer(state.clone(), name.clone(), request)) };
+        let crash = shared.lock().unwrap().crash.clone();
         Self {
-            address: listen(handle).await,
+            address: listen(handle, crash).await,
             id: id.to_owned(),
             service: service.to_owned(),
             shared,
@@ -108,6 +135,23 @@
         self.shared.lock().unwrap().mode = mode;
     }
 
+    /// Makes the upstream crash whenever it begins to answer a request with this part, and come
+    /// back a little later.
+    pub fn set_deadly_part(&self, part: &str) {
+        self.shared.lock().unwrap().deadly_part = Some(part.to_owned());
+    }
+
+    /// Makes the answer with which the upstream crashes have neither a length nor chunks, so that
+    /// it looks complete when the connection ends.
+    pub fn set_unframed_crashes(&self) {
+        self.shared.lock().unwrap().has_unframed_crashes = true;
+    }
+
+    /// Returns how often the upstream has crashed.
+    pub fn crashes(&self) -> u32 {
+        self.shared.lock().unwrap().crashes
+    }
+
     /// Returns the received requests, without orders and requests for a report.
     pub fn received(&self) -> Vec<Received> {
         self.shared.lock().unwrap().received.clone()
@@ -139,33 +183,50 @@
 
 /// Starts a server with the list of `upstreams`, and returns its address.
 pub async fn start_list(upstreams: Vec<Upstream>) -> SocketAddr {
-    listen(move |_| -> Answer {
+    let handle = move |_| -> Answer {
         let instances: Vec<Value> = upstreams.iter().map(Upstream::list_entry).collect();
         let page = json!({"instances": instances, "next": null});
         Box::pin(async move { response(200, page.to_string()) })
-    })
-    .await
+    };
+    listen(handle, Arc::default()).await
 }
 
-/// Starts an HTTP server on a free port, and returns its address.
+/// Starts an HTTP server on a free port, and returns its address. At each notification of `crash`,
+/// its connections and its listener close, and it listens again a little later.
 async fn listen(
     handle: impl Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
+    crash: Arc<Notify>,
 ) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let handle = handle.clone();
-            let service = service_fn(move |request| {
-                let answer = handle(request);
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        loop {
+            tokio::select! {
+                () = serve(listener, handle.clone()) => return,
+                () = crash.notified() => tokio::time::sleep(DOWN_TIME).await,
+            }
+            listener = TcpListener::bind(address).await.unwrap();
         }
     });
     address
 }
 
+/// Serves the connections to `listener`, which all close when this is dropped.
+async fn serve(
+    listener: TcpListener,
+    handle: impl Fn(Request<Incoming>) -> Answer + Clone + Send + Sync + 'static,
+) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let handle = handle.clone();
+        let service = service_fn(move |request| {
+            let answer = handle(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        connections.spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
 /// Counts a request as cancelled if it is dropped before the answer is ready.
 struct CancellationCounter {
     answered: bool,
@@ -218,14 +279,15 @@
         return response(421, String::new());
     }
     let request_id = text("x-request-id").unwrap_or_default().to_owned();
-    let mode = {
+    let parts = text("x-prompt-prefix").unwrap_or_default();
+    let (mode, is_deadly) = {
         let mut shared = shared.lock().unwrap();
         shared.received.push(Received {
             body,
             headers: head.headers.clone(),
             path,
         });
-        shared.mode
+        (shared.mode, shared.is_deadly(parts))
     };
     let is_stream = head.uri.path().starts_with("/stream/");
     let after = text("last-event-id").and_then(|id| id.parse().ok());
@@ -235,6 +297,7 @@
         shared,
     };
     let mut response = match mode {
+        _ if is_deadly => crashing_stream(cancellation_counter.shared.clone()),
         Mode::Crossed => response(200, "answer".to_owned()),
         Mode::Cut if is_stream => response_of(200, vec![Ok(events(after, after + 2)), Err(())]),
         Mode::Cut => response_of(200, vec![Ok("ans".to_owned()), Err(())]),
@@ -273,6 +336,22 @@
     response_of(status, vec![Ok(text)])
 }
 
+/// Returns a stream with which the upstream crashes before the first event.
+fn crashing_stream(shared: Arc<Mutex<Shared>>) -> Response<Body> {
+    let is_unframed = shared.lock().unwrap().has_unframed_crashes;
+    let crash = async move {
+        // Let the head be sent before the connection breaks.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        shared.lock().unwrap().crash();
+        std::future::pending().await
+    };
+    let mut response = Response::new(StreamBody::new(stream::once(crash).boxed()));
+    if is_unframed {
+        *response.version_mut() = Version::HTTP_10;
+    }
+    response
+}
+
 /// Returns a complete stream that stalls once, in the middle.
 fn stalling_stream(after: u64) -> Response<Body> {
     let half = after + (EVENTS - after) / 2;
--- a/crates/hibiscushoistd/tests/routed_upstream/setup.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/setup.rs
@@ -36,6 +36,8 @@
     pub daemon: Option<Daemon>,
     pub first: Upstream,
     pub leader: Option<Leader>,
+    /// Address at which other daemons reach the first one.
+    pub peer: SocketAddr,
     pub readiness: SocketAddr,
     pub routed: SocketAddr,
     pub second: Upstream,
@@ -153,18 +155,28 @@
         let daemon = start_host("b", "entry", &sections, &[leader.peer_address()]).await;
         let setup = Self {
             leader: Some(runtime),
+            peer: leader.peer_address(),
             ..Self::new(leader.bound().control[0], daemon, first, second)
         };
         setup.apply_table().await;
         setup
     }
 
+    /// Starts another host without a voter, and returns it with its address for callers.
+    pub async fn start_another(&self, name: &str) -> (Daemon, SocketAddr) {
+        let sections = format!("{GATEWAY}{CALLERS}freshness_ms = 3600000\n");
+        let daemon = start_host(name, "entry", &sections, &[self.peer]).await;
+        let routed = daemon.bound().callers.unwrap();
+        (daemon, routed)
+    }
+
     fn new(control: SocketAddr, daemon: Daemon, first: Upstream, second: Upstream) -> Self {
         Self {
             client: Client::builder(TokioExecutor::new()).build_http(),
             control,
             first,
             leader: None,
+            peer: daemon.peer_address(),
             readiness: daemon.bound().readiness.unwrap(),
             routed: daemon.bound().callers.unwrap(),
             second,
--- a/crates/protocol/src/refusal.rs
+++ b/crates/protocol/src/refusal.rs
@@ -55,6 +55,8 @@
     OutcomeUnknown,
     /// A queue or channel is full.
     Overloaded,
+    /// A part of the prompt crashes engines and is quarantined.
+    PartQuarantined,
     /// The request crashed upstreams and is quarantined.
     Quarantined,
     /// The voters have no quorum at the moment.
@@ -89,6 +91,7 @@
             Self::Draining
             | Self::NoUpstream
             | Self::Overloaded
+            | Self::PartQuarantined
             | Self::QuorumAway
             | Self::RetryBudget => 503,
             Self::KeyExpired | Self::KeyReused | Self::KeyRunning => 409,
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -40,6 +40,12 @@
     RequestAnswered = 125,
     /// An engine crashed under a request whose prompt has parts that others share.
     EngineCrashed = 130,
+    /// A part of prompts was quarantined, because engines crash that begin to answer them.
+    PartQuarantined = 131,
+    /// A whole answer ended the quarantine of a part.
+    PartReleased = 132,
+    /// A request was refused because a part of its prompt is quarantined.
+    PartRefused = 133,
     /// An accepted edit is in force on this host.
     TableApplied = 200,
     /// An edit was refused.
@@ -141,6 +147,7 @@
             | Self::FleetChanged
             | Self::HostLoaded
             | Self::OutlookStale
+            | Self::PartRefused
             | Self::RequestAnswered
             | Self::RequestRefused
             | Self::RoutedRefused
@@ -157,6 +164,7 @@
             | Self::LogTorn
             | Self::OutlookFailed
             | Self::OwnerAway
+            | Self::PartQuarantined
             | Self::Paused
             | Self::PeerRefused
             | Self::RolloutBlocked
@@ -175,6 +183,7 @@
             | Self::HostSuspected
             | Self::LeadershipGained
             | Self::LinkMended
+            | Self::PartReleased
             | Self::ReloadDone
             | Self::ReloadOrdered
             | Self::ReloadWaiting
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -29,6 +29,8 @@
 pub const LOG_TERM: &str = "hibiscushoist_log_term";
 /// Counter of orders to plain services, by outcome.
 pub const ORDERS: &str = "hibiscushoist_orders_total";
+/// Counter of changes of the quarantined prompt parts, by kind of change.
+pub const PART_QUARANTINES: &str = "hibiscushoist_part_quarantines_total";
 /// Counter of requests for routing updates that a voter did not answer.
 pub const OUTLOOK_FAILURES: &str = "hibiscushoist_outlook_failures_total";
 /// Gauge of the upstreams that this host owns.
