Take a stream that ends inside an event for broken off

Callers of a routed stream got half an event and a regular end: of events 1 to 6, an upstream sent two and a half and closed its connection, and the caller read "id: 3\ndata: to" as the end of a complete answer.

An answer may have neither a length nor chunks and end with its connection; nothing in HTTP then tells a whole body from a part. The gateway took the end of every body for the end of the stream, and forwarded what followed the last whole event.

The position within the event now decides. Where the body ends inside one, with or without length or chunks, a resumable stream goes on at another upstream after its last whole event. Otherwise the connection to the caller ends without the final chunk; of a body with a length only the whole events are forwarded, since the last byte would make it look complete. The upstream is recorded as failing and the outcome logged as cut. Lines may end with a carriage return before the line feed, so that such streams are not taken for one endless event.

Plain answers without a length were sound: hyper reports a reset connection, and the caller gets 502.

--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -22,6 +22,7 @@
 use crate::gateway_attempt::InFlightGuard;
 use crate::gateway_attempt::UpstreamAnswer;
 use crate::gateway_crash::Exposure;
+use protocol::event_stream::Position;
 use state::time::Instant;
 use transport::connection_pool::PooledConnection;
 
@@ -35,7 +36,12 @@
     deadline_timer: Pin<Box<Sleep>>,
     exposure: Exposure,
     has_data: bool,
+    /// Error with which reads fail, once the upstream has broken off the body.
+    error: Option<io::Error>,
+    /// Whether a read has waited for the server to flush what was forwarded before the error.
+    flushed: bool,
     in_flight: InFlightGuard,
+    position: Position,
 }
 
 impl ForwardedBody {
@@ -60,7 +66,10 @@
             deadline_timer: Box::pin(tokio::time::sleep(Duration::from_millis(left))),
             exposure,
             has_data: false,
+            error: None,
+            flushed: false,
             in_flight,
+            position: Position::default(),
         }
     }
 
@@ -73,9 +82,64 @@
         });
     }
 
+    /// Records that the upstream broke off the body, and returns the error.
+    fn cut(&mut self, error: io::Error) -> io::Error {
+        let now = self.context.clock.now();
+        let gateway = self.in_flight.gateway();
+        gateway
+            .dispatcher()
+            .record_failure(now, &self.in_flight.handle);
+        self.answer_log.set_outcome(Outcome::Cut);
+        self.check_for_crash(now.since(self.began_at));
+        error
+    }
+
+    /// Fails the read of a body that was broken off, once the server has flushed what was
+    /// forwarded; it drops that when a read fails.
+    fn poll_error(
+        &mut self,
+        task: &Task<'_>,
+        error: io::Error,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.flushed {
+            return Poll::Ready(Some(Err(error)));
+        }
+        self.flushed = true;
+        self.error = Some(error);
+        task.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    /// Returns the part of a frame that is forwarded: all of it, unless the body ends with it
+    /// inside an event. With such a frame, a body of known length would look complete to the
+    /// caller.
+    fn forwarded(&mut self, frame: Frame<Bytes>) -> Frame<Bytes> {
+        let mut data = match frame.into_data() {
+            Err(trailers) => return trailers,
+            Ok(data) => data,
+        };
+        let mut whole_events_len = 0;
+        for (index, byte) in data.iter().enumerate() {
+            if self.position.advance(*byte) {
+                whole_events_len = index + 1;
+            }
+        }
+        match (self.body.is_end_stream(), self.position.is_inside_event()) {
+            (false, _) => {}
+            (true, false) => self.complete(),
+            (true, true) => {
+                self.error = Some(self.cut(io::ErrorKind::UnexpectedEof.into()));
+                data.truncate(whole_events_len);
+            }
+        }
+        Frame::data(data)
+    }
+
     /// Records that the body is complete, and keeps the connection for later requests.
     fn complete(&mut self) {
         self.answer_log.set_outcome(Outcome::Whole);
+        let gateway = self.in_flight.gateway();
+        gateway.dispatcher().record_success(&self.in_flight.handle);
         match self.has_data {
             false => self.check_for_crash(0),
             true => self
@@ -100,21 +164,22 @@
             self.answer_log.set_outcome(Outcome::Deadline);
             return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
         }
+        if let Some(error) = self.error.take() {
+            return self.poll_error(task, error);
+        }
         match Pin::new(&mut self.body).poll_frame(task) {
             Poll::Pending => Poll::Pending,
+            Poll::Ready(None) if self.position.is_inside_event() => {
+                let error = self.cut(io::ErrorKind::UnexpectedEof.into());
+                self.poll_error(task, error)
+            }
             Poll::Ready(None) => {
                 self.complete();
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(error))) => {
-                let now = self.context.clock.now();
-                let gateway = self.in_flight.gateway().clone();
-                gateway
-                    .dispatcher()
-                    .record_failure(now, &self.in_flight.handle);
-                self.answer_log.set_outcome(Outcome::Cut);
-                self.check_for_crash(now.since(self.began_at));
-                Poll::Ready(Some(Err(io::Error::other(error))))
+                let error = self.cut(io::Error::other(error));
+                self.poll_error(task, error)
             }
             Poll::Ready(Some(Ok(frame))) => {
                 let now = self.context.clock.now();
@@ -123,16 +188,13 @@
                     .dispatcher()
                     .record_byte(now, &self.in_flight.handle);
                 self.has_data |= frame.is_data();
-                if self.body.is_end_stream() {
-                    self.complete();
-                }
-                Poll::Ready(Some(Ok(frame)))
+                Poll::Ready(Some(Ok(self.forwarded(frame))))
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.error.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -383,10 +383,6 @@
     answer_log: AnswerLog,
 ) -> Response<Body> {
     let head = answered.response_head();
-    let gateway = answered.in_flight.gateway().clone();
-    gateway
-        .dispatcher()
-        .record_success(&answered.in_flight.handle);
     let upstream = &answered.choice.upstream;
     let exposure = Exposure::new(routed, &upstream.id, upstream.address);
     let body =
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -94,6 +94,10 @@
     tokio::spawn(forwarder.run(progress, answered));
     let parts = stream::unfold(parts, |mut parts| async {
         let part = parts.recv().await?;
+        if part.is_err() {
+            // The server drops what it has not flushed when a read fails.
+            tokio::task::yield_now().await;
+        }
         Some((part, parts))
     });
     Response::from_parts(head, Body::new(StreamBody::new(parts.boxed())))
@@ -193,18 +197,14 @@
             check_after = stall_time;
             let now = self.context.clock.now();
             let bytes = match frame {
-                None => {
+                None if !self.splitter.is_inside_event() => {
                     self.gateway.dispatcher().record_success(&in_flight.handle);
-                    let rest = self.splitter.finish();
                     if let Some(idle) = idle_limit {
                         tokio::spawn(connection.release(idle));
                     }
-                    return match rest.is_empty() || self.send(rest).await {
-                        false => End::Caller,
-                        true => End::Complete,
-                    };
+                    return End::Complete;
                 }
-                Some(Err(_)) => {
+                None | Some(Err(_)) => {
                     self.gateway
                         .dispatcher()
                         .record_failure(now, &in_flight.handle);
--- a/crates/protocol/src/event_stream.rs
+++ b/crates/protocol/src/event_stream.rs
@@ -3,14 +3,46 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-/// Separator that ends an event.
-const END: &[u8] = b"\n\n";
+/// Position of a reader in an event stream, whose lines end with a line feed, with or without a
+/// carriage return before it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Position {
+    inside_event: bool,
+    inside_line: bool,
+}
+
+impl Position {
+    /// Moves past `byte`, and returns whether it ends an event or an empty line between events.
+    pub fn advance(&mut self, byte: u8) -> bool {
+        match byte {
+            b'\n' if self.inside_line => self.inside_line = false,
+            b'\n' => {
+                self.inside_event = false;
+                return true;
+            }
+            b'\r' => {}
+            _ => {
+                *self = Self {
+                    inside_event: true,
+                    inside_line: true,
+                }
+            }
+        }
+        false
+    }
+
+    /// Returns whether the stream, if it ended here, would end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.inside_event
+    }
+}
 
 /// Passes on only whole events, and each event only once.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
     last_id: Option<u64>,
+    position: Position,
 }
 
 impl Splitter {
@@ -19,16 +51,20 @@
         Self {
             buffer: BytesMut::new(),
             last_id,
+            position: Position::default(),
         }
     }
 
     /// Appends bytes of the stream and returns the events that they complete, without those that
     /// were passed on before.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
-        self.buffer.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
-        while let Some(end) = find_end(&self.buffer) {
-            let event = self.buffer.split_to(end + END.len());
+        for byte in bytes {
+            self.buffer.extend_from_slice(&[*byte]);
+            if !self.position.advance(*byte) {
+                continue;
+            }
+            let event = self.buffer.split();
             let id = id(&event);
             if id.is_some() && id <= self.last_id {
                 continue;
@@ -42,11 +78,12 @@
     /// Drops the incomplete event at the end of the buffer, because its source was lost.
     pub fn restart(&mut self) {
         self.buffer.clear();
+        self.position = Position::default();
     }
 
-    /// Returns the bytes after the last whole event, for a stream that ended normally.
-    pub fn finish(&mut self) -> Bytes {
-        self.buffer.split().freeze()
+    /// Returns whether the stream, if it ended here, would end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.position.is_inside_event()
     }
 
     /// Returns the id of the last event that was passed on.
@@ -55,11 +92,6 @@
     }
 }
 
-/// Returns the position of the first separator.
-fn find_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(END.len()).position(|window| window == END)
-}
-
 /// Returns the id of an event, if it has one that is a number.
 fn id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
