Limit what is read from an upstream without progress

Where the body was read as a whole over a pooled connection (pages of the list, reports of engines, answers to orders), all of it was kept in memory.

Cause: no limit on what is read. hyper limits a head, chunk extensions and trailers, but skips interim answers (100 Continue) and zeros or blanks in a chunk's size for ever, and `ConnectionPool::exchange` collected a body of any size.

Now `transport::read_limit` counts the bytes of each connection. 64 KiB may arrive until a head is complete, and again until the next part of a body; then the read fails and the connection is closed. That counts as a broken connection, so a request that may be repeated goes on at another upstream and the circuit breaker counts a failure. A head, and what is read ahead of a slow reader, is limited to 32 KiB a connection; hyper's default was 408 KiB, which for some hundred connections is more than a small host has. An exchange reads 1 MiB at most. The whole cache of an engine (64 MiB, twice that while it is joined) is limited to 16 MiB, and the product's list of hosts to 4 MiB.

There is no new limit in time: bytes that trickle inside a head count as silence, which is no reason to end an answer before its deadline.

--- a/crates/hibiscushoistd/src/feed.rs
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -38,8 +38,10 @@
 const ENGINE: &str = "engine";
 /// Gives the time between two readings of one engine.
 const INTERVAL: Duration = Duration::from_millis(50);
+/// Bounds the exchanges with an engine; its whole cache has tens of thousands of blocks, each named
+/// in about a hundred bytes.
 const LIMITS: Limits = Limits {
-    body_limit: 64 << 20,
+    body_limit: 16 << 20,
     connect_timeout: Duration::from_millis(500),
     head_timeout: Duration::from_millis(1_000),
     idle_timeout: Duration::from_millis(1_000),
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -6,7 +6,6 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderMap;
 use hyper::http;
@@ -28,6 +27,7 @@
 use state::time::Instant;
 use transport::connection_pool;
 use transport::connection_pool::PooledConnection;
+use transport::read_limit;
 
 /// Timeout of a connection attempt to an upstream; within a region it takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -81,7 +81,7 @@
     pub choice: Choice,
     answer_head: AnswerHead,
     connection: PooledConnection,
-    response: Response<Incoming>,
+    response: Response<read_limit::Body>,
     /// Time at which the attempt began.
     pub sent_at: Instant,
     /// Counts the request as in flight at the upstream.
@@ -99,7 +99,14 @@
 
     /// Returns the body, its connection, how long the connection may stay open idle afterwards (if
     /// at all), and the guard of the request in flight.
-    pub fn into_stream(self) -> (Incoming, PooledConnection, Option<Duration>, InFlightGuard) {
+    pub fn into_stream(
+        self,
+    ) -> (
+        read_limit::Body,
+        PooledConnection,
+        Option<Duration>,
+        InFlightGuard,
+    ) {
         let idle_limit = idle_limit(&self.answer_head);
         (
             self.response.into_body(),
--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -12,7 +12,6 @@
 use futures::FutureExt;
 use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use tokio::time::Sleep;
 
@@ -25,12 +24,13 @@
 use protocol::event_stream::Position;
 use state::time::Instant;
 use transport::connection_pool::PooledConnection;
+use transport::read_limit;
 
 /// The body of an upstream's answer, as it is forwarded to the caller.
 pub struct ForwardedBody {
     answer_log: AnswerLog,
     context: Arc<Context>,
-    body: Incoming,
+    body: read_limit::Body,
     connection: Option<(PooledConnection, Option<Duration>)>,
     began_at: Instant,
     deadline_timer: Pin<Box<Sleep>>,
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -12,7 +12,6 @@
 use http_body_util::StreamBody;
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -33,6 +32,7 @@
 use transport::event;
 use transport::event::Event;
 use transport::http::Body;
+use transport::read_limit;
 
 /// Number of parts of an answer that are buffered for a slow caller.
 const CALLER_BUFFER_PARTS: usize = 16;
@@ -232,7 +232,7 @@
 }
 
 /// Returns the next data frame of a body and skips trailers.
-async fn next_bytes(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+async fn next_bytes(body: &mut read_limit::Body) -> Option<Result<Bytes, hyper::Error>> {
     loop {
         match body.frame().await? {
             Err(error) => return Some(Err(error)),
--- a/crates/hibiscushoistd/src/platform.rs
+++ b/crates/hibiscushoistd/src/platform.rs
@@ -11,8 +11,9 @@
 use transport::upstream::Limits;
 
 const INTERVAL: Duration = Duration::from_millis(500);
+/// Bounds one read of the list, which has two thousand entries of a few hundred bytes at most.
 const LIMITS: Limits = Limits {
-    body_limit: 16 << 20,
+    body_limit: 4 << 20,
     connect_timeout: Duration::from_millis(1_000),
     head_timeout: Duration::from_millis(2_000),
     idle_timeout: Duration::from_millis(2_000),
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -3,6 +3,7 @@
 //! A connection carries one request at a time.
 
 use std::collections::HashMap;
+use std::error;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +15,8 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -25,8 +28,16 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::read_limit;
+use crate::read_limit::Allowance;
+use crate::read_limit::MAX_HEAD_BYTES;
+use crate::read_limit::ReadLimitStream;
+
 /// Idle connections that are kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
+/// Size limit of an answer that is read as a whole, in bytes; a page of the list of upstreams has
+/// fifty entries of a few hundred bytes, and a report of an engine is shorter.
+const MAX_WHOLE_ANSWER_BYTES: usize = 1 << 20;
 /// Time for which sent bytes may stay unacknowledged before the kernel closes the connection.
 ///
 /// A path that lost packets recovers well within this time.
@@ -52,7 +63,7 @@
         /// Address of the upstream.
         address: SocketAddr,
         /// Cause of the failure.
-        source: hyper::Error,
+        source: Box<dyn error::Error + Send + Sync>,
     },
     /// The answer was not complete in time.
     #[error("upstream {address} did not answer within {limit:?}")]
@@ -62,6 +73,14 @@
         /// Time limit that was exceeded.
         limit: Duration,
     },
+    /// The answer is too long.
+    #[error("upstream {address} sent more than {limit} bytes")]
+    TooLong {
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// Size limit that was exceeded, in bytes.
+        limit: usize,
+    },
 }
 
 impl Error {
@@ -71,9 +90,15 @@
     }
 }
 
+/// An open connection.
+struct Connection {
+    allowance: Allowance,
+    sender: SendRequest<Body>,
+}
+
 /// A connection that waits in the pool for the next request.
 struct IdleConnection {
-    sender: SendRequest<Body>,
+    connection: Connection,
     idle_since: Instant,
     expires_at: Instant,
 }
@@ -83,7 +108,7 @@
     /// `limit`.
     fn is_usable(&self, now: Instant, limit: Duration) -> bool {
         let is_fresh = self.expires_at > now && now.duration_since(self.idle_since) <= limit;
-        is_fresh && !self.sender.is_closed()
+        is_fresh && !self.connection.sender.is_closed()
     }
 }
 
@@ -98,8 +123,8 @@
 /// Dropping it closes the connection.
 pub struct PooledConnection {
     address: SocketAddr,
+    connection: Connection,
     pool: ConnectionPool,
-    sender: SendRequest<Body>,
 }
 
 /// Limits on the connection that carries a request.
@@ -126,23 +151,25 @@
         address: SocketAddr,
         mut request: Request<Body>,
         limits: Limits,
-    ) -> Result<(Response<Incoming>, PooledConnection), Error> {
-        while let Some(mut sender) = self.take(address, limits.max_idle) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, self.pooled(address, sender))),
+    ) -> Result<(Response<read_limit::Body>, PooledConnection), Error> {
+        let disconnected = |source: hyper::Error| Error::Disconnected {
+            address,
+            source: source.into(),
+        };
+        while let Some(mut connection) = self.take(address, limits.max_idle) {
+            connection.allowance.renew();
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.answered(address, connection, response)),
                 Err(mut failure) => match failure.take_message() {
-                    None => {
-                        let source = failure.into_error();
-                        return Err(Error::Disconnected { address, source });
-                    }
+                    None => return Err(disconnected(failure.into_error())),
                     Some(unsent) => request = unsent,
                 },
             }
         }
-        let mut sender = connect(address, limits.connect_timeout).await?;
-        match sender.send_request(request).await {
-            Err(source) => Err(Error::Disconnected { address, source }),
-            Ok(response) => Ok((response, self.pooled(address, sender))),
+        let mut connection = connect(address, limits.connect_timeout).await?;
+        match connection.sender.send_request(request).await {
+            Err(source) => Err(disconnected(source)),
+            Ok(response) => Ok(self.answered(address, connection, response)),
         }
     }
 
@@ -163,8 +190,14 @@
         let exchange = async {
             let (response, connection) = self.send(address, request, limits).await?;
             let (head, body) = response.into_parts();
-            let body = body.collect().await;
-            let body = body.map_err(|source| Error::Disconnected { address, source })?;
+            let body = Limited::new(body, MAX_WHOLE_ANSWER_BYTES).collect().await;
+            let body = body.map_err(|source| match source.is::<LengthLimitError>() {
+                false => Error::Disconnected { address, source },
+                true => Error::TooLong {
+                    address,
+                    limit: MAX_WHOLE_ANSWER_BYTES,
+                },
+            })?;
             connection.release(limits.max_idle).await;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
@@ -178,7 +211,7 @@
         idle_by_address.retain(|address, _| addresses.contains(address));
         let now = Instant::now();
         for kept in idle_by_address.values_mut() {
-            kept.retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+            kept.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
         }
     }
 
@@ -192,22 +225,30 @@
         open.map(|(address, _)| *address).collect()
     }
 
-    fn pooled(&self, address: SocketAddr, sender: SendRequest<Body>) -> PooledConnection {
-        PooledConnection {
+    fn answered(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> (Response<read_limit::Body>, PooledConnection) {
+        let allowance = connection.allowance.clone();
+        let response = response.map(|body| read_limit::Body::new(body, allowance));
+        let pooled = PooledConnection {
             address,
+            connection,
             pool: self.clone(),
-            sender,
-        }
+        };
+        (response, pooled)
     }
 
     /// Takes the connection to `address` that became idle last, if one is usable, out of the pool.
-    fn take(&self, address: SocketAddr, idle_limit: Duration) -> Option<SendRequest<Body>> {
+    fn take(&self, address: SocketAddr, idle_limit: Duration) -> Option<Connection> {
         let now = Instant::now();
         let mut idle_by_address = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle_by_address.get_mut(&address)?;
         while let Some(idle) = kept.pop() {
-            if idle.is_usable(now, idle_limit) && idle.sender.is_ready() {
-                return Some(idle.sender);
+            if idle.is_usable(now, idle_limit) && idle.connection.sender.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
@@ -219,12 +260,12 @@
     ///
     /// Closes it instead if it has failed or the pool is full for this upstream.
     pub async fn release(mut self, max_idle: Duration) {
-        if self.sender.ready().await.is_err() {
+        if self.connection.sender.ready().await.is_err() {
             return;
         }
         let now = Instant::now();
         let connection = IdleConnection {
-            sender: self.sender,
+            connection: self.connection,
             idle_since: now,
             expires_at: now + max_idle,
         };
@@ -240,7 +281,7 @@
     }
 }
 
-async fn connect(address: SocketAddr, limit: Duration) -> Result<SendRequest<Body>, Error> {
+async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, Error> {
     let failed = |source| Error::Connect { address, source };
     let connected = timeout(limit, TcpStream::connect(address)).await;
     let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
@@ -250,8 +291,14 @@
     stream.set_nodelay(true).map_err(failed)?;
     sockopt::set_tcp_user_timeout(&stream, TCP_USER_TIMEOUT_MS)
         .map_err(|errno| failed(errno.into()))?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let allowance = Allowance::default();
+    allowance.renew();
+    let stream = ReadLimitStream::new(stream, allowance.clone());
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(|error| failed(io::Error::other(error)))?;
     tokio::spawn(connection);
-    Ok(sender)
+    Ok(Connection { allowance, sender })
 }
--- a/crates/transport/src/engine.rs
+++ b/crates/transport/src/engine.rs
@@ -10,12 +10,12 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::http::HeaderMap;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::read_limit::Body;
 use crate::sse;
 use crate::sse::Decoder;
 use crate::upstream::Connection;
@@ -66,7 +66,7 @@
 /// The stream of one answer; dropping it closes the connection, which cancels the answer.
 #[derive(Debug)]
 pub struct Stream {
-    body: Incoming,
+    body: Body,
     connection: Connection,
     decoder: Decoder,
     decoded: VecDeque<Item>,
@@ -234,7 +234,7 @@
     }
 
     /// Turns an unsuccessful response into an error, with the refusal in its body if there is one.
-    async fn read_refusal(&self, connection: &Connection, response: Response<Incoming>) -> Error {
+    async fn read_refusal(&self, connection: &Connection, response: Response<Body>) -> Error {
         let status = response.status().as_u16();
         let address = self.address;
         let body = match connection.read_body(response.into_body()).await {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod platform;
 pub mod raft_store;
 pub mod reachability;
+pub mod read_limit;
 pub mod service;
 pub mod sse;
 pub mod upstream;
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -12,7 +12,6 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::HOST;
@@ -24,6 +23,10 @@
 use tokio::time::Duration;
 use tokio::time::timeout;
 
+use crate::read_limit::Allowance;
+use crate::read_limit::Body;
+use crate::read_limit::MAX_HEAD_BYTES;
+use crate::read_limit::ReadLimitStream;
 use crate::sse;
 use protocol::engine;
 use protocol::refusal::NotRun;
@@ -46,7 +49,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            body_limit: 64 << 20,
+            body_limit: 16 << 20,
             connect_timeout: Duration::from_millis(1_000),
             head_timeout: Duration::from_millis(10_000),
             idle_timeout: Duration::from_millis(5_000),
@@ -183,6 +186,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
+    allowance: Allowance,
     limits: Limits,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
@@ -203,14 +207,19 @@
         };
         let failed = |source| Error::Connect { address, source };
         stream.set_nodelay(true).map_err(failed)?;
-        let io = TokioIo::new(stream);
-        let handshake = http1::handshake(io).await;
+        let allowance = Allowance::default();
+        let stream = ReadLimitStream::new(stream, allowance.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|e| failed(std::io::Error::other(e)))?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
         });
         Ok(Self {
             address,
+            allowance,
             limits,
             sender,
             task,
@@ -236,15 +245,16 @@
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<Body>, Error> {
         let (address, limit) = (self.address, self.limits.head_timeout);
         if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
+        self.allowance.renew();
         match timeout(limit, self.sender.send_request(request)).await {
             Err(_) => Err(Error::InactivityTimeout { address, limit }),
             Ok(Err(source)) => Err(self.disconnected(source)),
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => Ok(response.map(|body| Body::new(body, self.allowance.clone()))),
         }
     }
 
@@ -253,7 +263,7 @@
     /// # Errors
     ///
     /// Returns an error when the connection fails or nothing arrives in time.
-    pub async fn next_chunk(&self, body: &mut Incoming) -> Result<Option<Bytes>, Error> {
+    pub async fn next_chunk(&self, body: &mut Body) -> Result<Option<Bytes>, Error> {
         let (address, limit) = (self.address, self.limits.idle_timeout);
         loop {
             let frame = match timeout(limit, body.frame()).await {
@@ -273,7 +283,7 @@
     /// # Errors
     ///
     /// Returns an error when the connection fails, or the body is too long or not complete in time.
-    pub async fn read_body(&self, body: Incoming) -> Result<Bytes, Error> {
+    pub async fn read_body(&self, body: Body) -> Result<Bytes, Error> {
         let (address, limit) = (self.address, self.limits.head_timeout);
         let read = Limited::new(body, self.limits.body_limit).collect();
         match timeout(limit, read).await {
