Limit the size of an event in a routed stream

A caller of a stream whose upstream sent an event without end waited until its deadline (8 s in the test) and got no more events. The host kept the whole event in memory, at the speed of the upstream.

Cause: `Splitter` buffers an event until it is whole, without a limit; a stream that is not resumable forwarded the event to the caller for as long as it went on.

An event of more than 64 KiB is now malformed: the stream goes on at another upstream after its last whole event, or ends without the final chunk, logged as cut; the upstream is recorded as failing.

The tests of `endless.rs` play the other endless heads and bodies through the gateway and the steward too.

--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -124,6 +124,10 @@
                 whole_events_len = index + 1;
             }
         }
+        if self.position.is_event_too_long() {
+            self.error = Some(self.cut(io::ErrorKind::InvalidData.into()));
+            return Frame::data(data);
+        }
         match (self.body.is_end_stream(), self.position.is_inside_event()) {
             (false, _) => {}
             (true, false) => self.complete(),
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -219,6 +219,12 @@
             if !whole.is_empty() && !self.send(whole).await {
                 return End::Caller;
             }
+            if self.splitter.is_event_too_long() {
+                self.gateway
+                    .dispatcher()
+                    .record_failure(now, &in_flight.handle);
+                return End::Broken(Reason::Format);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/hibiscushoistd/tests/endless.rs
@@ -0,0 +1,213 @@
+//! Upstreams and a list that send bytes without end.
+
+mod routed_upstream;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::join_all;
+use hyper::header::HeaderValue;
+use serde_json::json;
+
+use crate::routed_upstream::EVENTS;
+use crate::routed_upstream::events;
+use crate::routed_upstream::raw;
+use crate::routed_upstream::raw::End;
+use crate::routed_upstream::raw::Script;
+use crate::routed_upstream::records::Records;
+use crate::routed_upstream::setup::Setup;
+
+/// Number of requests at the same time of which each of two upstreams gets some.
+const REQUESTS: usize = 8;
+/// Time within which a request must end that no other upstream takes, well before its deadline.
+const ANSWER_TIME: Duration = Duration::from_secs(4);
+/// Pause between two blocks of endless bytes, for at most 16 MB a second.
+const PAUSE: Duration = Duration::from_millis(1);
+/// Pause between two blocks of bytes that trickle.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(50);
+/// Most bytes that may be written before the host closes the connection: a buffered answer and what
+/// the kernel buffers for a reader that is late.
+const MAX_WRITTEN_BYTES: usize = 8 << 20;
+
+const FILLER: &str = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
+const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Returns scripts of answers whose head or body is endless.
+fn endless() -> Vec<Script> {
+    let head = |text: &str, repeated| Script {
+        answer: text.to_owned(),
+        end: End::Repeat(repeated, PAUSE),
+    };
+    let body = |headers, body: &str, repeated| {
+        Script::successful(headers, body, End::Repeat(repeated, PAUSE))
+    };
+    let chunked = "transfer-encoding: chunked\r\n";
+    vec![
+        head("HTTP/1.1 200 ", FILLER),
+        head("HTTP/1.1 200 OK\r\na: ", FILLER),
+        head("HTTP/1.1 200 OK\r\n", "a: b\r\n"),
+        head("", INTERIM),
+        body("", "", FILLER),
+        body("", "id: 1\ndata: ", FILLER),
+        body(chunked, "", "0000000000000000000000000000000000000000"),
+        body(chunked, "4;", FILLER),
+        body(chunked, "4\r\n\n\n\n\n\r\n0\r\n", "a: b\r\n"),
+    ]
+}
+
+/// Waits until the host has closed the connections to `raw`, each after few bytes.
+async fn expect_closed(setup: &Setup, raw: &raw::Upstream, path: &str) {
+    setup
+        .wait_until(async || raw.closed().len() >= raw.arrivals(path))
+        .await;
+    let written = raw.closed();
+    assert!(
+        written.iter().all(|bytes| *bytes <= MAX_WRITTEN_BYTES),
+        "{written:?}"
+    );
+}
+
+/// Callers must neither wait for an answer that never ends nor get its first part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeatable_request_with_an_endless_answer_goes_on_at_another_upstream() {
+    for script in endless() {
+        let raw = raw::Upstream::start("i-raw", "desk").await;
+        let setup = Setup::start_with_raw(&raw, "desk", true).await;
+        raw.set_script(script.clone());
+        let requests = (0..REQUESTS).map(|_| setup.send("/read/x", "k1"));
+        for answer in join_all(requests).await {
+            assert_eq!(
+                (answer.status, &answer.body.unwrap()[..]),
+                (200, &b"answer of i-2"[..])
+            );
+        }
+        assert!(raw.arrivals("/read/x") > 0);
+        expect_closed(&setup, &raw, "/read/x").await;
+    }
+}
+
+/// An order may have run, so it cannot be sent again; its caller must know soon.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_with_an_endless_answer_ends_with_502_before_its_deadline() {
+    for script in endless() {
+        let raw = raw::Upstream::start("i-raw", "desk").await;
+        let setup = Setup::start_with_raw(&raw, "desk", false).await;
+        raw.set_script(script.clone());
+        let began = Instant::now();
+        let answer = setup.send("/order/x", "k1").await;
+        let took = began.elapsed();
+        assert_eq!(answer.status, 502, "{script:?}");
+        assert!(took < ANSWER_TIME, "{script:?}: {took:?}");
+        assert_eq!(raw.arrivals("/order/x"), 1);
+        expect_closed(&setup, &raw, "/order/x").await;
+    }
+}
+
+/// The host buffers an event until it is whole, which must not take all memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_an_endless_event_is_resumed_at_the_other_upstream() {
+    let raw = raw::Upstream::start("i-raw", "engines").await;
+    let setup = Setup::start_with_raw(&raw, "engines", true).await;
+    let begun = format!("{}id: 3\ndata: ", events(0, 2));
+    raw.set_script(Script::without_length(begun, End::Repeat(FILLER, PAUSE)));
+    let requests = (0..REQUESTS).map(|_| setup.send("/stream/x", "k1"));
+    for answer in join_all(requests).await {
+        assert_eq!(answer.body.expect("the stream ends"), events(0, EVENTS));
+    }
+    assert!(raw.arrivals("/stream/x") > 0);
+    expect_closed(&setup, &raw, "/stream/x").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_an_endless_event_is_cut_where_it_cannot_be_resumed() {
+    for path in ["/stream/x", "/unresumable/x"] {
+        let raw = raw::Upstream::start("i-raw", "engines").await;
+        let records = Records::default();
+        let setup = Setup::start_logged_with_raw(&raw, "engines", false, records.logger()).await;
+        let begun = format!("{}id: 3\ndata: ", events(0, 2));
+        raw.set_script(Script::without_length(begun, End::Repeat(FILLER, PAUSE)));
+        let began = Instant::now();
+        let answer = setup.send(path, "k1").await;
+        assert!(answer.body.is_err(), "{path}: {:?}", answer.body);
+        assert!(
+            began.elapsed() < ANSWER_TIME,
+            "{path}: {:?}",
+            began.elapsed()
+        );
+        expect_closed(&setup, &raw, path).await;
+        let cut = || records.count("request_answered", &["outcome=cut", "upstream=i-raw"]);
+        setup.wait_until(async || cut() == 1).await;
+    }
+}
+
+/// Bytes that trickle count as silence, which is no reason to end a request before its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_with_a_head_that_trickles_ends_at_its_deadline() {
+    for repeated in ["x", INTERIM] {
+        let raw = raw::Upstream::start("i-raw", "desk").await;
+        let setup = Setup::start_with_raw(&raw, "desk", false).await;
+        let answer = match repeated {
+            INTERIM => "",
+            _ => "HTTP/1.1 200 ",
+        };
+        raw.set_script(Script {
+            answer: answer.to_owned(),
+            end: End::Repeat(repeated, TRICKLE_PAUSE),
+        });
+        let mut request = setup.request("/order/x", "k1");
+        let headers = request.headers_mut();
+        headers.insert("x-deadline-ms", HeaderValue::from_static("1500"));
+        let began = Instant::now();
+        let answer = setup.call(request).await;
+        assert_eq!(answer.status, 504, "{repeated:?}");
+        assert!(
+            began.elapsed() < ANSWER_TIME,
+            "{repeated:?}: {:?}",
+            began.elapsed()
+        );
+        expect_closed(&setup, &raw, "/order/x").await;
+    }
+}
+
+/// The leader reads reports and gives orders; neither may take its memory or its time.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_answer_to_an_order_or_for_a_report_is_bounded() {
+    for script in endless() {
+        let raw = raw::Upstream::start("i-raw", "engines").await;
+        let setup = Setup::start_with_raw(&raw, "engines", true).await;
+        raw.set_control_script(script.clone());
+        let named = json!({"model": "m", "version": 2}).to_string();
+        assert_eq!(setup.control("version-put", named).await.status, 200);
+        setup.wait_until(async || !raw.closed().is_empty()).await;
+        setup
+            .wait_until(async || !setup.second.orders().is_empty())
+            .await;
+        let written = raw.closed();
+        assert!(
+            written.iter().all(|bytes| *bytes <= MAX_WRITTEN_BYTES),
+            "{written:?}"
+        );
+    }
+}
+
+/// Bytes after a whole answer belong to no request, and the connection must not be kept for one.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_after_a_whole_answer_close_the_connection() {
+    let raw = raw::Upstream::start("i-raw", "desk").await;
+    let setup = Setup::start_with_raw(&raw, "desk", false).await;
+    let more = End::Repeat("HTTP/1.1 200 OK\r\n\r\n", PAUSE);
+    raw.set_script(Script::successful("content-length: 5\r\n", "whole", more));
+    for count in 1..4 {
+        let answer = setup.send("/order/x", "k1").await;
+        assert_eq!(
+            (answer.status, &answer.body.unwrap()[..]),
+            (200, &b"whole"[..])
+        );
+        setup.wait_until(async || raw.closed().len() == count).await;
+    }
+    let written = raw.closed();
+    assert!(
+        written.iter().all(|bytes| *bytes <= MAX_WRITTEN_BYTES),
+        "{written:?}"
+    );
+}
--- a/crates/hibiscushoistd/tests/routed_upstream/mod.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/mod.rs
@@ -172,7 +172,7 @@
     }
 
     /// Returns the entry of the upstream in the list.
-    fn list_entry(&self) -> Value {
+    pub fn list_entry(&self) -> Value {
         let version = self.shared.lock().unwrap().version;
         entry(&self.id, &self.service, self.address, version)
     }
--- a/crates/hibiscushoistd/tests/routed_upstream/raw.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/raw.rs
@@ -15,6 +15,10 @@
 use super::EVENTS;
 use super::events;
 
+/// Bytes that are sent at once by [`End::Repeat`].
+const BLOCK_BYTES: usize = 16 << 10;
+/// Pause from which on [`End::Repeat`] sends single copies.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which a connection stays open after the last byte of [`End::Hold`].
 const HOLD_TIME: Duration = Duration::from_secs(60);
 
@@ -26,8 +30,8 @@
     Close,
     /// The connection stays open, and nothing is sent over it.
     Hold,
-    /// Bytes are sent again and again until the connection is closed by the reader, with a pause
-    /// between them.
+    /// Bytes are sent again and again until the reader closes the connection, with a pause after
+    /// each block; with a long pause, a block is a single copy.
     Repeat(&'static str, Duration),
     /// The connection is reset.
     Reset,
@@ -59,6 +63,8 @@
 struct Shared {
     /// Bytes written over each connection that the reader has closed.
     closed: Vec<usize>,
+    /// Answer to orders and requests for a report, in place of the usual report.
+    control_script: Option<Script>,
     /// Paths of the requests, without requests for a report.
     received: Vec<String>,
     script: Option<Script>,
@@ -98,6 +104,16 @@
         self.shared.lock().unwrap().script = Some(script);
     }
 
+    /// Sets how the upstream answers orders and requests for a report from now on.
+    pub fn set_control_script(&self, script: Script) {
+        self.shared.lock().unwrap().control_script = Some(script);
+    }
+
+    fn control_script(&self) -> Script {
+        let script = self.shared.lock().unwrap().control_script.clone();
+        script.unwrap_or_else(|| Script::without_length(report(), End::Close))
+    }
+
     /// Returns the number of requests for `path`.
     pub fn arrivals(&self, path: &str) -> usize {
         let shared = self.shared.lock().unwrap();
@@ -120,7 +136,7 @@
         let head = read_request(&mut stream).await?;
         let path = head.split(' ').nth(1)?.to_owned();
         let script = match path.as_str() {
-            "/hibiscushoist/report" => Script::without_length(report(), End::Close),
+            path if path.starts_with("/hibiscushoist/") => self.control_script(),
             _ => self.receive(path),
         };
         let id = head
@@ -132,9 +148,13 @@
             End::Close => {}
             End::Hold => tokio::time::sleep(HOLD_TIME).await,
             End::Repeat(bytes, pause) => {
+                let block = match pause < TRICKLE_PAUSE {
+                    false => bytes.to_owned(),
+                    true => bytes.repeat(BLOCK_BYTES / bytes.len()),
+                };
                 let mut written = answer.len();
-                while stream.write_all(bytes.as_bytes()).await.is_ok() {
-                    written += bytes.len();
+                while stream.write_all(block.as_bytes()).await.is_ok() {
+                    written += block.len();
                     tokio::time::sleep(pause).await;
                 }
                 self.shared.lock().unwrap().closed.push(written);
--- a/crates/hibiscushoistd/tests/routed_upstream/setup.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/setup.rs
@@ -206,7 +206,16 @@
             let beside = with_second.then(|| beside.list_entry());
             beside.into_iter().chain([listed.list_entry()]).collect()
         });
-        let list = list.await;
+        Self::start_with_list(list.await, first, second, log).await
+    }
+
+    /// Starts a host with the list of upstreams at this address; waits until the host is ready.
+    pub async fn start_with_list(
+        list: SocketAddr,
+        first: Upstream,
+        second: Upstream,
+        log: Logger,
+    ) -> Self {
         let sections = format!("{SHORT_LIFETIME}{GATEWAY}{CALLERS}{CONTROL}list = {list}\n");
         let daemon = start_logged_host("a", "broker, entry, voter", &sections, &[], log).await;
         let setup = Self::new(daemon.bound().control[0], daemon, first, second);
--- a/crates/protocol/src/event_stream.rs
+++ b/crates/protocol/src/event_stream.rs
@@ -3,10 +3,14 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Size limit of an event, in bytes; an event holds a few tokens, in a few hundred bytes.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+
 /// Position of a reader in an event stream, whose lines end with a line feed, with or without a
 /// carriage return before it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Position {
+    event_bytes: usize,
     inside_event: bool,
     inside_line: bool,
 }
@@ -14,23 +18,27 @@
 impl Position {
     /// Moves past `byte`, and returns whether it ends an event or an empty line between events.
     pub fn advance(&mut self, byte: u8) -> bool {
+        self.event_bytes += 1;
         match byte {
             b'\n' if self.inside_line => self.inside_line = false,
             b'\n' => {
-                self.inside_event = false;
+                *self = Self::default();
                 return true;
             }
             b'\r' => {}
             _ => {
-                *self = Self {
-                    inside_event: true,
-                    inside_line: true,
-                }
+                self.inside_event = true;
+                self.inside_line = true;
             }
         }
         false
     }
 
+    /// Returns whether the event exceeds [`MAX_EVENT_BYTES`].
+    pub fn is_event_too_long(&self) -> bool {
+        self.event_bytes > MAX_EVENT_BYTES
+    }
+
     /// Returns whether the stream, if it ended here, would end inside an event.
     pub fn is_inside_event(&self) -> bool {
         self.inside_event
@@ -81,6 +89,11 @@
         self.position = Position::default();
     }
 
+    /// Returns whether the event at the end of the buffer exceeds [`MAX_EVENT_BYTES`].
+    pub fn is_event_too_long(&self) -> bool {
+        self.position.is_event_too_long()
+    }
+
     /// Returns whether the stream, if it ended here, would end inside an event.
     pub fn is_inside_event(&self) -> bool {
         self.position.is_inside_event()
