Record a plain answer that breaks off as a failure of its upstream

An upstream whose plain answers broke off, never ended or were too long went on getting requests. Callers of what may be repeated got their answer late and at the cost of a retry, callers of orders got 502.

Cause: the circuit breaker learnt of a failure before the head of an answer and in streams, not while the body of a plain answer is buffered.

`buffer_answer` now records it.

--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Response;
 use slog::Logger;
@@ -400,11 +401,17 @@
     let (body, connection, idle_limit, in_flight) = answered.into_stream();
     let left = Duration::from_millis(routed.left_ms(context.clock.now()));
     let collected = Limited::new(body, BUFFERED_ANSWER_LIMIT_BYTES).collect();
-    let whole: Bytes = match tokio::time::timeout(left, collected).await {
-        Err(_) => return Err(retry::Reason::Idle),
-        Ok(Err(_)) => return Err(retry::Reason::Cut),
-        Ok(Ok(whole)) => whole.to_bytes(),
+    let whole: Result<Bytes, _> = match tokio::time::timeout(left, collected).await {
+        Err(_) => Err(retry::Reason::Idle),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(retry::Reason::Format),
+        Ok(Err(_)) => Err(retry::Reason::Cut),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
     };
+    let whole = whole.inspect_err(|_| {
+        let now = context.clock.now();
+        let gateway = in_flight.gateway();
+        gateway.dispatcher().record_failure(now, &in_flight.handle);
+    })?;
     if !head.status.is_server_error() {
         in_flight
             .gateway()
--- a/crates/hibiscushoistd/tests/endless.rs
+++ b/crates/hibiscushoistd/tests/endless.rs
@@ -19,6 +19,10 @@
 
 /// Number of requests at the same time of which each of two upstreams gets some.
 const REQUESTS: usize = 8;
+/// Failures in a row after which an upstream is ejected.
+const FAILURES_TO_EJECT: usize = 3;
+/// Number of rounds of [`REQUESTS`] at an ejected upstream.
+const ROUNDS: usize = 4;
 /// Time within which a request must end that no other upstream takes, well before its deadline.
 const ANSWER_TIME: Duration = Duration::from_secs(4);
 /// Pause between two blocks of endless bytes, for at most 16 MB a second.
@@ -86,6 +90,33 @@
     }
 }
 
+/// Otherwise each request would first be sent to an upstream that is known to fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_with_endless_answers_is_ejected() {
+    for script in endless() {
+        let raw = raw::Upstream::start("i-raw", "desk").await;
+        let setup = Setup::start_with_raw(&raw, "desk", true).await;
+        raw.set_script(script.clone());
+        let send = async |path| {
+            let requests = (0..REQUESTS).map(|_| setup.send(path, "k1"));
+            join_all(requests).await
+        };
+        setup
+            .wait_until(async || {
+                send("/read/first").await;
+                raw.arrivals("/read/first") >= FAILURES_TO_EJECT
+            })
+            .await;
+        for _ in 0..ROUNDS {
+            let answers = send("/read/second").await;
+            assert!(answers.iter().all(|answer| answer.status == 200));
+        }
+        // At most probes arrive.
+        let arrived = raw.arrivals("/read/second");
+        assert!(arrived < ROUNDS, "{arrived} {script:?}");
+    }
+}
+
 /// An order may have run, so it cannot be sent again; its caller must know soon.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_with_an_endless_answer_ends_with_502_before_its_deadline() {
