--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -65,6 +65,8 @@
     events: mpsc::Sender<Event>,
     connection_pool: ConnectionPool,
     list: SocketAddr,
+    /// Number of malformed entries in the list, when it was read last.
+    malformed: usize,
     number: u64,
     publish: watch::Sender<Arc<Fleet>>,
     reload: Reload,
@@ -88,6 +90,7 @@
         events,
         connection_pool: ConnectionPool::default(),
         list,
+        malformed: 0,
         number: 0,
         publish,
         reload: Reload::new(Policy::default()),
@@ -156,6 +159,8 @@
         let mut seen = Vec::new();
         let mut next: Option<String> = None;
         let began = self.context.clock.now();
+        let mut malformed = 0;
+        let mut malformed_error = None;
         for _ in 0..PAGES {
             if self.context.clock.now().since(began) > LIST_LIMIT_MS {
                 return self.list_failed(format!("no end within {LIST_LIMIT_MS} ms"));
@@ -171,8 +176,11 @@
                 None => return self.list_failed("no answer".to_owned()),
             };
             seen.extend(page.upstreams);
+            malformed += page.malformed;
+            malformed_error = malformed_error.or(page.error);
             next = page.next;
             if next.is_none() {
+                self.note_malformed(malformed, malformed_error.unwrap_or_default());
                 self.seen = seen.clone();
                 self.step(Event::Listed(seen));
                 return;
@@ -181,6 +189,16 @@
         self.list_failed(format!("no end within {PAGES} pages"));
     }
 
+    /// Records how many entries of the list are malformed, and logs it when the number changes.
+    fn note_malformed(&mut self, entries: usize, error: String) {
+        metrics::gauge!(metric::LIST_MALFORMED_ENTRIES).set(entries as f64);
+        if self.malformed != entries {
+            self.malformed = entries;
+            let details = slog::o!("entries" => entries, "error" => error);
+            event::emit(&self.context.log, event::Event::ListMalformed, details);
+        }
+    }
+
     fn list_failed(&self, error: String) {
         metrics::counter!(metric::LIST_FAILURES).increment(1);
         event::emit(
--- a/crates/hibiscushoistd/tests/routed_upstream/mod.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/mod.rs
@@ -207,6 +207,15 @@
     listen(handle, Arc::default()).await
 }
 
+/// Starts a server that answers with the page of a list, and returns its address.
+pub async fn start_page(page: impl Fn() -> String + Clone + Send + Sync + 'static) -> SocketAddr {
+    let handle = move |_| -> Answer {
+        let page = page();
+        Box::pin(async move { response(200, page) })
+    };
+    listen(handle, Arc::default()).await
+}
+
 /// Starts an HTTP server on a free port, and returns its address. At each notification of `crash`,
 /// its connections and its listener close, and it listens again a little later.
 async fn listen(
--- a/crates/hibiscushoistd/tests/routed_upstream/setup.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/setup.rs
@@ -158,6 +158,17 @@
     /// Starts such a host; `gateway` holds lines of the section `[gateway]`.
     pub async fn with_settings(service: &str, lifetime: &str, gateway: &str) -> Self {
         let (first, second, list) = start_upstreams(service).await;
+        Self::with_list(lifetime, gateway, list, first, second).await
+    }
+
+    /// Starts such a host, which reads the list of upstreams at `list`.
+    pub async fn with_list(
+        lifetime: &str,
+        gateway: &str,
+        list: SocketAddr,
+        first: Upstream,
+        second: Upstream,
+    ) -> Self {
         let sections = format!("{lifetime}{GATEWAY}{gateway}{CALLERS}{CONTROL}list = {list}\n");
         let daemon = start_host("a", "broker, entry, voter", &sections, &[]).await;
         Self::new(daemon.bound().control[0], daemon, first, second)
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -136,6 +136,8 @@
     AssignFailed = 329,
     /// An engine was taken off new work and waits for the order to load newer weights.
     ReloadWaiting = 330,
+    /// The number of malformed entries in the list of upstreams has changed.
+    ListMalformed = 331,
 }
 
 impl Event {
@@ -161,6 +163,7 @@
             | Self::LeadershipLost
             | Self::LinkCut
             | Self::ListFailed
+            | Self::ListMalformed
             | Self::LogTorn
             | Self::OutlookFailed
             | Self::OwnerAway
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -21,6 +21,8 @@
 pub const LOG_COMMITTED: &str = "hibiscushoist_log_committed";
 /// Counter of failed reads of the list of upstreams.
 pub const LIST_FAILURES: &str = "hibiscushoist_list_failures_total";
+/// Gauge of the malformed entries in the list of upstreams, on the leading host.
+pub const LIST_MALFORMED_ENTRIES: &str = "hibiscushoist_list_malformed_entries";
 /// Counter of messages of the replicated log that were dropped because their channel was full.
 pub const LOG_DROPS: &str = "hibiscushoist_log_drops_total";
 /// Counter of synced writes of the replicated log.
