Believe an unnamed answer only as the first on its connection

Callers of an order were told 503 ("not run, try again") for an order that an upstream ran, and such an order ran at a second upstream as well. A faulty upstream wrote an earlier refusal once more on a kept connection, instead of the answer to the order that it had read. A host took an answer for another request's only where it named another id; a refusal, or any other answer, without `X-Request-Id` was taken for the answer to whatever request was on the connection.

An answer that names no request is now believed only as the first answer on its connection, where no earlier request can have left one. On a reused connection it counts as crossed, like an answer that names another request: the connection is closed, an order's outcome is unknown (502, no second attempt), and a repeatable request uses one of its attempts. A refusal that names its request moves an order to another upstream as before.

A fake upstream that writes its answers itself, on the code before: a_repeated_refusal_is_not_taken_for_that_of_an_order: /order/2 ran 2 times instead of once a_repeated_refusal_is_not_taken_for_that_of_a_stream: /once/2 ran 2 times instead of once a_caller_is_not_told_that_an_order_which_runs_did_not_run: Repeat(None), left: (1, 503), right: (1, 502) The other four passed before, too: repeated requests that may be repeated, refusals behind a whole answer or on an idle connection (the connection is dropped when such bytes are read), and refusals that are the request's own.

--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -187,7 +187,9 @@
         Ok(sent) => sent,
     };
     let answer_head = AnswerHead::decode(response.status(), response.headers());
-    if answer_head.is_foreign(&routed.request_head.request_id) {
+    // An upstream may write an earlier answer once more on a kept connection.
+    let is_unnamed = answer_head.request_id.is_none() && connection.is_reused();
+    if is_unnamed || answer_head.is_foreign(&routed.request_head.request_id) {
         return Attempt::Failed {
             may_have_run: true,
             reason: retry::Reason::Crossed,
--- a/crates/hibiscushoistd/tests/routed_upstream/mod.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod raw;
 pub mod records;
+pub mod refuser;
 pub mod setup;
 
 use std::convert::Infallible;
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -93,6 +93,7 @@
 /// An open connection.
 struct Connection {
     allowance: Allowance,
+    is_reused: bool,
     sender: SendRequest<Body>,
 }
 
@@ -158,6 +159,7 @@
         };
         while let Some(mut connection) = self.take(address, limits.max_idle) {
             connection.allowance.renew();
+            connection.is_reused = true;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.answered(address, connection, response)),
                 Err(mut failure) => match failure.take_message() {
@@ -256,6 +258,12 @@
 }
 
 impl PooledConnection {
+    /// Returns whether the connection carried another request before this one, so that an answer on
+    /// it may belong to that request.
+    pub fn is_reused(&self) -> bool {
+        self.connection.is_reused
+    }
+
     /// Returns the connection to the pool for at most `max_idle` once the answer has ended.
     ///
     /// Closes it instead if it has failed or the pool is full for this upstream.
@@ -300,5 +308,9 @@
         .await;
     let (sender, connection) = handshake.map_err(|error| failed(io::Error::other(error)))?;
     tokio::spawn(connection);
-    Ok(Connection { allowance, sender })
+    Ok(Connection {
+        allowance,
+        is_reused: false,
+        sender,
+    })
 }
