Keep one entry for each upstream of the list

Where the platform's list held a second entry with the id of an upstream, all hosts learned of both. Requests for the upstream went to either address, and the failures at the wrong one had the upstream ejected, or its requests refused. Two starts under one id also had the leading host forget at every read of the list that the engine was loading weights.

The leading host now keeps one entry for each id: the one that started last, as an upstream may start again under the id that it had, or the first among equals.

--- a/crates/coordination/src/upstream.rs
+++ b/crates/coordination/src/upstream.rs
@@ -2,12 +2,17 @@
 //! them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
 use strum::Display;
 
+/// How far the clocks of hosts and upstreams may be apart, in milliseconds; a later start counts as
+/// unknown.
+const MAX_CLOCK_SKEW_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// One upstream in the platform's list, which may lag behind.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListedUpstream {
@@ -29,6 +34,27 @@
     pub weights: BTreeMap<String, u64>,
 }
 
+/// Returns the upstreams with one entry for each ID: the one that started last or, among these, the
+/// first. `wall_ms` is the time of day in Unix milliseconds.
+pub fn distinct(listed: Vec<ListedUpstream>, wall_ms: u64) -> Vec<ListedUpstream> {
+    let latest = wall_ms.saturating_add(MAX_CLOCK_SKEW_MS);
+    let started = |upstream: &ListedUpstream| match upstream.started > latest {
+        false => upstream.started,
+        true => 0,
+    };
+    let mut kept: BTreeMap<&str, usize> = BTreeMap::new();
+    for (index, upstream) in listed.iter().enumerate() {
+        let best = kept.entry(&upstream.id).or_insert(index);
+        if started(upstream) > started(&listed[*best]) {
+            *best = index;
+        }
+    }
+    let kept: BTreeSet<usize> = kept.into_values().collect();
+    let listed = listed.into_iter().enumerate();
+    let distinct = listed.filter(|(index, _)| kept.contains(index));
+    distinct.map(|(_, upstream)| upstream).collect()
+}
+
 /// Whether an upstream takes new requests.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -23,6 +23,7 @@
 use coordination::reload::Policy;
 use coordination::reload::Reload;
 use coordination::reload::Report;
+use coordination::upstream;
 use coordination::upstream::Edition;
 use coordination::upstream::Fleet;
 use coordination::upstream::ListedUpstream;
@@ -36,6 +37,7 @@
 use platform::path;
 use platform::upstream_list;
 use state::time::Instant;
+use transport::clock::wall_millis;
 use transport::connection_pool::Body;
 use transport::connection_pool::ConnectionPool;
 use transport::connection_pool::Limits;
@@ -181,6 +183,7 @@
             next = page.next;
             if next.is_none() {
                 self.note_malformed(malformed, malformed_error.unwrap_or_default());
+                let seen = upstream::distinct(seen, wall_millis());
                 self.seen = seen.clone();
                 self.step(Event::Listed(seen));
                 return;
