Log reports of engines that cannot be decoded

The leading host took a report that it could not decode for one that had not come, without a word: the engine was never ordered to load newer weights, and nothing told why. Such a report is now logged with the error. How the host acts on it is unchanged. No test reads the log line.

--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -255,10 +255,10 @@
             path::ENGINE_REPORT.to_owned(),
             Some(id.clone()),
         );
+        let context = self.context.clone();
         tokio::spawn(async move {
             let answer = call.await;
-            let report: Option<Report> =
-                answer.and_then(|bytes| engine::decode_report(&bytes).ok());
+            let report = answer.and_then(|bytes| decode_report(&context, &id, &bytes));
             let _ = events.send(Event::Reported(id, report)).await;
         });
     }
@@ -343,6 +343,16 @@
     }
 }
 
+/// Decodes the report of an engine; one that cannot be decoded is logged and counts as missing.
+fn decode_report(context: &Context, id: &str, bytes: &[u8]) -> Option<Report> {
+    let report = engine::decode_report(bytes);
+    if let Err(error) = &report {
+        let details = slog::o!("upstream" => id.to_owned(), "error" => error.to_string());
+        event::emit(&context.log, event::Event::ReportMalformed, details);
+    }
+    report.ok()
+}
+
 /// Gives an order, unless this host no longer leads.
 async fn give(
     context: &Context,
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -138,6 +138,8 @@
     ReloadWaiting = 330,
     /// The number of malformed entries in the list of upstreams has changed.
     ListMalformed = 331,
+    /// The report of an engine could not be decoded.
+    ReportMalformed = 332,
 }
 
 impl Event {
@@ -170,6 +172,7 @@
             | Self::PartQuarantined
             | Self::Paused
             | Self::PeerRefused
+            | Self::ReportMalformed
             | Self::RolloutBlocked
             | Self::RolloutLost
             | Self::RolloutRefused
