Move the cost of a prefill out of the dispatcher

The estimates of a prefill, and whether a prompt fits into an engine's memory and begins in time, depend on no state of the dispatcher. They are in a module of their own; behaviour is unchanged.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -16,6 +16,10 @@
 use crate::choice::Rank;
 use crate::choice::Refusal;
 use crate::demand::Demand;
+use crate::prefill;
+use crate::prefill::Availability;
+use crate::prefill::FIRST_BYTE_AFTER_PREFILL_MS;
+use crate::prefill::PREFILL_TOKENS_PER_MS;
 use crate::prefix_index;
 use crate::prefix_index::CacheLocation;
 use crate::prefix_index::CachedPrefix;
@@ -31,9 +35,6 @@
 use crate::upstream_load::UpstreamLoads;
 use state::time::Instant;
 
-/// Prefill rate of an engine, in prompt tokens per millisecond. An engine of this class computes 62
-/// when it does nothing else; a chunk of 4,096 tokens takes 93 ms with decode steps in between.
-const PREFILL_TOKENS_PER_MS: u64 = 45;
 /// How much longer a request may wait for an engine with the newest weights, in milliseconds. A
 /// long answer should begin within a second, and an answer on older weights is worth a fifth less,
 /// which makes 200 ms; as much again because its prompt may have to be prefilled twice.
@@ -44,18 +45,12 @@
 const OTHER_LOADS_MAX_AGE_MS: u64 = 1_000;
 /// How long an upstream that refused a request gets no further one, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 250;
-/// Time from the end of a prefill until the answer reaches the caller's host, in milliseconds: the
-/// first token, one step of the engine's batch and the network.
-const FIRST_BYTE_AFTER_PREFILL_MS: u64 = 200;
 /// Backlog up to which an engine counts as idle, in milliseconds of prefill. A long prompt that
 /// cannot begin in time goes only to an idle engine, so that those which can go first.
 const IDLE_BACKLOG_MS: u64 = 100;
 /// Share of the engines that must be idle before a late prompt takes one of them, in percent; the
 /// last idle engines are kept for prompts that can begin in time.
 const RESERVED_IDLE_PERCENT: usize = 20;
-/// Share of an engine's memory that long prompts in flight may fill, in percent; the rest is for
-/// short prompts and for the tokens of answers.
-const LONG_PROMPT_MEMORY_PERCENT: u64 = 85;
 /// Longer wait that an idle connection is worth, as a divisor of the time left until the answer
 /// should begin. A new connection costs a round trip and a handshake at the upstream; a twentieth
 /// of the time does not make an answer late.
@@ -63,8 +58,6 @@
 /// Number of engines that are considered for a long prompt, the first in its rendezvous order, so
 /// that a choice costs no more in a larger fleet; as many as a shard has.
 const LONG_PROMPT_CANDIDATES: usize = shard::UPSTREAMS_PER_SHARD;
-/// Cost of fetching a prefix from another engine, as a divisor of the cost of its prefill.
-const FETCH_DIVISOR: u64 = 8;
 
 /// Policy of the circuit breaker. Three failures in a row are rarely chance where one answer in
 /// seven fails. An ejection ends soon enough for an upstream that was restarted, and doubles while
@@ -110,14 +103,6 @@
     }
 }
 
-/// Where a shared prefix is expected to be cached, as seen from one engine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum PrefixAvailability {
-    Elsewhere,
-    Here,
-    Nowhere,
-}
-
 /// Chooses upstreams for the requests of this host, and records what becomes of them.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -205,7 +190,7 @@
         self.assignment_ids.extend(choice.assignment_id);
         let upstream_id = choice.upstream.id.clone();
         let availability = self.prefix_availability(now, &choice.upstream, demand);
-        let pending_prefill_tokens = prefill_tokens(demand, availability);
+        let pending_prefill_tokens = prefill::tokens(demand, availability);
         let local = self.local.entry(upstream_id.clone()).or_default();
         let long_prompt_tokens = demand
             .shared_prefix
@@ -439,11 +424,12 @@
                 upstream.or_else(|| Some(older[affinity::first_fit(&old, prefix_id, has_room)?]))
             };
             let in_time = |candidate: &Candidate| {
-                fits(candidate, demand) && begins_in_time(candidate, demand)
+                prefill::fits(candidate, demand) && prefill::begins_in_time(candidate, demand)
             };
             let cached_in_time = |candidate: &Candidate| candidate.has_prefix && in_time(candidate);
             let is_idle = |candidate: &Candidate| candidate.backlog_ms <= IDLE_BACKLOG_MS;
-            let idle_fit = |candidate: &Candidate| fits(candidate, demand) && is_idle(candidate);
+            let idle_fit =
+                |candidate: &Candidate| prefill::fits(candidate, demand) && is_idle(candidate);
             let idle = new.iter().chain(&old).filter(|c| is_idle(c)).count();
             let enough_idle = idle * 100 > eligible.len() * RESERVED_IDLE_PERCENT;
             let upstream = first(&cached_in_time).or_else(|| first(&in_time));
@@ -490,11 +476,11 @@
         Candidate {
             backlog_ms: load.pending_prefill_tokens / PREFILL_TOKENS_PER_MS + running_ms,
             connected: demand.connected.contains(&upstream.address),
-            has_prefix: availability == PrefixAvailability::Here,
+            has_prefix: availability == Availability::Here,
             id: upstream.id.clone(),
             long_prompt_tokens: load.long_prompt_tokens,
             same_domain: upstream.domain == demand.domain,
-            prefill_ms: prefill_tokens(demand, availability) / PREFILL_TOKENS_PER_MS,
+            prefill_ms: prefill::tokens(demand, availability) / PREFILL_TOKENS_PER_MS,
         }
     }
 
@@ -504,17 +490,17 @@
         now: Instant,
         upstream: &Upstream,
         demand: &Demand,
-    ) -> PrefixAvailability {
+    ) -> Availability {
         let model = demand.model.as_ref();
         let weights = model.map(|model| self.weights(upstream, model));
         let Some(prefix) = weights.and_then(|weights| demand.prefix_key(weights)) else {
-            return PrefixAvailability::Nowhere;
+            return Availability::Nowhere;
         };
         let engines = self.prefix_index.engines(now, &prefix);
         match (engines.contains(&upstream.id.as_str()), engines.is_empty()) {
-            (true, _) => PrefixAvailability::Here,
-            (false, false) => PrefixAvailability::Elsewhere,
-            (false, true) => PrefixAvailability::Nowhere,
+            (true, _) => Availability::Here,
+            (false, false) => Availability::Elsewhere,
+            (false, true) => Availability::Nowhere,
         }
     }
 
@@ -562,35 +548,3 @@
         source.map(|upstream| upstream.address)
     }
 }
-
-/// Returns the tokens that an engine would have to prefill for a request; tokens that it would
-/// fetch from another engine count as the prefill that takes as long.
-fn prefill_tokens(demand: &Demand, availability: PrefixAvailability) -> u64 {
-    let shared_tokens = demand
-        .shared_prefix
-        .as_ref()
-        .map_or(0, |(_, tokens)| *tokens);
-    let own = demand.prompt_tokens.saturating_sub(shared_tokens);
-    match availability {
-        PrefixAvailability::Elsewhere => own + shared_tokens / FETCH_DIVISOR,
-        PrefixAvailability::Here => own,
-        PrefixAvailability::Nowhere => demand.prompt_tokens,
-    }
-}
-
-/// Returns whether a long prompt fits into a candidate's memory beside those in flight. An engine
-/// with more of them preempts running answers and evicts prefixes that later requests share.
-fn fits(candidate: &Candidate, demand: &Demand) -> bool {
-    let in_flight_tokens = candidate.long_prompt_tokens;
-    let limit = |memory: u64| memory * LONG_PROMPT_MEMORY_PERCENT / 100;
-    in_flight_tokens == 0
-        || demand
-            .memory_tokens
-            .is_none_or(|memory| in_flight_tokens + demand.prompt_tokens <= limit(memory))
-}
-
-/// Returns whether the answer of a candidate is expected to begin in time.
-fn begins_in_time(candidate: &Candidate, demand: &Demand) -> bool {
-    candidate.backlog_ms + candidate.prefill_ms + FIRST_BYTE_AFTER_PREFILL_MS
-        <= demand.first_byte_left_ms
-}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod part_quarantine;
 pub mod placement;
 pub mod placement_request;
+pub mod prefill;
 pub mod prefix_index;
 pub mod prefix_log;
 pub mod quarantine;
