Send an upstream nothing once an answer says that it leaves

An upstream that shuts down says so in all its answers (`Server-Leaving: 1`). Nothing read that: the host went on sending it requests until the published list showed it as leaving, which takes as long as the list lags and the voters need to publish it, and for ever while no voter answers.

Cause: `AnswerHead` did not decode the header, and the dispatcher knew no reason to leave an upstream out that outweighs the list; ejected and refusing upstreams are used again where no other is left.

The header is decoded for answers of any status, also for those that are not accepted, since they come from the upstream all the same. `coordination::hold` keeps the upstream out of every choice: as the last resort, as a probe, as the engine that the leader assigns (it is among the unusable ones, and an assignment that crosses the answer is dropped), for the rest of a stream and as a source of cached prefixes. The leader no longer names an engine as a source that the asking host does not use, as the host itself never does.

A gap in the list does not end it, because an entry may be unreadable for a while; an upstream without a start is free once it is no longer listed, since nothing else can show that it is gone.

--- a/crates/coordination/examples/assign_slope.rs
+++ b/crates/coordination/examples/assign_slope.rs
@@ -62,6 +62,7 @@
         service: "engines".to_owned(),
         slots: 32,
         standing: Standing::Ready,
+        started: 1,
         weights: BTreeMap::from([("m".to_owned(), 7)]),
     };
     Fleet {
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::choice::Rank;
 use crate::choice::Refusal;
 use crate::demand::Demand;
+use crate::hold::Holds;
 use crate::prefill;
 use crate::prefill::Availability;
 use crate::prefill::FIRST_BYTE_AFTER_PREFILL_MS;
@@ -79,6 +80,7 @@
     prefix: Option<PrefixKey>,
     request_id: RequestId,
     pending_prefill_tokens: u64,
+    started: u64,
 }
 
 /// What this host itself has observed of an upstream.
@@ -108,6 +110,7 @@
 pub struct Dispatcher {
     breaker: CircuitBreaker,
     assignment_ids: Vec<u64>,
+    holds: Holds,
     prefix_index: PrefixIndex,
     other_loads: (Instant, UpstreamLoads),
     local: BTreeMap<String, LocalState>,
@@ -120,6 +123,7 @@
         Self {
             breaker: CircuitBreaker::new(EJECTION_POLICY, seed),
             assignment_ids: Vec::new(),
+            holds: Holds::default(),
             prefix_index: PrefixIndex::default(),
             other_loads: Default::default(),
             local: BTreeMap::new(),
@@ -132,6 +136,7 @@
     pub fn sync(&mut self, fleet: &Fleet) {
         let ids: Vec<&String> = fleet.upstreams.iter().map(|u| &u.id).collect();
         self.breaker.sync(ids.iter().map(|id| (*id).clone()));
+        self.holds.sync(fleet);
         self.local
             .retain(|id, local| local.running > 0 || ids.contains(&id));
         self.unresponsive
@@ -212,6 +217,7 @@
                 .and_then(|weights| demand.prefix_key(weights)),
             request_id,
             pending_prefill_tokens,
+            started: choice.upstream.started,
         }
     }
 
@@ -300,6 +306,17 @@
         }
     }
 
+    /// Records that the upstream leaves, and returns whether this host did not know it yet.
+    pub fn record_leaving(&mut self, now: Instant, in_flight: &InFlight) -> bool {
+        let id = in_flight.upstream_id.clone();
+        self.holds.record_leaving(now, id, in_flight.started)
+    }
+
+    /// Returns whether an upstream has asked for no requests.
+    pub fn is_held(&self, upstream: &Upstream) -> bool {
+        self.holds.is_held(upstream)
+    }
+
     /// Records that the request failed at the upstream, and returns whether that ejected it.
     pub fn record_failure(&mut self, now: Instant, in_flight: &InFlight) -> bool {
         self.breaker
@@ -352,26 +369,29 @@
     pub fn unusable(&self, now: Instant, fleet: &Fleet, service: &str) -> Vec<String> {
         let listed = fleet.upstreams.iter();
         let of_service = listed.filter(|upstream| upstream.service == service);
-        let unusable = of_service.filter(|upstream| !self.is_usable(now, &upstream.id));
+        let unusable = of_service.filter(|upstream| !self.is_usable(now, upstream));
         unusable.map(|upstream| upstream.id.clone()).collect()
     }
 
-    /// Returns whether an upstream is neither ejected nor unresponsive, and has not refused a
+    /// Returns whether an upstream is neither held, ejected nor unresponsive, and has not refused a
     /// request lately.
-    fn is_usable(&self, now: Instant, id: &str) -> bool {
+    fn is_usable(&self, now: Instant, upstream: &Upstream) -> bool {
+        let id = upstream.id.as_str();
         let refused_at = self.local.get(id).and_then(|local| local.refused_at);
         !matches!(self.breaker.state(now, id), State::Open(_))
             && !self.unresponsive.is_unresponsive(now, id)
+            && !self.is_held(upstream)
             && refused_at.is_none_or(|at| now.since(at) > REFUSAL_PAUSE_MS)
     }
 
     /// Returns the upstreams that may take a request: the usable ones or, where none is usable, all
-    /// that are listed as ready and have not failed the request. For a long prompt they are among
-    /// the first in its rendezvous order.
+    /// that are listed as ready, are not held and have not failed the request. For a long prompt
+    /// they are among the first in its rendezvous order.
     fn eligible<'a>(&self, now: Instant, fleet: &'a Fleet, demand: &Demand) -> Vec<&'a Upstream> {
         let is_eligible = |upstream: &&Upstream| {
             upstream.service == demand.service
                 && upstream.standing == upstream::Standing::Ready
+                && !self.is_held(upstream)
                 && !demand.tried.contains(&upstream.id)
                 && self.is_current(fleet, upstream, demand)
         };
@@ -380,7 +400,7 @@
             Some((prefix_id, _)) => affinity::top_ranked(listed, prefix_id, LONG_PROMPT_CANDIDATES),
             None => listed,
         };
-        let is_usable = |upstream: &&Upstream| self.is_usable(now, &upstream.id);
+        let is_usable = |upstream: &&Upstream| self.is_usable(now, upstream);
         let usable: Vec<&Upstream> = listed.iter().copied().filter(is_usable).collect();
         match usable.is_empty() {
             false => usable,
@@ -536,7 +556,8 @@
                 && upstream.service == chosen.service
                 && upstream.standing != upstream::Standing::Leaving
                 && self.weights(upstream, model) == prefix.weights
-                && self.is_usable(now, id);
+                && !demand.tried.contains(&upstream.id)
+                && self.is_usable(now, upstream);
             is_source.then_some(upstream)
         };
         let engines = self.prefix_index.engines(now, prefix);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod engine_state;
 pub mod gossip;
 pub mod grant;
+pub mod hold;
 pub mod host;
 pub mod lease;
 pub mod liveness;
--- a/crates/coordination/src/upstream.rs
+++ b/crates/coordination/src/upstream.rs
@@ -20,7 +20,7 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: String,
-    /// ID of the upstream; it changes with every start.
+    /// ID of the upstream; it mostly changes with every start.
     pub id: String,
     /// Whether it is shutting down and takes no new requests.
     pub leaving: bool,
@@ -74,7 +74,7 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: String,
-    /// ID of the upstream; it changes with every start.
+    /// ID of the upstream; it mostly changes with every start.
     pub id: String,
     /// Name of its service.
     pub service: String,
@@ -82,6 +82,8 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub standing: Standing,
+    /// Time of its start by its own clock, in milliseconds; 0 if unknown.
+    pub started: u64,
     /// Weights version of each of its models.
     pub weights: BTreeMap<String, u64>,
 }
--- a/crates/coordination/tests/upstream_fixtures/mod.rs
+++ b/crates/coordination/tests/upstream_fixtures/mod.rs
@@ -43,6 +43,7 @@
         service: "engines".to_owned(),
         slots: 64,
         standing: Standing::Ready,
+        started: 1,
         weights: BTreeMap::from([("m".to_owned(), *version)]),
     };
     Fleet {
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -27,6 +27,9 @@
 use state::time::Instant;
 use transport::connection_pool;
 use transport::connection_pool::PooledConnection;
+use transport::event;
+use transport::event::Event;
+use transport::metric;
 use transport::read_limit;
 
 /// Timeout of a connection attempt to an upstream; within a region it takes a few milliseconds.
@@ -187,6 +190,7 @@
         Ok(sent) => sent,
     };
     let answer_head = AnswerHead::decode(response.status(), response.headers());
+    record_hold(context, choice, &answer_head, &in_flight);
     // An upstream may write an earlier answer once more on a kept connection.
     let is_unnamed = answer_head.request_id.is_none() && connection.is_reused();
     if is_unnamed || answer_head.is_foreign(&routed.request_head.request_id) {
@@ -225,6 +229,27 @@
     }))
 }
 
+/// Records that the upstream asks for no further requests, if its answer says so. An answer to
+/// another request, or one that is not accepted, still comes from the upstream.
+fn record_hold(
+    context: &Context,
+    choice: &Choice,
+    answer_head: &AnswerHead,
+    in_flight: &InFlightGuard,
+) {
+    let now = context.clock.now();
+    let mut dispatcher = in_flight.gateway.dispatcher();
+    if answer_head.leaving && dispatcher.record_leaving(now, &in_flight.handle) {
+        metrics::counter!(metric::UPSTREAM_HOLDS, "reason" => "leaving").increment(1);
+        let details = slog::o!(
+            "upstream" => choice.upstream.id.clone(),
+            "service" => choice.upstream.service.clone(),
+            "reason" => "leaving",
+        );
+        event::emit(&context.log, Event::UpstreamHeld, details);
+    }
+}
+
 /// Returns the time limits of the connection that a request uses.
 pub fn connection_limits(routed: &RoutedRequest) -> connection_pool::Limits {
     connection_pool::Limits {
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -46,9 +46,12 @@
     loop {
         let demand = demand(context, gateway, routed, progress);
         let chosen = match ask_leader(context, gateway, &demand).await {
-            Some(Ok(choice)) => Ok(choice),
+            // The engine may have asked for no requests while the leader chose it.
+            Some(Ok(choice)) if !gateway.dispatcher().is_held(&choice.upstream) => Ok(choice),
             Some(Err(refusal @ (Refusal::Busy | Refusal::TooLate))) => Err(refusal),
-            Some(Err(Refusal::NoUpstream)) | None => choose_locally(context, gateway, &demand),
+            Some(Ok(_) | Err(Refusal::NoUpstream)) | None => {
+                choose_locally(context, gateway, &demand)
+            }
         };
         match chosen {
             Err(Refusal::Busy) if may_wait(context, routed) => tokio::time::sleep(BUSY_PAUSE).await,
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -338,6 +338,7 @@
             service: seen.service.clone(),
             slots: seen.slots,
             standing,
+            started: seen.started,
             weights: weights.unwrap_or(&seen.weights).clone(),
         }
     }
--- a/crates/hibiscushoistd/tests/routed_upstream/mod.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/mod.rs
@@ -61,6 +61,8 @@
     /// Stalls in the middle of a stream for longer than a host waits before it has the stream
     /// resumed at another upstream.
     Stalling,
+    /// Answers with status 503, without a statement that it ran nothing.
+    Overloaded,
     /// Refuses requests without running them.
     Rejecting,
     /// Answers as it should.
@@ -83,9 +85,12 @@
     crashes: u32,
     deadly_part: Option<String>,
     has_unframed_crashes: bool,
+    leaving: bool,
     mode: Mode,
     orders: Vec<Value>,
+    pause: Option<String>,
     received: Vec<Received>,
+    started: u64,
     version: u64,
 }
 
@@ -119,6 +124,7 @@
     /// Starts an upstream of a service; one of the service `engines` has the model `m`.
     pub async fn start(id: &str, service: &str) -> Self {
         let shared = Arc::new(Mutex::new(Shared {
+            started: 1,
             version: 1,
             ..Shared::default()
         }));
@@ -157,6 +163,35 @@
         self.shared.lock().unwrap().crashes
     }
 
+    /// Makes the upstream say in all its answers that it leaves.
+    pub fn leave(&self) {
+        self.shared.lock().unwrap().leaving = true;
+    }
+
+    /// Sets the `Retry-After` of answers with status 503.
+    pub fn set_pause(&self, pause: &str) {
+        self.shared.lock().unwrap().pause = Some(pause.to_owned());
+    }
+
+    /// Forgets the received requests.
+    pub fn clear(&self) {
+        self.shared.lock().unwrap().received.clear();
+    }
+
+    /// Starts the upstream again under the ID that it has.
+    pub fn restart(&self) {
+        let mut shared = self.shared.lock().unwrap();
+        shared.started += 1;
+        shared.leaving = false;
+        shared.pause = None;
+    }
+
+    /// Returns the number of received requests for `path`.
+    pub fn arrivals(&self, path: &str) -> usize {
+        let received = self.received();
+        received.iter().filter(|r| r.path == path).count()
+    }
+
     /// Returns the received requests, without orders and requests for a report.
     pub fn received(&self) -> Vec<Received> {
         self.shared.lock().unwrap().received.clone()
@@ -174,8 +209,13 @@
 
     /// Returns the entry of the upstream in the list.
     pub fn list_entry(&self) -> Value {
-        let version = self.shared.lock().unwrap().version;
-        entry(&self.id, &self.service, self.address, version)
+        let (started, version) = {
+            let shared = self.shared.lock().unwrap();
+            (shared.started, shared.version)
+        };
+        let mut entry = entry(&self.id, &self.service, self.address, version);
+        entry["born"] = json!(started);
+        entry
     }
 }
 
@@ -306,14 +346,15 @@
     }
     let request_id = text("x-request-id").unwrap_or_default().to_owned();
     let parts = text("x-prompt-prefix").unwrap_or_default();
-    let (mode, is_deadly) = {
+    let (is_deadly, leaving, mode, pause) = {
         let mut shared = shared.lock().unwrap();
         shared.received.push(Received {
             body,
             headers: head.headers.clone(),
             path,
         });
-        (shared.mode, shared.is_deadly(parts))
+        let is_deadly = shared.is_deadly(parts);
+        (is_deadly, shared.leaving, shared.mode, shared.pause.clone())
     };
     let is_stream = STREAM_PREFIXES
         .iter()
@@ -335,12 +376,19 @@
             response(200, "late".to_owned())
         }
         Mode::Stalling => stalling_stream(after),
-        Mode::Rejecting => response(503, String::new()),
+        Mode::Overloaded | Mode::Rejecting => response(503, String::new()),
         Mode::Working if is_stream => response(200, events(after, EVENTS)),
         Mode::Working => response(200, format!("answer of {id}")),
     };
     cancellation_counter.answered = true;
+    let pause = pause.filter(|_| response.status() == 503);
     let headers = response.headers_mut();
+    if leaving {
+        headers.insert("server-leaving", "1".parse().unwrap());
+    }
+    if let Some(pause) = pause {
+        headers.insert("retry-after", pause.parse().unwrap());
+    }
     let echoed = match mode {
         Mode::Crossed => "another".to_owned(),
         _ => request_id,
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -38,6 +38,8 @@
     StreamBroken = 124,
     /// The answer to a routed request ended; the details say how, and how its upstream was chosen.
     RequestAnswered = 125,
+    /// An upstream asked in an answer for no further requests of this host.
+    UpstreamHeld = 126,
     /// An engine crashed under a request whose prompt has parts that others share.
     EngineCrashed = 130,
     /// A part of prompts was quarantined, because engines crash that begin to answer them.
@@ -155,7 +157,8 @@
             | Self::RequestAnswered
             | Self::RequestRefused
             | Self::RoutedRefused
-            | Self::StreamBroken => Level::Debug,
+            | Self::StreamBroken
+            | Self::UpstreamHeld => Level::Debug,
             Self::AssignFailed
             | Self::ConnectionLimit
             | Self::DiskFull
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -67,6 +67,8 @@
 pub const RUNS: &str = "hibiscushoist_runs_total";
 /// Counter of callers that were disconnected because they read too slowly.
 pub const SLOW_CALLERS: &str = "hibiscushoist_slow_callers_total";
+/// Counter of holds of upstreams, by what the upstream asked for.
+pub const UPSTREAM_HOLDS: &str = "hibiscushoist_upstream_holds_total";
 /// Counter of steps of roll-outs, by step.
 pub const ROLLOUT_STEPS: &str = "hibiscushoist_rollout_steps_total";
 /// Gauge of the table revision in force on this host.
