Move the host's own view of an upstream out of the dispatcher

The requests of this host at an upstream, and what later events change about them, are in coordination::local_state; behaviour is unchanged. The tests dispatch, assignment and hold of the package coordination pass.

--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -12,7 +12,7 @@
 use crate::choice::Refusal;
 use crate::demand::Demand;
 use crate::dispatch::Dispatcher;
-use crate::dispatch::InFlight;
+use crate::local_state::InFlight;
 use crate::prefix_index::CachedPrefix;
 use crate::upstream::Edition;
 use crate::upstream::Fleet;
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -17,6 +17,8 @@
 use crate::choice::Refusal;
 use crate::demand::Demand;
 use crate::hold::Holds;
+use crate::local_state::InFlight;
+use crate::local_state::LocalState;
 use crate::prefill;
 use crate::prefill::Availability;
 use crate::prefill::FIRST_BYTE_AFTER_PREFILL_MS;
@@ -27,7 +29,6 @@
 use crate::prefix_index::PrefixIndex;
 use crate::prefix_index::PrefixKey;
 use crate::shard;
-use crate::unresponsive::RequestId;
 use crate::unresponsive::UnresponsiveDetector;
 use crate::upstream;
 use crate::upstream::Fleet;
@@ -72,39 +73,6 @@
     max_ejected_percent: 60,
 };
 
-/// A request in flight at an upstream, as later events of it are recorded with.
-#[derive(Clone, Debug)]
-pub struct InFlight {
-    upstream_id: String,
-    long_prompt_tokens: u64,
-    prefix: Option<PrefixKey>,
-    request_id: RequestId,
-    pending_prefill_tokens: u64,
-    started: u64,
-}
-
-/// What this host itself has observed of an upstream.
-#[derive(Clone, Debug, Default)]
-struct LocalState {
-    long_prompt_tokens: u64,
-    refused_at: Option<Instant>,
-    running: u32,
-    pending_prefill_tokens: u64,
-    weights: BTreeMap<String, u64>,
-}
-
-impl LocalState {
-    /// Returns the load that this host causes.
-    fn load(&self, last_byte_age_ms: Option<u64>) -> UpstreamLoad {
-        UpstreamLoad {
-            long_prompt_tokens: self.long_prompt_tokens,
-            last_byte_age_ms,
-            running: self.running,
-            pending_prefill_tokens: self.pending_prefill_tokens,
-        }
-    }
-}
-
 /// Chooses upstreams for the requests of this host, and records what becomes of them.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -138,7 +106,7 @@
         self.breaker.sync(ids.iter().map(|id| (*id).clone()));
         self.holds.sync(fleet);
         self.local
-            .retain(|id, local| local.running > 0 || ids.contains(&id));
+            .retain(|id, local| local.has_requests() || ids.contains(&id));
         self.unresponsive
             .retain(|id| ids.iter().any(|known| *known == id));
     }
@@ -196,14 +164,12 @@
         let upstream_id = choice.upstream.id.clone();
         let availability = self.prefix_availability(now, &choice.upstream, demand);
         let pending_prefill_tokens = prefill::tokens(demand, availability);
-        let local = self.local.entry(upstream_id.clone()).or_default();
         let long_prompt_tokens = demand
             .shared_prefix
             .as_ref()
             .map_or(0, |_| demand.prompt_tokens);
-        local.long_prompt_tokens += long_prompt_tokens;
-        local.running += 1;
-        local.pending_prefill_tokens += pending_prefill_tokens;
+        let local = self.local.entry(upstream_id.clone()).or_default();
+        local.record_sent(long_prompt_tokens, pending_prefill_tokens);
         let work_ms =
             2 * self.load(now, &upstream_id).pending_prefill_tokens / PREFILL_TOKENS_PER_MS;
         let request_id = self
@@ -229,7 +195,7 @@
 
     /// Returns the load that this host causes at each upstream.
     pub fn loads(&self, now: Instant) -> UpstreamLoads {
-        let busy = self.local.iter().filter(|(_, local)| local.running > 0);
+        let busy = self.local.iter().filter(|(_, local)| local.has_requests());
         let load = |(id, local): (&String, &LocalState)| {
             let last_byte_age_ms = self.unresponsive.last_byte_age_ms(now, id);
             (id.clone(), local.load(last_byte_age_ms))
@@ -270,10 +236,7 @@
         self.unresponsive
             .record_end(&in_flight.upstream_id, in_flight.request_id);
         if let Some(local) = self.local.get_mut(&in_flight.upstream_id) {
-            local.pending_prefill_tokens = local
-                .pending_prefill_tokens
-                .saturating_sub(in_flight.pending_prefill_tokens);
-            in_flight.pending_prefill_tokens = 0;
+            local.record_prefill(in_flight);
         }
     }
 
@@ -333,13 +296,7 @@
         self.unresponsive
             .record_end(&in_flight.upstream_id, in_flight.request_id);
         if let Some(local) = self.local.get_mut(&in_flight.upstream_id) {
-            local.long_prompt_tokens = local
-                .long_prompt_tokens
-                .saturating_sub(in_flight.long_prompt_tokens);
-            local.running = local.running.saturating_sub(1);
-            local.pending_prefill_tokens = local
-                .pending_prefill_tokens
-                .saturating_sub(in_flight.pending_prefill_tokens);
+            local.record_end(in_flight);
         }
     }
 
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod host;
 pub mod lease;
 pub mod liveness;
+pub mod local_state;
 pub mod membership;
 pub mod order;
 pub mod outage;
--- a/crates/coordination/tests/hold.rs
+++ b/crates/coordination/tests/hold.rs
@@ -9,8 +9,8 @@
 use coordination::choice::Refusal;
 use coordination::demand::Demand;
 use coordination::dispatch::Dispatcher;
-use coordination::dispatch::InFlight;
 use coordination::hold::Holds;
+use coordination::local_state::InFlight;
 use coordination::upstream::Fleet;
 use state::time::Instant;
 
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -17,7 +17,7 @@
 use crate::gateway_retry::can_move;
 use coordination::choice::Choice;
 use coordination::demand::Demand;
-use coordination::dispatch::InFlight;
+use coordination::local_state::InFlight;
 use coordination::retry;
 use coordination::version_history::CANCEL_MARGIN_MS;
 use platform::answer::AnswerHead;
