Send an upstream nothing until a pause that it asked for ends

An upstream that turns a request away with 503 may add a `Retry-After`: it wants nothing from this host for so long. The host gave it a rest of 250 ms whatever it asked for, and none at all where no other upstream was usable, so an overloaded upstream got all requests again at once. Callers that were refused came back after 0.4 s, into the same pause.

Cause: nothing decoded the header, and the rest after a refusal only orders the upstreams.

The time is decoded with the head of the answer, with fractions, as the longest of several values; anything else than a plain number counts as not sent. It is one more reason of `coordination::hold`, which keeps the upstream out of every choice; the latest end counts. An answer with status 503 that does not say whether it ran the request asks for the pause as well, since the wish does not depend on that; whether the request may be sent elsewhere is decided as before. A later start of the upstream knows nothing of the pause and ends it.

If all upstreams that could take a request are paused or leave, the request waits where the first pause ends within the time that it would wait for a busy engine, because a caller that is refused needs another connection and comes back later. Otherwise it is refused at once as `overloaded`, with the time until the first pause ends and up to a quarter of it (1.5 s at most) added at random, so that callers do not all come back at the end of the pause. A request that has collected the refusals itself gets the same time.

Evidence: on the code without the change and before, the tests of hibiscushoistd/holds fail:

an_upstream_that_asks_for_a_pause_gets_no_request_until_its_end a request arrived 5.382745ms after the refusal, with a pause of 2.5 s requests_are_refused_until_the_first_of_long_pauses_ends left: 200 right: 503 a_request_waits_for_the_end_of_a_short_pause answered after 4.402035ms, with a pause of 0.6 s a_pause_is_kept_whether_or_not_the_request_ran left: 200 right: 503

With it they pass, as do coordination/hold, dispatch, assignment and routed, platform/decoders and hibiscushoistd/routed, leaving, imports, pages and proofs.

--- a/crates/coordination/src/choice.rs
+++ b/crates/coordination/src/choice.rs
@@ -52,6 +52,8 @@
     /// No upstream of the service takes requests.
     #[strum(serialize = "none")]
     NoUpstream,
+    /// Every upstream of the service that takes requests has asked for a pause.
+    Paused,
     /// Every backlog is longer than the time left to the caller.
     TooLate,
 }
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::choice::Rank;
 use crate::choice::Refusal;
 use crate::demand::Demand;
+use crate::hold;
 use crate::hold::Holds;
 use crate::local_state::InFlight;
 use crate::local_state::LocalState;
@@ -123,6 +124,9 @@
         demand: &Demand,
     ) -> Result<Choice, Refusal> {
         let eligible = self.eligible(now, fleet, demand);
+        if eligible.is_empty() && self.is_paused(now, fleet, demand) {
+            return Err(Refusal::Paused);
+        }
         let upstream = self.pick(now, &eligible, demand)?.clone();
         let expected = self.candidate(now, &upstream, demand);
         let _ = self.breaker.admit(now, &upstream.id);
@@ -275,9 +279,44 @@
         self.holds.record_leaving(now, id, in_flight.started)
     }
 
+    /// Records that the upstream asked for a pause, and returns whether that begins one.
+    pub fn record_pause(&mut self, now: Instant, in_flight: &InFlight, pause_ms: u64) -> bool {
+        let id = in_flight.upstream_id.clone();
+        self.holds
+            .record_pause(now, id, in_flight.started, pause_ms)
+    }
+
     /// Returns whether an upstream has asked for no requests.
-    pub fn is_held(&self, upstream: &Upstream) -> bool {
-        self.holds.is_held(upstream)
+    pub fn is_held(&self, now: Instant, upstream: &Upstream) -> bool {
+        self.holds.is_held(now, upstream)
+    }
+
+    /// Returns the time until the first upstream may take a request again, if all that could take
+    /// it have asked for a pause.
+    pub fn pause_left_ms(&self, now: Instant, fleet: &Fleet, demand: &Demand) -> Option<u64> {
+        if !self.eligible(now, fleet, demand).is_empty() {
+            return None;
+        }
+        let left_ms = |upstream: &Upstream| {
+            let could_take = upstream.service == demand.service
+                && upstream.standing == upstream::Standing::Ready
+                && !demand.tried.contains(&upstream.id)
+                && self.is_current(fleet, upstream, demand);
+            match self.holds.state(now, upstream) {
+                hold::State::Paused(left_ms) if could_take => Some(left_ms),
+                _ => None,
+            }
+        };
+        fleet.upstreams.iter().filter_map(left_ms).min()
+    }
+
+    /// Returns whether all upstreams that could take a request, tried or not, are paused.
+    fn is_paused(&self, now: Instant, fleet: &Fleet, demand: &Demand) -> bool {
+        let untried = Demand {
+            tried: Vec::new(),
+            ..demand.clone()
+        };
+        self.pause_left_ms(now, fleet, &untried).is_some()
     }
 
     /// Records that the request failed at the upstream, and returns whether that ejected it.
@@ -337,7 +376,7 @@
         let refused_at = self.local.get(id).and_then(|local| local.refused_at);
         !matches!(self.breaker.state(now, id), State::Open(_))
             && !self.unresponsive.is_unresponsive(now, id)
-            && !self.is_held(upstream)
+            && !self.is_held(now, upstream)
             && refused_at.is_none_or(|at| now.since(at) > REFUSAL_PAUSE_MS)
     }
 
@@ -348,7 +387,7 @@
         let is_eligible = |upstream: &&Upstream| {
             upstream.service == demand.service
                 && upstream.standing == upstream::Standing::Ready
-                && !self.is_held(upstream)
+                && !self.is_held(now, upstream)
                 && !demand.tried.contains(&upstream.id)
                 && self.is_current(fleet, upstream, demand)
         };
--- a/crates/coordination/tests/hold.rs
+++ b/crates/coordination/tests/hold.rs
@@ -10,6 +10,7 @@
 use coordination::demand::Demand;
 use coordination::dispatch::Dispatcher;
 use coordination::hold::Holds;
+use coordination::hold::State;
 use coordination::local_state::InFlight;
 use coordination::upstream::Fleet;
 use state::time::Instant;
@@ -58,13 +59,13 @@
     let fleet = fleet(&[("a", 1)]);
     assert!(holds.record_leaving(NOW, "a", 1));
     assert!(!holds.record_leaving(NOW, "a", 1));
-    assert!(holds.is_held(&fleet.upstreams[0]));
+    assert!(holds.is_held(NOW, &fleet.upstreams[0]));
     let later = started(&fleet, "a", 2);
-    assert!(!holds.is_held(&later.upstreams[0]));
+    assert!(!holds.is_held(NOW, &later.upstreams[0]));
     holds.sync(&fleet);
-    assert!(holds.is_held(&fleet.upstreams[0]));
+    assert!(holds.is_held(NOW, &fleet.upstreams[0]));
     holds.sync(&later);
-    assert!(!holds.is_held(&fleet.upstreams[0]));
+    assert!(!holds.is_held(NOW, &fleet.upstreams[0]));
     assert!(holds.record_leaving(NOW, "a", 2));
 }
 
@@ -74,7 +75,7 @@
     let mut holds = Holds::default();
     let later = started(&fleet(&[("a", 1)]), "a", 2);
     holds.record_leaving(NOW, "a", 1);
-    assert!(!holds.is_held(&later.upstreams[0]));
+    assert!(!holds.is_held(NOW, &later.upstreams[0]));
 }
 
 /// The entry of an upstream that still runs may be unreadable for a while.
@@ -85,7 +86,7 @@
     holds.record_leaving(NOW, "a", 1);
     holds.sync(&Fleet::default());
     holds.sync(&fleet);
-    assert!(holds.is_held(&fleet.upstreams[0]));
+    assert!(holds.is_held(NOW, &fleet.upstreams[0]));
 }
 
 /// Otherwise the holds of upstreams that are gone would fill the memory.
@@ -96,7 +97,7 @@
     holds.record_leaving(NOW, "a", 1);
     holds.sync(&Fleet::default());
     holds.record_leaving(NOW + 3_600_000, "b", 1);
-    assert!(!holds.is_held(&fleet.upstreams[0]));
+    assert!(!holds.is_held(NOW, &fleet.upstreams[0]));
 }
 
 /// Without a start, only the list can show that the upstream is gone.
@@ -106,18 +107,20 @@
     let unknown = started(&fleet(&[("a", 1)]), "a", 0);
     holds.record_leaving(NOW, "a", 0);
     holds.sync(&unknown);
-    assert!(holds.is_held(&unknown.upstreams[0]));
+    assert!(holds.is_held(NOW, &unknown.upstreams[0]));
     let known = started(&unknown, "a", 7);
-    assert!(holds.is_held(&known.upstreams[0]));
+    assert!(holds.is_held(NOW, &known.upstreams[0]));
     holds.sync(&known);
-    assert!(holds.is_held(&known.upstreams[0]));
-    assert!(holds.is_held(&unknown.upstreams[0]));
-    assert!(!holds.is_held(&started(&known, "a", 8).upstreams[0]));
+    assert!(holds.is_held(NOW, &known.upstreams[0]));
+    assert!(holds.is_held(NOW, &unknown.upstreams[0]));
+    assert!(!holds.is_held(NOW, &started(&known, "a", 8).upstreams[0]));
 
     let mut holds = Holds::default();
     holds.record_leaving(NOW, "a", 0);
+    holds.record_pause(NOW, "a", 0, 10);
     holds.sync(&Fleet::default());
-    assert!(!holds.is_held(&unknown.upstreams[0]));
+    assert_eq!(holds.state(NOW, &unknown.upstreams[0]), State::Paused(10));
+    assert!(!holds.is_held(NOW + 10, &unknown.upstreams[0]));
 }
 
 /// An ejected upstream is the last resort where no other is left; a leaving one must not be.
@@ -164,3 +167,103 @@
         );
     }
 }
+
+#[test]
+fn the_latest_end_of_several_pauses_counts() {
+    let mut holds = Holds::default();
+    let fleet = fleet(&[("a", 1)]);
+    let state = |holds: &Holds, now| holds.state(now, &fleet.upstreams[0]);
+    assert!(!holds.record_pause(NOW, "a", 1, 0));
+    assert_eq!(state(&holds, NOW), State::Free);
+    assert!(holds.record_pause(NOW, "a", 1, 2_000));
+    assert!(!holds.record_pause(NOW + 500, "a", 1, 1_000));
+    assert_eq!(state(&holds, NOW + 500), State::Paused(1_500));
+    assert_eq!(state(&holds, NOW + 1_999), State::Paused(1));
+    assert_eq!(state(&holds, NOW + 2_000), State::Free);
+    assert!(holds.record_pause(NOW + 2_000, "a", 1, u64::MAX));
+    assert!(holds.is_held(NOW + 3_600_000, &fleet.upstreams[0]));
+    assert!(holds.record_leaving(NOW + 3_600_000, "a", 1));
+    assert_eq!(state(&holds, NOW + 3_600_000), State::Leaving);
+}
+
+/// The start before knew of the pause, the one after knows nothing.
+#[test]
+fn a_pause_belongs_to_one_start_of_an_upstream() {
+    let mut holds = Holds::default();
+    let later = started(&fleet(&[("a", 1)]), "a", 2);
+    holds.record_pause(NOW, "a", 1, 1_000);
+    assert!(!holds.is_held(NOW, &later.upstreams[0]));
+    assert!(holds.record_pause(NOW, "a", 2, 100));
+    assert!(!holds.record_pause(NOW, "a", 1, 1_000));
+    let left = holds.state(NOW, &later.upstreams[0]);
+    assert_eq!(left, State::Paused(100));
+}
+
+/// An upstream that asked for a pause must be neither the last resort nor probed in it.
+#[test]
+fn a_paused_upstream_gets_no_request_until_the_end_of_the_pause() {
+    let mut host = Dispatcher::new(0);
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    host.sync(&fleet);
+    let (_, a) = send(&mut host, &fleet, "a");
+    let (_, b) = send(&mut host, &fleet, "b");
+    host.record_end(&a);
+    host.record_end(&b);
+    assert!(host.record_pause(NOW, &a, 3_000));
+    for _ in 0..3 {
+        host.record_failure(NOW, &b);
+    }
+    for after_ms in 0..3_000 {
+        let choice = host.choose(NOW + after_ms, &fleet, &demand()).unwrap();
+        assert_eq!(choice.upstream.id, "b");
+        host.record_failure(NOW + after_ms, &b);
+    }
+    assert!(
+        host.unusable(NOW + 2_999, &fleet, "engines")
+            .contains(&"a".to_owned())
+    );
+    let choice = host.choose(NOW + 3_000, &fleet, &demand()).unwrap();
+    assert_eq!(choice.upstream.id, "a");
+}
+
+#[test]
+fn a_request_is_refused_as_paused_while_all_upstreams_are_paused_or_leave() {
+    let mut host = Dispatcher::new(0);
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let (_, a) = send(&mut host, &fleet, "a");
+    let (_, b) = send(&mut host, &fleet, "b");
+    assert_eq!(host.pause_left_ms(NOW, &fleet, &demand()), None);
+    host.record_pause(NOW, &a, 3_000);
+    assert_eq!(host.pause_left_ms(NOW, &fleet, &demand()), None);
+    host.record_pause(NOW, &b, 2_000);
+    assert_matches!(host.choose(NOW, &fleet, &demand()), Err(Refusal::Paused));
+    assert_eq!(host.pause_left_ms(NOW, &fleet, &demand()), Some(2_000));
+    let tried = demand_for("a");
+    assert_eq!(host.pause_left_ms(NOW, &fleet, &tried), Some(3_000));
+    host.record_leaving(NOW, &b);
+    assert_matches!(host.choose(NOW, &fleet, &demand()), Err(Refusal::Paused));
+    assert_eq!(host.pause_left_ms(NOW, &fleet, &demand()), Some(3_000));
+    host.record_leaving(NOW, &a);
+    assert_matches!(
+        host.choose(NOW, &fleet, &demand()),
+        Err(Refusal::NoUpstream)
+    );
+    assert_eq!(host.pause_left_ms(NOW, &fleet, &demand()), None);
+}
+
+/// The caller is told when to come back even if the request itself got the refusals.
+#[test]
+fn a_request_that_all_paused_upstreams_refused_is_refused_as_paused() {
+    let mut host = Dispatcher::new(0);
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    for id in ["a", "b"] {
+        let (_, in_flight) = send(&mut host, &fleet, id);
+        host.record_pause(NOW, &in_flight, 2_000);
+    }
+    let tried = Demand {
+        tried: vec!["a".to_owned(), "b".to_owned()],
+        ..demand()
+    };
+    assert_matches!(host.choose(NOW, &fleet, &tried), Err(Refusal::Paused));
+    assert_eq!(host.pause_left_ms(NOW, &fleet, &tried), None);
+}
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -229,8 +229,9 @@
     }))
 }
 
-/// Records that the upstream asks for no further requests, if its answer says so. An answer to
-/// another request, or one that is not accepted, still comes from the upstream.
+/// Records that the upstream asks for no further requests, for good or for a time, if its answer
+/// says so. An answer to another request, or one that is not accepted, still comes from the
+/// upstream, and so does one that does not say whether the request ran.
 fn record_hold(
     context: &Context,
     choice: &Choice,
@@ -238,15 +239,24 @@
     in_flight: &InFlightGuard,
 ) {
     let now = context.clock.now();
-    let mut dispatcher = in_flight.gateway.dispatcher();
-    if answer_head.leaving && dispatcher.record_leaving(now, &in_flight.handle) {
-        metrics::counter!(metric::UPSTREAM_HOLDS, "reason" => "leaving").increment(1);
-        let details = slog::o!(
-            "upstream" => choice.upstream.id.clone(),
-            "service" => choice.upstream.service.clone(),
-            "reason" => "leaving",
-        );
-        event::emit(&context.log, Event::UpstreamHeld, details);
+    let (leaves, pauses) = {
+        let mut dispatcher = in_flight.gateway.dispatcher();
+        let pause = |pause_ms| dispatcher.record_pause(now, &in_flight.handle, pause_ms);
+        let pauses = answer_head.pause_ms.is_some_and(pause);
+        let leaves = answer_head.leaving && dispatcher.record_leaving(now, &in_flight.handle);
+        (leaves, pauses)
+    };
+    for (begins, reason) in [(leaves, "leaving"), (pauses, "paused")] {
+        if begins {
+            metrics::counter!(metric::UPSTREAM_HOLDS, "reason" => reason).increment(1);
+            let details = slog::o!(
+                "upstream" => choice.upstream.id.clone(),
+                "service" => choice.upstream.service.clone(),
+                "reason" => reason,
+                "pause_ms" => answer_head.pause_ms.filter(|_| reason == "paused"),
+            );
+            event::emit(&context.log, Event::UpstreamHeld, details);
+        }
     }
 }
 
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -27,6 +27,10 @@
 /// Longest wait for a free engine, as a multiple of the route's time-to-first-byte goal. Callers
 /// disconnect at four times the goal, and prefill takes about one.
 const MAX_WAIT_GOALS: u64 = 1;
+/// Random addition to a `Retry-After` at the end of a pause, at most, as a divisor of the pause.
+const PAUSE_JITTER_DIVISOR: u64 = 4;
+/// Upper limit of that addition, in milliseconds; callers have waited long enough by then.
+const MAX_PAUSE_JITTER_MS: u64 = 1_500;
 /// Least length of a shared prefix for which a request is routed to the engine that caches it, in
 /// tokens; the prefill of a shorter prefix fits in one step of a batch.
 const MIN_SHARED_PREFIX_TOKENS: u64 = 1_024;
@@ -47,14 +51,19 @@
         let demand = demand(context, gateway, routed, progress);
         let chosen = match ask_leader(context, gateway, &demand).await {
             // The engine may have asked for no requests while the leader chose it.
-            Some(Ok(choice)) if !gateway.dispatcher().is_held(&choice.upstream) => Ok(choice),
+            Some(Ok(choice)) if !is_held(context, gateway, &choice) => Ok(choice),
             Some(Err(refusal @ (Refusal::Busy | Refusal::TooLate))) => Err(refusal),
-            Some(Ok(_) | Err(Refusal::NoUpstream)) | None => {
+            Some(Ok(_) | Err(Refusal::NoUpstream | Refusal::Paused)) | None => {
                 choose_locally(context, gateway, &demand)
             }
         };
         match chosen {
-            Err(Refusal::Busy) if may_wait(context, routed) => tokio::time::sleep(BUSY_PAUSE).await,
+            Err(Refusal::Busy) if may_wait(context, routed, 0) => {
+                tokio::time::sleep(BUSY_PAUSE).await;
+            }
+            Err(Refusal::Paused) if ends_in_time(context, gateway, routed, &demand) => {
+                tokio::time::sleep(BUSY_PAUSE).await;
+            }
             Err(refusal) => return Err(refusal),
             Ok(choice) => return Ok((demand, choice)),
         }
@@ -116,10 +125,55 @@
         .can_place(now, &snapshot.fleet, &demand)
 }
 
-/// Returns whether a request may wait longer for a free engine.
-fn may_wait(context: &Context, routed: &RoutedRequest) -> bool {
+/// Returns whether a request may wait longer for a free engine, for `wait_ms` or more.
+fn may_wait(context: &Context, routed: &RoutedRequest, wait_ms: u64) -> bool {
     let waited = context.clock.now().since(routed.arrived);
-    waited < routed.route.first_byte_goal_ms * MAX_WAIT_GOALS
+    waited.saturating_add(wait_ms) < routed.route.first_byte_goal_ms * MAX_WAIT_GOALS
+}
+
+/// Returns whether an upstream may take the request again while the caller can still use the
+/// answer. A caller that is refused needs another connection and comes back later than that.
+fn ends_in_time(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    demand: &Demand,
+) -> bool {
+    let snapshot = gateway.routing.latest();
+    let now = context.clock.now();
+    let left_ms = gateway
+        .dispatcher()
+        .pause_left_ms(now, &snapshot.fleet, demand);
+    left_ms.is_some_and(|left_ms| left_ms < demand.left_ms && may_wait(context, routed, left_ms))
+}
+
+/// Returns whether the chosen upstream has asked for no requests.
+fn is_held(context: &Context, gateway: &Gateway, choice: &Choice) -> bool {
+    let now = context.clock.now();
+    gateway.dispatcher().is_held(now, &choice.upstream)
+}
+
+/// Returns the time after which the caller of a refused request may come back: `min_ms` or, if all
+/// upstreams have asked for a pause, the end of the first pause. Callers that were refused during a
+/// pause must not all come back at its end.
+pub fn retry_after_ms(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    min_ms: u64,
+) -> u64 {
+    let demand = demand(context, gateway, routed, &Progress::default());
+    let snapshot = gateway.routing.latest();
+    let now = context.clock.now();
+    let pause_ms = gateway
+        .dispatcher()
+        .pause_left_ms(now, &snapshot.fleet, &demand);
+    let Some(pause_ms) = pause_ms else {
+        return min_ms;
+    };
+    let max_jitter_ms = (pause_ms / PAUSE_JITTER_DIVISOR).min(MAX_PAUSE_JITTER_MS);
+    let jitter_ms = rand::random_range(0..=max_jitter_ms);
+    pause_ms.saturating_add(jitter_ms).max(min_ms)
 }
 
 /// Returns what the dispatcher and the leader need to know of a request to choose its upstream.
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -11,7 +11,6 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Response;
-use slog::Logger;
 
 use crate::answer::Failure;
 use crate::context::Context;
@@ -184,7 +183,11 @@
     loop {
         gateway_crash::admit(context, gateway, routed, progress.may_have_run)?;
         let (demand, choice) = match place(context, gateway, routed, progress).await {
-            Err(refusal) => return Err(placement_failure(&context.log, routed, progress, refusal)),
+            Err(refusal) => {
+                return Err(placement_failure(
+                    context, gateway, routed, progress, refusal,
+                ));
+            }
             Ok(placed) => placed,
         };
         // A part may have been quarantined while the request waited for a free engine.
@@ -284,9 +287,9 @@
     progress: &Progress,
     reason: retry::Reason,
 ) -> Result<(), Failure> {
-    let final_failure = final_failure(routed, context, progress);
+    let final_failure = || final_failure(context, gateway, routed, progress);
     if progress.attempts >= routed.route.attempt_limit || progress.rejections >= MAX_REJECTIONS {
-        return Err(final_failure);
+        return Err(final_failure());
     }
     let not_sent = reason == retry::Reason::Connect;
     let retry_request = retry::Failure {
@@ -307,7 +310,7 @@
         Err(denial) => {
             let denial: &'static str = denial.into();
             metrics::counter!(metric::RETRY_DENIALS, "reason" => denial).increment(1);
-            Err(final_failure)
+            Err(final_failure())
         }
         Ok(_) => {
             let reason: &'static str = reason.into();
@@ -318,9 +321,14 @@
 }
 
 /// Returns the failure that the caller gets if no further attempt is made.
-fn final_failure(routed: &RoutedRequest, context: &Context, progress: &Progress) -> Failure {
+fn final_failure(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    progress: &Progress,
+) -> Failure {
     if !progress.may_have_run {
-        return retryable_failure(Reason::Overloaded, REJECTED_RETRY_AFTER_MS);
+        return rejected_failure(context, gateway, routed, Reason::Overloaded);
     }
     let deadline_passed = context.clock.now() >= routed.deadline;
     Failure {
@@ -335,7 +343,8 @@
 
 /// Logs that no upstream can take a request, and returns the failure for the caller.
 fn placement_failure(
-    log: &Logger,
+    context: &Context,
+    gateway: &Gateway,
     routed: &RoutedRequest,
     progress: &Progress,
     refusal: Refusal,
@@ -346,7 +355,7 @@
         "reason" => refusal.to_string(),
         "tried" => progress.tried.len(),
     );
-    event::emit(log, Event::RoutedRefused, details);
+    event::emit(&context.log, Event::RoutedRefused, details);
     if progress.may_have_run {
         return Failure {
             not_run: NotRun::Unknown,
@@ -355,7 +364,8 @@
         };
     }
     match refusal {
-        Refusal::NoUpstream => retryable_failure(Reason::NoUpstream, REJECTED_RETRY_AFTER_MS),
+        Refusal::NoUpstream => rejected_failure(context, gateway, routed, Reason::NoUpstream),
+        Refusal::Paused => rejected_failure(context, gateway, routed, Reason::Overloaded),
         Refusal::Busy | Refusal::TooLate => {
             let jitter_ms = rand::random_range(0..=BUSY_RETRY_JITTER_MS);
             retryable_failure(Reason::Overloaded, BUSY_RETRY_AFTER_MS + jitter_ms)
@@ -363,6 +373,18 @@
     }
 }
 
+/// Returns the failure of a request that no upstream ran.
+fn rejected_failure(
+    context: &Context,
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    reason: Reason,
+) -> Failure {
+    let after_ms = REJECTED_RETRY_AFTER_MS;
+    let after_ms = gateway_placement::retry_after_ms(context, gateway, routed, after_ms);
+    retryable_failure(reason, after_ms)
+}
+
 /// Logs a failed attempt.
 fn log_failed_attempt(context: &Context, routed: &RoutedRequest, failed_attempt: &FailedAttempt) {
     let details = slog::o!(
