Test that no prefix is fetched from a held engine

Neither a host that chooses by itself nor the leader that assigns an engine names a held engine as the source. Without the leader's check of the engines that the asking host does not use, the test no_prefix_is_fetched_from_a_held_engine fails:

left: ("b", Some(127.0.0.1:1097)) right: ("b", None)

Without the two checks of holds in the choice of an upstream, it and four others of coordination/hold fail.

--- a/crates/coordination/tests/hold.rs
+++ b/crates/coordination/tests/hold.rs
@@ -5,6 +5,8 @@
 use assert_matches::assert_matches;
 
 use crate::upstream_fixtures::fleet;
+use coordination::assignment::Assigner;
+use coordination::assignment::Request;
 use coordination::choice::Choice;
 use coordination::choice::Refusal;
 use coordination::demand::Demand;
@@ -12,7 +14,10 @@
 use coordination::hold::Holds;
 use coordination::hold::State;
 use coordination::local_state::InFlight;
+use coordination::prefix_index::CacheLocation;
+use coordination::prefix_index::CachedPrefix;
 use coordination::upstream::Fleet;
+use coordination::upstream_load::UpstreamLoads;
 use state::time::Instant;
 
 const NOW: Instant = Instant(1_000);
@@ -267,3 +272,40 @@
     assert_matches!(host.choose(NOW, &fleet, &tried), Err(Refusal::Paused));
     assert_eq!(host.pause_left_ms(NOW, &fleet, &tried), None);
 }
+
+/// The source would work for a request of this host, which it has asked not to do.
+#[test]
+fn no_prefix_is_fetched_from_a_held_engine() {
+    let fleet = fleet(&[("a", 1), ("b", 1)]);
+    let long = Demand {
+        prompt_tokens: 17_000,
+        shared_prefix: Some(("p".to_owned(), 13_300)),
+        ..demand()
+    };
+    let cached_prefix = CachedPrefix {
+        location: CacheLocation::Engine("a".to_owned()),
+        prefix: long.prefix_key(1).unwrap(),
+    };
+    let mut host = Dispatcher::new(0);
+    let (_, a) = send(&mut host, &fleet, "a");
+    host.record_remote_prefixes(NOW, vec![cached_prefix.clone()]);
+    host.record_leaving(NOW, &a);
+    let choice = host.choose(NOW, &fleet, &long).unwrap();
+    assert_eq!(
+        (choice.upstream.id.as_str(), choice.fetch_from),
+        ("b", None)
+    );
+
+    let mut leader = Assigner::new(0);
+    leader.record_report(NOW, &[], &[cached_prefix]);
+    let request = Request {
+        unusable: host.unusable(NOW, &fleet, "engines"),
+        demand: long,
+    };
+    let choice = leader.assign(NOW, &fleet, &UpstreamLoads::new(), request);
+    let choice = choice.unwrap();
+    assert_eq!(
+        (choice.upstream.id.as_str(), choice.fetch_from),
+        ("b", None)
+    );
+}
