Hold back the end of an event that is too long

A caller could take a stream for complete that its host had cut: where the body has a known length and the event that exceeds the limit ends with the body, the host forwarded the last bytes before it failed the read.

Cause: the check of the limit returned the frame as it was, unlike the check for a body that ends inside an event.

Change: of a frame in which an event exceeds the limit, only whole events are forwarded.

Result: `a_stream_of_known_length_that_ends_inside_a_long_event_is_cut` is new; it passes with the change together with the nine other tests of endless answers.

--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -111,8 +111,8 @@
     }
 
     /// Returns the part of a frame that is forwarded: all of it, unless the body ends with it
-    /// inside an event. With such a frame, a body of known length would look complete to the
-    /// caller.
+    /// inside an event or the event is too long. With such a frame, a body of known length might
+    /// look complete to the caller.
     fn forwarded(&mut self, frame: Frame<Bytes>) -> Frame<Bytes> {
         let mut data = match frame.into_data() {
             Err(trailers) => return trailers,
@@ -124,17 +124,15 @@
                 whole_events_len = index + 1;
             }
         }
+        let is_end = self.body.is_end_stream();
         if self.position.is_event_too_long() {
             self.error = Some(self.cut(io::ErrorKind::InvalidData.into()));
-            return Frame::data(data);
-        }
-        match (self.body.is_end_stream(), self.position.is_inside_event()) {
-            (false, _) => {}
-            (true, false) => self.complete(),
-            (true, true) => {
-                self.error = Some(self.cut(io::ErrorKind::UnexpectedEof.into()));
-                data.truncate(whole_events_len);
-            }
+            data.truncate(whole_events_len);
+        } else if is_end && self.position.is_inside_event() {
+            self.error = Some(self.cut(io::ErrorKind::UnexpectedEof.into()));
+            data.truncate(whole_events_len);
+        } else if is_end {
+            self.complete();
         }
         Frame::data(data)
     }
--- a/crates/hibiscushoistd/tests/endless.rs
+++ b/crates/hibiscushoistd/tests/endless.rs
@@ -37,6 +37,9 @@
 /// Time that a slow page takes, within the limit of a call.
 const SLOW_PAGE: Duration = Duration::from_millis(300);
 
+/// Length of an event above the limit, which ends in the part of the body that exceeds it.
+const LONG_EVENT_BYTES: usize = 66 << 10;
+
 const FILLER: &str = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
 const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -172,6 +175,18 @@
     }
 }
 
+/// With its last byte, a body of known length would look complete to the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_known_length_that_ends_inside_a_long_event_is_cut() {
+    let raw = raw::Upstream::start("i-raw", "engines").await;
+    let setup = Setup::start_with_raw(&raw, "engines", false).await;
+    let body = format!("data: {}", FILLER.repeat(LONG_EVENT_BYTES / FILLER.len()));
+    let length = format!("content-length: {}\r\n", body.len());
+    raw.set_script(Script::successful(&length, body, End::Close));
+    let answer = setup.send("/unresumable/x", "k1").await;
+    assert!(answer.body.is_err());
+}
+
 /// Bytes that trickle count as silence, which is no reason to end a request before its deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_with_a_head_that_trickles_ends_at_its_deadline() {
