Bound the turn of each engine in a reload

An engine that refuses every order, whose orders are all lost, or that reports a load which never ends was read and ordered again without end and kept its place among the loads. And engines were ranked by the difference of version numbers, so that a model with many versions kept the engines of another model from their only update.

Change: an engine has 12 s to begin its load and as long to load; after that it makes way, waits twice as long before each further turn, and comes after all engines whose turns did not fail. Engines are ranked by the time since which they have lagged, then by how far. What concerns one engine moves into a module of its own, `reload_engine`.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 mod raft_follower;
 mod raft_leader;
 mod raft_leader_state;
+mod reload_engine;
 
 pub mod addresses;
 pub mod admission;
--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -7,12 +7,14 @@
 //! late. When a newer version appears while an engine waits, the older one is skipped. A new leader
 //! sends no orders until no order of the previous leader can still arrive.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use strum::Display;
 use strum::IntoStaticStr;
 
+use crate::reload_engine::Engine;
+use crate::reload_engine::Phase;
+use crate::reload_engine::Urgency;
 use crate::upstream::ListedUpstream;
 use crate::upstream_load::UpstreamLoads;
 use state::time::Instant;
@@ -54,6 +56,9 @@
     pub unanswered_delay_ms: u64,
     /// Time for which a new leader sends no orders, in milliseconds.
     pub takeover_delay_ms: u64,
+    /// Time in which an engine that is ordered must begin to load, and then load, in milliseconds;
+    /// otherwise it makes way for the others. An answer in flight may take as long.
+    pub turn_limit_ms: u64,
 }
 
 impl Default for Policy {
@@ -71,6 +76,7 @@
             retry_delay_ms: 500,
             unanswered_delay_ms: 2_000,
             takeover_delay_ms: 3_500,
+            turn_limit_ms: 12_000,
         }
     }
 }
@@ -163,43 +169,6 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Phase {
-    /// Was ordered to load `version`, when it had accepted `orders` orders; the next read is due at
-    /// `next_read`.
-    Loading {
-        next_read: Instant,
-        orders: u64,
-        version: u64,
-    },
-    /// Is being read before its order; a read without an answer is repeated at `next_read`.
-    Reading { next_read: Instant },
-    /// Accepts new work.
-    Serving,
-    /// Is off new work; waits until the other hosts know this and fewer engines load.
-    Withdrawn { since: Instant },
-}
-
-impl Phase {
-    /// Returns whether an order was sent or is about to be sent.
-    fn is_ordered(self) -> bool {
-        matches!(self, Self::Loading { .. } | Self::Reading { .. })
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Engine {
-    /// Whether its last order got no answer and the engine has not been seen to load since. The
-    /// order may be lost, so the engine goes on serving.
-    is_unconfirmed: bool,
-    /// Time before which the engine is skipped, because it did not answer.
-    not_before: Instant,
-    ordered: Instant,
-    phase: Phase,
-    listed: ListedUpstream,
-    weights: BTreeMap<String, u64>,
-}
-
 /// Plans the reads and orders that update all engines to the newest weights.
 #[derive(Clone, Debug)]
 pub struct Reload {
@@ -227,9 +196,9 @@
         match event {
             Event::Answered(id, outcome) => self.order_answered(now, &id, outcome),
             Event::LeadershipGained => self.leadership_gained(now),
-            Event::Listed(listed) => self.listed(listed),
+            Event::Listed(listed) => self.listed(now, listed),
             Event::Loads(loads) => self.loads = loads,
-            Event::NewestVersions(newest_versions) => self.newest_versions = newest_versions,
+            Event::NewestVersions(newest_versions) => self.versions_named(now, newest_versions),
             Event::Reported(id, report) => return self.reported(now, &id, report),
             Event::Tick => return self.tick(now),
         }
@@ -254,7 +223,14 @@
         }
     }
 
-    fn listed(&mut self, upstreams: Vec<ListedUpstream>) {
+    fn versions_named(&mut self, now: Instant, newest_versions: BTreeMap<String, u64>) {
+        self.newest_versions = newest_versions;
+        for engine in self.engines.values_mut() {
+            engine.record_lag(now, &self.newest_versions);
+        }
+    }
+
+    fn listed(&mut self, now: Instant, upstreams: Vec<ListedUpstream>) {
         let mut old = std::mem::take(&mut self.engines);
         for listed in upstreams
             .into_iter()
@@ -262,15 +238,9 @@
         {
             let known = old.remove(&listed.id);
             let known = known.filter(|known| known.listed.started == listed.started);
-            let mut engine = known.unwrap_or_else(|| Engine {
-                is_unconfirmed: false,
-                not_before: Instant::default(),
-                ordered: Instant::default(),
-                phase: Phase::Serving,
-                listed: listed.clone(),
-                weights: BTreeMap::new(),
-            });
+            let mut engine = known.unwrap_or_else(|| Engine::new(listed.clone()));
             engine.record_weights(&listed.weights);
+            engine.record_lag(now, &self.newest_versions);
             engine.listed = listed;
             self.engines.insert(engine.listed.id.clone(), engine);
         }
@@ -316,6 +286,7 @@
             return Vec::new();
         };
         engine.record_weights(&report.weights);
+        engine.record_lag(now, &self.newest_versions);
         let update = engine.next_update(&self.newest_versions);
         match (engine.phase, update) {
             (Phase::Serving, _) => {}
@@ -331,6 +302,7 @@
                 // waits for its turn. So does an engine that carried out an earlier order, whose
                 // answer was lost, in place of the last one.
                 engine.serve();
+                engine.failed_turns = 0;
                 return vec![Effect::Done {
                     id: id.to_owned(),
                     took_ms: now.since(engine.ordered),
@@ -345,7 +317,7 @@
                     } => (orders, version),
                     _ => (report.accepted_orders.saturating_sub(1), newest_version),
                 };
-                engine.is_unconfirmed = false;
+                engine.record_load(now);
                 engine.phase = Phase::Loading {
                     next_read: now + policy.read_interval_ms,
                     orders,
@@ -375,8 +347,13 @@
         if self.orders_allowed_from.is_none_or(|from| now < from) {
             return Vec::new();
         }
-        let mut effects = self.withdraw_lagging(now);
         let policy = self.policy;
+        for engine in self.engines.values_mut() {
+            if engine.has_overrun(now, policy.turn_limit_ms) {
+                engine.fail_turn(now, policy.unanswered_delay_ms);
+            }
+        }
+        let mut effects = self.withdraw_lagging(now);
         let free_loads = self.free_loads();
         let mut due = self.due_reads(now);
         due.extend(self.due_orders(now).into_iter().take(free_loads));
@@ -390,9 +367,13 @@
                         orders,
                         version,
                     },
-                    _ => Phase::Reading {
-                        next_read: now + policy.retry_delay_ms,
-                    },
+                    phase => {
+                        if matches!(phase, Phase::Withdrawn { .. }) {
+                            engine.begin_turn(now);
+                        }
+                        let next_read = now + policy.retry_delay_ms;
+                        Phase::Reading { next_read }
+                    }
                 };
                 effects.push(Effect::Read(id));
             }
@@ -410,11 +391,11 @@
         due.map(|engine| engine.listed.id.clone()).collect()
     }
 
-    /// Returns the withdrawn engines that may get their order: those that are most versions behind
-    /// first, and among these the ones that wait longest. In any other order, an engine could wait
-    /// for as long as new versions appear.
+    /// Returns the withdrawn engines that may get their order, the most urgent first and among
+    /// equals the ones that wait longest. In any other order, an engine could wait for as long as
+    /// new versions appear.
     fn due_orders(&self, now: Instant) -> Vec<String> {
-        let mut due: Vec<(Reverse<u64>, Instant, String)> = self
+        let mut due: Vec<(Urgency, Instant, String)> = self
             .engines
             .values()
             .filter_map(|engine| {
@@ -425,9 +406,8 @@
                     false => self.policy.propagation_ms,
                     true => self.policy.finish_wait_ms,
                 };
-                let behind = engine.versions_behind(&self.newest_versions);
-                let behind = Reverse(behind.unwrap_or_default());
-                (now >= since + wait_ms).then(|| (behind, since, engine.listed.id.clone()))
+                let urgency = engine.urgency(&self.newest_versions);
+                (now >= since + wait_ms).then(|| (urgency, since, engine.listed.id.clone()))
             })
             .collect();
         due.sort();
@@ -458,20 +438,22 @@
         engines.filter(|engine| is_counted(engine)).count()
     }
 
-    /// Takes engines off new work, as many as the share allows: those that are most versions behind
-    /// first, and among these the ones with the fewest requests in flight.
+    /// Takes engines off new work, as many as the share allows: the most urgent first, and among
+    /// equals the ones with the fewest requests in flight.
     fn withdraw_lagging(&mut self, now: Instant) -> Vec<Effect> {
         let max_withdrawn = self.max_loading() * 2;
         let in_turn = self.count(|engine| engine.phase != Phase::Serving);
         let running = |id: &str| self.loads.get(id).map_or(0, |load| load.running);
-        let mut lagging: Vec<(Reverse<u64>, u32, String)> = self
+        let mut lagging: Vec<(Urgency, u32, String)> = self
             .engines
             .values()
             .filter(|engine| engine.phase == Phase::Serving && !engine.listed.leaving)
             .filter(|engine| now >= engine.not_before)
-            .filter_map(|engine| {
-                let behind = Reverse(engine.versions_behind(&self.newest_versions)?);
-                Some((behind, running(&engine.listed.id), engine.listed.id.clone()))
+            .filter(|engine| engine.versions_behind(&self.newest_versions) > 0)
+            .map(|engine| {
+                let urgency = engine.urgency(&self.newest_versions);
+                let id = &engine.listed.id;
+                (urgency, running(id), id.clone())
             })
             .collect();
         lagging.sort();
@@ -482,60 +464,11 @@
             }
         }
         let withdrawn = lagging.into_iter();
-        let withdrawn = withdrawn.map(|(Reverse(behind), running, id)| Effect::Withdrawn {
-            behind,
+        let withdrawn = withdrawn.map(|(urgency, running, id)| Effect::Withdrawn {
+            behind: urgency.behind.0,
             id,
             running,
         });
         withdrawn.collect()
     }
 }
-
-impl Engine {
-    /// Returns whether the engine is off new work.
-    fn is_out_of_service(&self) -> bool {
-        self.phase != Phase::Serving && !self.is_unconfirmed
-    }
-
-    /// Returns the engine to service, without an order.
-    fn serve(&mut self) {
-        self.phase = Phase::Serving;
-        self.is_unconfirmed = false;
-    }
-
-    /// Records weights versions of the engine; a version never decreases while its process runs.
-    fn record_weights(&mut self, weights: &BTreeMap<String, u64>) {
-        for (model, version) in weights {
-            let known = self.weights.entry(model.clone()).or_default();
-            *known = (*known).max(*version);
-        }
-    }
-
-    /// Returns whether any model has version `version` or a newer one.
-    fn has_version(&self, version: u64) -> bool {
-        self.newest_weights() >= version
-    }
-
-    /// Returns the newest weights version of all models.
-    fn newest_weights(&self) -> u64 {
-        self.weights.values().copied().max().unwrap_or_default()
-    }
-
-    /// Returns by how many versions the engine lags, for the model that lags most.
-    fn versions_behind(&self, newest_versions: &BTreeMap<String, u64>) -> Option<u64> {
-        let behind = self.weights.iter().filter_map(|(model, version)| {
-            let newest_version = newest_versions.get(model)?;
-            (newest_version > version).then(|| newest_version - version)
-        });
-        behind.max()
-    }
-
-    /// Returns a model that lags, with its newest version.
-    fn next_update(&self, newest_versions: &BTreeMap<String, u64>) -> Option<(String, u64)> {
-        let mut lagging = self.weights.iter().filter_map(|(model, version)| {
-            let newest_version = newest_versions.get(model)?;
-            (newest_version > version).then(|| (model.clone(), *newest_version))
-        });
-        lagging.next()
-    }
-}
