Compare the version of the model that an engine was ordered to load

An order that was lost also counted as carried out.

Cause: a reload took an engine for updated when any of its models had the ordered version. The versions of models are not related: an engine with the models a:1 and b:5 counted as done with a:2 at once.

Change: the engine keeps the model of its last order, and only that one counts.

Result: `an_engine_with_two_models_is_off_new_work_until_its_load_ends` failed before, at `!fleet.served_while_loading`, and passes.

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -306,16 +306,19 @@
                 return vec![Effect::Done {
                     id: id.to_owned(),
                     took_ms: now.since(engine.ordered),
-                    version: engine.newest_weights().min(version),
+                    version: engine.ordered_weights().min(version),
                 }];
             }
             (_, None) => engine.serve(),
-            (phase, Some((_, newest_version))) if report.loading => {
+            (phase, Some((model, newest_version))) if report.loading => {
                 let (orders, version) = match phase {
                     Phase::Loading {
                         orders, version, ..
                     } => (orders, version),
-                    _ => (report.accepted_orders.saturating_sub(1), newest_version),
+                    _ => {
+                        engine.ordered_model = model;
+                        (report.accepted_orders.saturating_sub(1), newest_version)
+                    }
                 };
                 engine.record_load(now);
                 engine.phase = Phase::Loading {
@@ -331,6 +334,7 @@
                     version,
                 };
                 engine.ordered = now;
+                engine.ordered_model.clone_from(&model);
                 return vec![Effect::Order(Order {
                     id: id.to_owned(),
                     model,
--- a/crates/coordination/src/reload_engine.rs
+++ b/crates/coordination/src/reload_engine.rs
@@ -60,6 +60,7 @@
     /// Time before which the engine is skipped.
     pub(crate) not_before: Instant,
     pub(crate) ordered: Instant,
+    pub(crate) ordered_model: String,
     pub(crate) phase: Phase,
     /// Start of the turn, or of the load if it has begun.
     turn_since: Instant,
@@ -77,6 +78,7 @@
             listed,
             not_before: Instant::default(),
             ordered: Instant::default(),
+            ordered_model: String::new(),
             phase: Phase::Serving,
             turn_since: Instant::default(),
             weights: BTreeMap::new(),
@@ -154,14 +156,15 @@
         }
     }
 
-    /// Returns whether any model has version `version` or a newer one.
+    /// Returns whether the model of the last order has version `version` or a newer one.
     pub(crate) fn has_version(&self, version: u64) -> bool {
-        self.newest_weights() >= version
+        self.ordered_weights() >= version
     }
 
-    /// Returns the newest weights version of all models.
-    pub(crate) fn newest_weights(&self) -> u64 {
-        self.weights.values().copied().max().unwrap_or_default()
+    /// Returns the weights version of the model of the last order.
+    pub(crate) fn ordered_weights(&self) -> u64 {
+        let weights = self.weights.get(&self.ordered_model);
+        weights.copied().unwrap_or_default()
     }
 
     /// Returns by how many versions the engine lags, for the model that lags most.
--- a/crates/coordination/tests/reload_turns.rs
+++ b/crates/coordination/tests/reload_turns.rs
@@ -224,3 +224,20 @@
     fleet.advance(36_000);
     assert_eq!(fleet.lagging("calm", 2), Vec::<&str>::new());
 }
+
+/// An engine must not return to service during its load because another of its models has a
+/// higher version number.
+#[test]
+fn an_engine_with_two_models_is_off_new_work_until_its_load_ends() {
+    let engine = |index: usize| {
+        (
+            format!("e{index:02}"),
+            Fault::None,
+            vec![("a", 1), ("b", 5)],
+        )
+    };
+    let mut fleet = Fleet::new((0..4).map(engine).collect());
+    fleet.name(&[("a", 2), ("b", 5)]);
+    fleet.advance(4_000 + 20_000);
+    assert!(!fleet.served_while_loading);
+}
