Order no engine that leaves while it waits for its order

Cause: whether an engine leaves was checked when it is taken off new work, and not again.

Change: an engine that leaves no longer waits for an order.

Result: `a_leaving_engine_that_waits_gets_no_order` failed before, with orders to all four engines, and passes.

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -241,6 +241,9 @@
             let mut engine = known.unwrap_or_else(|| Engine::new(listed.clone()));
             engine.record_weights(&listed.weights);
             engine.record_lag(now, &self.newest_versions);
+            if listed.leaving && matches!(engine.phase, Phase::Withdrawn { .. }) {
+                engine.serve();
+            }
             engine.listed = listed;
             self.engines.insert(engine.listed.id.clone(), engine);
         }
--- a/crates/coordination/tests/reload_turns.rs
+++ b/crates/coordination/tests/reload_turns.rs
@@ -241,3 +241,16 @@
     fleet.advance(4_000 + 20_000);
     assert!(!fleet.served_while_loading);
 }
+
+/// An engine that leaves while it waits for its order must not take a load.
+#[test]
+fn a_leaving_engine_that_waits_gets_no_order() {
+    let engine = |index: usize| (format!("e{index:02}"), Fault::None, vec![("m", 1)]);
+    let mut fleet = Fleet::new((0..4).map(engine).collect());
+    fleet.advance(4_000);
+    fleet.name(&[("m", 2)]);
+    fleet.advance(200);
+    fleet.list(&["e00", "e01", "e02", "e03"]);
+    fleet.advance(5_000);
+    assert_eq!(fleet.ordered, Vec::<String>::new());
+}
