Believe no weights version of an engine that was never named

An entry of another writer with the id of an engine and a version that was never named kept the engine from its updates for good: it counted as newer than everything, and a version never decreases. Found by the review of odd entries in the list.

Cause: a reload recorded the greatest version that the list or a report showed, whoever wrote it.

Change: a version above the newest one that was named is not recorded, and one that was recorded before any was named is forgotten; the next read tells the right one.

Result: `an_odd_entry_with_too_new_a_version_does_not_end_the_updates_of_an_engine` failed before, with all four engines still at version 1 after 30 s, and passes.

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -226,6 +226,7 @@
     fn versions_named(&mut self, now: Instant, newest_versions: BTreeMap<String, u64>) {
         self.newest_versions = newest_versions;
         for engine in self.engines.values_mut() {
+            engine.forget_unnamed(&self.newest_versions);
             engine.record_lag(now, &self.newest_versions);
         }
     }
@@ -239,7 +240,7 @@
             let known = old.remove(&listed.id);
             let known = known.filter(|known| known.listed.started == listed.started);
             let mut engine = known.unwrap_or_else(|| Engine::new(listed.clone()));
-            engine.record_weights(&listed.weights);
+            engine.record_weights(&listed.weights, &self.newest_versions);
             engine.record_lag(now, &self.newest_versions);
             if listed.leaving && matches!(engine.phase, Phase::Withdrawn { .. }) {
                 engine.serve();
@@ -288,7 +289,7 @@
             engine.not_before = now + policy.unanswered_delay_ms;
             return Vec::new();
         };
-        engine.record_weights(&report.weights);
+        engine.record_weights(&report.weights, &self.newest_versions);
         engine.record_lag(now, &self.newest_versions);
         let update = engine.next_update(&self.newest_versions);
         match (engine.phase, update) {
--- a/crates/coordination/src/reload_engine.rs
+++ b/crates/coordination/src/reload_engine.rs
@@ -123,9 +123,18 @@
         self.failed_turns += 1;
     }
 
-    /// Records weights versions of the engine; a version never decreases while its process runs.
-    pub(crate) fn record_weights(&mut self, weights: &BTreeMap<String, u64>) {
-        for (model, version) in weights {
+    /// Records weights versions of the engine; a version never decreases while its process runs. A
+    /// version that was never named is not the engine's word, but that of another writer.
+    pub(crate) fn record_weights(
+        &mut self,
+        weights: &BTreeMap<String, u64>,
+        newest_versions: &BTreeMap<String, u64>,
+    ) {
+        let is_named = |(model, version): &(&String, &u64)| {
+            let newest_version = newest_versions.get(*model);
+            newest_version.is_none_or(|newest| *version <= newest)
+        };
+        for (model, version) in weights.iter().filter(is_named) {
             let known = self.weights.entry(model.clone()).or_default();
             if version > known {
                 *known = *version;
@@ -134,6 +143,18 @@
         }
     }
 
+    /// Forgets the versions that turn out never to have been named; a read tells the right ones.
+    pub(crate) fn forget_unnamed(&mut self, newest_versions: &BTreeMap<String, u64>) {
+        for (model, version) in &mut self.weights {
+            if newest_versions
+                .get(model)
+                .is_some_and(|newest| *version > *newest)
+            {
+                *version = 0;
+            }
+        }
+    }
+
     /// Records since when each model has lagged.
     pub(crate) fn record_lag(&mut self, now: Instant, newest_versions: &BTreeMap<String, u64>) {
         for (model, version) in &self.weights {
--- a/crates/coordination/tests/reload_turns.rs
+++ b/crates/coordination/tests/reload_turns.rs
@@ -254,3 +254,22 @@
     fleet.advance(5_000);
     assert_eq!(fleet.ordered, Vec::<String>::new());
 }
+
+/// An entry of another writer, with the ID of an engine and a version that was never named, must
+/// not keep the engine from its update for good.
+#[test]
+fn an_odd_entry_with_too_new_a_version_does_not_end_the_updates_of_an_engine() {
+    let engine = |index: usize| (format!("e{index:02}"), Fault::None, vec![("m", 1)]);
+    let mut fleet = Fleet::new((0..4).map(engine).collect());
+    let odd = |id: &String| {
+        let mut listed = listed_upstream(id, "m", u64::MAX);
+        listed.started = 1;
+        listed
+    };
+    let listed = fleet.engines.keys().map(odd).collect();
+    fleet.step(Event::Listed(listed));
+    fleet.list(&[]);
+    fleet.name(&[("m", 2)]);
+    fleet.advance(30_000);
+    assert_eq!(fleet.lagging("m", 2), Vec::<&str>::new());
+}
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -330,7 +330,10 @@
             (false, true) => Standing::Loading,
             (false, false) => Standing::Ready,
         };
-        let weights = self.reload.weights(&seen.id);
+        let mut weights = seen.weights.clone();
+        if let Some(known) = self.reload.weights(&seen.id) {
+            weights.extend(known.clone());
+        }
         Upstream {
             address: seen.address,
             domain: seen.domain.clone(),
@@ -339,7 +342,7 @@
             slots: seen.slots,
             standing,
             started: seen.started,
-            weights: weights.unwrap_or(&seen.weights).clone(),
+            weights,
         }
     }
 }
