Record a version before its age is sent

A host could learn of a new version some tenths of a second late, which eats into the half second that is set aside for cancelling requests; found by the review, from reading.

Cause: the age of a version was recorded by the loop of the steward only, which also waits for reads of the list, up to 2 s. The answer to a host went out without the age of a version that it named.

Change: the answer records the versions that it names before it gives their ages.

Result: no test shows the delay; the tests of routed requests and of weights pass.

--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -179,7 +179,8 @@
         let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
         let loads = tally.report(now, ask.host, ask.loads);
         drop(tally);
-        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        versions.record(now, &reading.routed.weights_versions);
         Ok(RoutingUpdate {
             fleet,
             cached_prefixes,
@@ -206,8 +207,8 @@
         if !status.leads {
             return Err(Rejection::NotLeader(status.leader));
         }
-        let now = self.clock.now();
         let fleet = self.fleet.borrow().clone();
+        let now = self.clock.now();
         let tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
         let mut desk = self.desk.lock().unwrap_or_else(PoisonError::into_inner);
         Ok(desk.assign(now, &fleet, tally.total(), ask))
