Assign engines only by a list of the current term

Cause: a host that begins to lead has the list of upstreams that it published when it led before, until it has read the platform's list once. While that list is down, this lasts.

Change: until a host has published a list in its term it names no engine, and the asking host chooses by its own list, as where no host leads.

Result: no test of a second term with the list down; the tests of assignment and of routed requests pass.

--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -208,6 +208,10 @@
             return Err(Rejection::NotLeader(status.leader));
         }
         let fleet = self.fleet.borrow().clone();
+        // Until this host has read the list in its term, it only has one that it published before.
+        if fleet.edition.term != status.term {
+            return Ok(Err(choice::Refusal::NoUpstream));
+        }
         let now = self.clock.now();
         let tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
         let mut desk = self.desk.lock().unwrap_or_else(PoisonError::into_inner);
