Ask an engine for its weights where the broker does not know them

Callers saw the engine compute a shared prefix again: the first prompt placed by a new owner of an engine, and every prompt placed by a backup broker, left nothing in the engine's cache. In `a_nested_prefix_sticks_to_the_upstream_that_holds_it_whatever_the_entry` 12 blocks were computed after the first prompt instead of 4, once beside load.

Cause: blocks are named for the weights version of the grant. An owner knows the version from the engine's first load report, which it reads one interval (50 ms) after it reads the cache, and later beside load; a backup broker gets no load reports at all. A grant without a version sent the request without names, so the engine kept none of its blocks, and the next prompts computed all 12.

Change: where the grant lacks the version or the incarnation, the attempt asks the engine for its state, names the blocks for the version that it serves and accepts the answer only from that identity. An engine that does not say gets the request without names, as before, and `version_unknown` (127) logs it.

Evidence: `a_prompt_placed_without_its_owner_is_kept_by_the_engine` kills the owner and sends a prompt at once; before the change "blocks kept, left: 0, right: 8".

--- a/crates/hibiscushoistd/src/attempt.rs
+++ b/crates/hibiscushoistd/src/attempt.rs
@@ -26,6 +26,8 @@
 use transport::engine::Client;
 use transport::engine::Item;
 use transport::engine::Stream;
+use transport::event;
+use transport::event::Event;
 use transport::metric;
 use transport::upstream::EngineIdentity;
 use transport::upstream::Error;
@@ -42,8 +44,9 @@
     head_timeout: Duration::from_millis(3_000),
     idle_timeout: Duration::from_millis(3_000),
 };
-/// Bounds the exchange that stops a run and tells a crash from a cut connection.
-const CANCEL_LIMITS: Limits = Limits {
+/// Bounds the exchanges that stop a run, tell a crash from a cut connection, and read an engine's
+/// identity.
+const SHORT_LIMITS: Limits = Limits {
     body_limit: 1 << 20,
     connect_timeout: Duration::from_millis(300),
     head_timeout: Duration::from_millis(500),
@@ -137,7 +140,7 @@
     /// After a crash the engine takes no connection or is another run. One that does not answer in
     /// time has not been seen to crash, but may still be running the request.
     async fn stop(&self, address: SocketAddr) -> Fate {
-        let client = Client::new(address, CANCEL_LIMITS);
+        let client = Client::new(address, SHORT_LIMITS);
         for _ in 0..CANCELS {
             match client.cancel(self.id()).await {
                 Err(Error::Connect { .. }) => return Fate::Crashed,
@@ -165,11 +168,13 @@
         import::run(&table, &self.job.ask, self.grant, address).await;
         let client = Client::new(address, LIMITS);
         let upstream = &self.grant.upstream;
-        let known = self.grant.incarnation;
+        let planned = self.planned(address).await;
+        let known = planned.as_ref().map(|planned| planned.incarnation);
+        let known = known.or(self.grant.incarnation);
         self.incarnation = known.or_else(|| self.context.health.incarnation(upstream));
         let resume = self.answer.resume();
-        let request = self.request(resume);
-        let planned = self.planned();
+        let version = planned.as_ref().map(|planned| planned.version.as_str());
+        let request = self.request(resume, version);
         let opened = client.complete(&request, planned.as_ref()).await;
         let mut stream = match opened {
             Err(error) => return self.broken(&error),
@@ -254,20 +259,35 @@
         })
     }
 
-    fn planned(&self) -> Option<EngineIdentity> {
-        let incarnation = self.grant.incarnation?;
-        let version = self.grant.version.clone()?;
-        Some(EngineIdentity {
-            incarnation,
-            version,
-        })
+    /// Returns the identity that the answer must come from: the one that the broker knew, or else
+    /// the one that the engine tells.
+    ///
+    /// A broker that has no load report of the engine grants without an identity.
+    async fn planned(&self, address: SocketAddr) -> Option<EngineIdentity> {
+        if let (Some(incarnation), Some(version)) = (self.grant.incarnation, &self.grant.version) {
+            return Some(EngineIdentity {
+                incarnation,
+                version: version.clone(),
+            });
+        }
+        match Client::new(address, SHORT_LIMITS).state().await {
+            Err(error) => {
+                let upstream = self.grant.upstream.clone();
+                let details = slog::o!("upstream" => upstream, "error" => error.to_string());
+                event::emit(&self.context.log, Event::VersionUnknown, details);
+                None
+            }
+            Ok(state) => Some(EngineIdentity {
+                incarnation: state.incarnation,
+                version: state.version,
+            }),
+        }
     }
 
     /// Returns the request as the engine reads it, with its blocks named for the weights it serves;
     /// without names where these are unknown.
-    fn request(&self, resume: ResumePoint) -> engine::Request {
+    fn request(&self, resume: ResumePoint, version: Option<&str>) -> engine::Request {
         let ask = &self.job.ask;
-        let version = self.grant.version.as_deref();
         let blocks = version.map(|v| {
             ask.blocks
                 .iter()
--- a/crates/hibiscushoistd/tests/brokers.rs
+++ b/crates/hibiscushoistd/tests/brokers.rs
@@ -122,6 +122,21 @@
     assert_eq!(bench.prefilled() - computed, 4, "blocks beyond those held");
 }
 
+// Guards against prompts whose blocks no engine keeps, since their placement names no weights.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_placed_without_its_owner_is_kept_by_the_engine() {
+    let mut bench = Bench::start().await;
+    let owner = bench.owner().await;
+    let entry = (0..HOSTS).find(|place| *place != owner).unwrap();
+    bench.fleet.kill(owner);
+    let before = bench.prefilled();
+    let address = bench.fleet.hosts[entry].entry;
+    assert!(bench.run(address, &prompt(8)).await.is_some());
+    let log = bench.fleet.log(entry);
+    assert!(log.contains("owner_away"), "{log}");
+    assert_eq!(bench.prefilled() - before, 8, "blocks kept");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_serve_on_while_the_owner_is_away_and_another_takes_over() {
     let mut bench = Bench::start().await;
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -40,6 +40,8 @@
     RequestAnswered = 125,
     /// An upstream asked in an answer for no further requests of this host.
     UpstreamHeld = 126,
+    /// An engine did not say which weights it serves, so it gets a request without block names.
+    VersionUnknown = 127,
     /// An engine crashed under a request whose prompt has parts that others share.
     EngineCrashed = 130,
     /// A part of prompts was quarantined, because engines crash that begin to answer them.
@@ -158,7 +160,8 @@
             | Self::RequestRefused
             | Self::RoutedRefused
             | Self::StreamBroken
-            | Self::UpstreamHeld => Level::Debug,
+            | Self::UpstreamHeld
+            | Self::VersionUnknown => Level::Debug,
             Self::AssignFailed
             | Self::ConnectionLimit
             | Self::DiskFull
