Decode each entry of the list of hosts by itself

One odd entry in the platform's list of hosts (`[platform] address`) made the whole list unreadable, since it was decoded in one piece. From then on the host kept the last list without a word in its log: it sent calls to services that were leaving, and work to engines that were.

A malformed entry may stand for any host, so while there is one, an engine whose host is missing keeps its standing instead of being taken off new work. The first failed read in a row and a change of the number of malformed entries are logged, and both are metrics. No test reads the log lines.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::iter;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +33,8 @@
     lag: Duration,
     /// Host lists with the time of their change, from the one that is served to the newest.
     host_lists: VecDeque<(Instant, HostList)>,
+    /// Bytes in front of the entries of the served list.
+    odd_entry: Vec<u8>,
 }
 
 /// A fake platform that serves its host list until it is dropped.
@@ -84,6 +87,11 @@
         inner.host_lists.push_back((now, host_list));
     }
 
+    /// Serves `entry` as it is in front of the entries of the list; an empty one ends that.
+    pub fn set_odd_entry(&self, entry: impl Into<Vec<u8>>) {
+        lock(&self.shared.inner).odd_entry = entry.into();
+    }
+
     /// Closes the listener and every connection at once; new connections are refused.
     pub fn stop(&self) {
         self.server.stop();
@@ -101,5 +109,15 @@
         .host_lists
         .front()
         .map(|(_, host_list)| host_list.clone());
-    Ok(server::json(200, &host_list.unwrap_or_default()))
+    let host_list = host_list.unwrap_or_default();
+    if inner.odd_entry.is_empty() {
+        return Ok(server::json(200, &host_list));
+    }
+    let entries = host_list.hosts.iter().map(serde_json::to_vec);
+    let entries = entries.filter_map(Result::ok);
+    let entries: Vec<_> = iter::once(inner.odd_entry.clone()).chain(entries).collect();
+    let mut body = format!(r#"{{"edition":{},"hosts":["#, host_list.edition).into_bytes();
+    body.extend(entries.join(&b","[..]));
+    body.extend(b"]}");
+    Ok(server::json_bytes(200, body))
 }
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -165,8 +165,19 @@
 ///
 /// Panics when `value` cannot be serialized to JSON or `status` is no HTTP status.
 pub fn json(status: u16, value: &impl Serialize) -> Response<Body> {
-    let text = serde_json::to_vec(value).expect("the value serializes to JSON");
-    let body = Full::new(Bytes::from(text)).map_err(|never: Infallible| match never {});
+    json_bytes(
+        status,
+        serde_json::to_vec(value).expect("the value serializes to JSON"),
+    )
+}
+
+/// Returns a response with this status and `bytes` in place of a JSON body.
+///
+/// # Panics
+///
+/// Panics when `status` is no HTTP status.
+pub fn json_bytes(status: u16, bytes: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(bytes.into()).map_err(|never: Infallible| match never {});
     Response::builder()
         .status(status)
         .header("content-type", "application/json")
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -153,7 +153,7 @@
             member: member.clone(),
             metrics: metric::install(),
             pool: links.pool.clone(),
-            platform: platform::start(settings.platform),
+            platform: platform::start(settings.platform, log.clone()),
             settings: settings.clone(),
             suspects: suspects.clone(),
             voter: voter.clone(),
--- a/crates/hibiscushoistd/src/feed.rs
+++ b/crates/hibiscushoistd/src/feed.rs
@@ -264,11 +264,12 @@
         }
     }
 
-    /// Hears what the platform says. A host that it never named may be new to a list that lags.
+    /// Hears what the platform says. A host that it never named may be new to a list that lags, and
+    /// one that is missing may have a malformed entry.
     fn read_listing(&mut self) {
         let listing = self.context.platform.borrow().clone();
         let listed = match listing.standing(self.address) {
-            None if !self.listed => return,
+            None if !self.listed || listing.malformed > 0 => return,
             None => Listed::Gone,
             Some(platform::Standing::Leaving) => Listed::Leaving,
             Some(platform::Standing::Live) => Listed::Live,
--- a/crates/hibiscushoistd/tests/leaving.rs
+++ b/crates/hibiscushoistd/tests/leaving.rs
@@ -17,6 +17,8 @@
 use support::Response;
 use support::Test;
 
+/// Limit of the time until a change of the list, which is read twice a second, is in force.
+const FOLLOW_LIMIT: Duration = Duration::from_secs(15);
 const OUTER_LIMIT: Duration = Duration::from_secs(60);
 const PATH: &str = "/v1/completions";
 const TOKENS: u64 = 400;
@@ -118,3 +120,54 @@
     assert_eq!(refused.json()["error"]["reason"], "no_upstream");
     assert_eq!(refused.json()["error"]["not_run"], "true");
 }
+
+// A host that gives up the whole list for one odd entry sends work to upstreams that leave, and one
+// that takes a malformed entry for a missing one stops using an upstream that runs.
+#[tokio::test]
+async fn an_odd_entry_hides_neither_a_leaving_service_nor_a_live_engine() {
+    let (bench, platform) = bench().await;
+    let service = Service::start((host(3), 0).into()).await.unwrap();
+    let cells = json!({
+        "address": service.address().to_string(),
+        "service": "booking",
+        "type": "service",
+    });
+    bench.add("upstreams", "s1", cells).await;
+    let get = async || bench.get("/v1/services/booking/free", MAPS_KEY).await;
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let own = format!(r#"{{"address":"{}","standing":"odd"}}"#, host(1));
+    platform.set_lag(Duration::ZERO);
+    for odd in [
+        nested.as_bytes(),
+        b"1e999",
+        b"\"\xff\"",
+        b"{]",
+        own.as_bytes(),
+    ] {
+        platform.set_odd_entry(odd);
+        for (standing, status) in [(Standing::Leaving, 503), (Standing::Live, 200)] {
+            platform.set_host(host(3), Some(standing));
+            let follow = async { while get().await.status != status {} };
+            let odd = String::from_utf8_lossy(&odd[..odd.len().min(60)]);
+            let followed = timeout(FOLLOW_LIMIT, follow).await;
+            assert!(followed.is_ok(), "{odd}: no answer {status}");
+        }
+    }
+    platform.set_host(host(1), None);
+    platform.set_host(host(3), Some(Standing::Leaving));
+    let follow = async { while get().await.status != 503 {} };
+    timeout(FOLLOW_LIMIT, follow)
+        .await
+        .expect("the list is read");
+    // The engine's feed looks at the list every 50 ms.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let used = bench.engines[0].counts().started_prompts;
+    let back = async {
+        while bench.engines[0].counts().started_prompts == used {
+            futures::future::join_all((0..8).map(|number| post(&bench, number, 2))).await;
+        }
+    };
+    timeout(FOLLOW_LIMIT, back)
+        .await
+        .expect("the engine with the malformed entry is used");
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod event_stream;
 pub mod header;
+pub mod json;
 pub mod kv_store;
 pub mod operator;
 pub mod peer;
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -144,6 +144,10 @@
     ListMalformed = 331,
     /// The report of an engine could not be decoded.
     ReportMalformed = 332,
+    /// The platform's list of hosts could not be read.
+    HostListFailed = 333,
+    /// The number of malformed entries in the platform's list of hosts has changed.
+    HostListMalformed = 334,
 }
 
 impl Event {
@@ -168,6 +172,8 @@
             | Self::DrainLimitPassed
             | Self::EngineCrashed
             | Self::HostDied
+            | Self::HostListFailed
+            | Self::HostListMalformed
             | Self::LeadershipLost
             | Self::LinkCut
             | Self::ListFailed
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -11,6 +11,10 @@
 pub const CRASHES: &str = "hibiscushoist_crashes_total";
 /// Counter of ejections of upstreams, by the reason of the last failure.
 pub const EJECTIONS: &str = "hibiscushoist_ejections_total";
+/// Counter of failed reads of the platform's list of hosts.
+pub const HOST_LIST_FAILURES: &str = "hibiscushoist_host_list_failures_total";
+/// Gauge of the malformed entries in the platform's list of hosts.
+pub const HOST_LIST_MALFORMED_ENTRIES: &str = "hibiscushoist_host_list_malformed_entries";
 /// Gauge of the hosts that are present, this one included.
 pub const HOSTS: &str = "hibiscushoist_hosts";
 /// Counter of imports of cached blocks, by outcome.
--- a/crates/transport/src/platform.rs
+++ b/crates/transport/src/platform.rs
@@ -31,5 +31,5 @@
         return Err(Error::Status { address, status });
     }
     let bytes = connection.read_body(response.into_body()).await?;
-    serde_json::from_slice(&bytes).map_err(|e| format_error(e.into()))
+    HostList::decode(&bytes).map_err(|e| format_error(e.into()))
 }
