Tell callers for how long an idle connection stays open

Callers saw a request cut that the host had never read: it was sent on a kept connection at the moment the host closed it as idle. This is the likely cause of the one cut request in `a_new_version_is_rolled_out_under_load_with_its_controller_lost`.

Cause: a host closes a connection on which no header arrives for `header_timeout_ms` (10 s), and told nobody; the callers of the test kept idle connections for the 90 s that their library allows. A caller that is busy while the close arrives sends on the closed connection. The fault is the host's, which closes without telling; callers could not know the time.

Change: answers on connections that stay open carry `Keep-Alive: timeout=` with four fifths of the limit in whole seconds, so the host waits a quarter longer than it told. Answers with `Connection: close`, or to a request with it, tell nothing. The callers of the fleet tests keep to the told time (8 s). They still send no request again, and every cut request still counts.

Evidence: `caller_that_keeps_to_the_told_time_meets_no_closed_connection` runs a caller that is busy over the close; before the change: "the request is not cut: hyper_util::client::legacy::Error(SendRequest, hyper::Error(IncompleteMessage))", which the load counts as cut. `idle_connection_serves_after_the_told_time` failed for want of the header.

Reading the server found no other reason for which a host that does not drain closes a connection after an answer to a request that it read whole.

--- a/crates/hibiscushoistd/tests/limits.rs
+++ b/crates/hibiscushoistd/tests/limits.rs
@@ -5,6 +5,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -114,6 +122,69 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Returns the time that an answer tells its caller to keep the idle connection, in seconds.
+fn told_seconds(head: &HeaderMap) -> Option<u64> {
+    let told = head.get("keep-alive")?.to_str().ok()?;
+    told.strip_prefix("timeout=")?.parse().ok()
+}
+
+// Guards against a request that is cut because the daemon closes the idle connection it is sent on.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_keeps_to_the_told_time_meets_no_closed_connection() {
+    let bench = entry("header_timeout_ms = 1500").await;
+    let uri = format!("http://{}/healthz", bench.address());
+    let caller = std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        let runtime = runtime.unwrap();
+        let ask = |client: &Client<HttpConnector, Full<Bytes>>| {
+            let request = Request::get(&uri).body(Full::default()).unwrap();
+            runtime.block_on(client.request(request))
+        };
+        let mut builder = Client::builder(TokioExecutor::new());
+        let told = told_seconds(ask(&builder.build_http()).unwrap().headers());
+        let client = builder
+            .pool_idle_timeout(told.map(Duration::from_secs))
+            .build_http();
+        let first = ask(&client).unwrap();
+        runtime.block_on(first.into_body().collect()).unwrap();
+        std::thread::sleep(Duration::from_millis(2_500));
+        (told, ask(&client).map(|response| response.status()))
+    });
+    let (told, second) = tokio::task::spawn_blocking(|| caller.join().unwrap())
+        .await
+        .unwrap();
+    assert_eq!(second.expect("the request is not cut"), 200, "{told:?}");
+    assert_eq!(told, Some(1));
+}
+
+// Guards against a connection that the daemon closes before the time that it told has passed.
+#[tokio::test]
+async fn idle_connection_serves_after_the_told_time() {
+    let bench = entry("header_timeout_ms = 1500").await;
+    let mut stream = connect(bench.address()).await;
+    for _ in 0..3 {
+        stream.write_all(HEALTH.as_bytes()).await.unwrap();
+        let mut answer = vec![0; 4_096];
+        let length = stream.read(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer[..length]);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.contains("keep-alive: timeout=1\r\n"), "{answer}");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+}
+
+// Guards against an answer that promises an idle time on a connection that closes after it.
+#[tokio::test]
+async fn answer_on_a_connection_that_closes_tells_no_time() {
+    let bench = entry("").await;
+    let closing = HEALTH.replace("host: a", "host: a\r\nconnection: close");
+    let answer = exchange(bench.address(), closing).await;
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+    assert!(!answer.contains("keep-alive"), "{answer}");
+}
+
 #[tokio::test]
 async fn connection_that_never_speaks_is_closed() {
     let bench = entry("header_timeout_ms = 50").await;
--- a/crates/hibiscushoistd/tests/processes/load.rs
+++ b/crates/hibiscushoistd/tests/processes/load.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::IDLE;
 use super::LIFETIME;
 use super::WORKSPACE_KEY;
 use fakes::engine;
@@ -69,7 +70,9 @@
         let stop = Arc::new(AtomicBool::new(false));
         let callers = (0..CALLERS).map(|number| {
             let caller = Caller {
-                client: Client::builder(TokioExecutor::new()).build_http(),
+                client: Client::builder(TokioExecutor::new())
+                    .pool_idle_timeout(IDLE)
+                    .build_http(),
                 entries: entries.clone(),
                 number,
                 records: records.clone(),
--- a/crates/hibiscushoistd/tests/processes/mod.rs
+++ b/crates/hibiscushoistd/tests/processes/mod.rs
@@ -37,6 +37,8 @@
 
 use hibiscushoistd::auth;
 
+/// Bounds how long a connection may be idle and still be used again; hosts tell 8 s.
+pub const IDLE: Duration = Duration::from_secs(8);
 /// Bounds every wait; only a hang meets it.
 pub const LIMIT: Duration = Duration::from_secs(60);
 /// Gives the lifetime of addresses in the tests.
@@ -106,7 +108,9 @@
         });
         let hosts: Vec<Host> = hosts.collect();
         let fleet = Self {
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            client: Client::builder(TokioExecutor::new())
+                .pool_idle_timeout(IDLE)
+                .build_http(),
             folder,
             hosts,
         };
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -13,6 +13,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderName;
@@ -37,6 +38,9 @@
 /// Delay after a failed accept, so that the loop does not spin while accepts keep failing.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Header that tells callers how long an idle connection stays open.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Body of a response, which may be a stream.
 pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, io::Error>;
 
@@ -47,7 +51,7 @@
     pub max_connections: usize,
     /// Size limit of a request's header, in bytes.
     pub max_header_bytes: usize,
-    /// Time limit for the arrival of a request's header.
+    /// Time limit for the arrival of a request's header, which begins when the connection is idle.
     pub header_timeout: Duration,
     /// Longest time for which the write of a response may make no progress.
     pub write_timeout: Duration,
@@ -139,11 +143,21 @@
         if header_bytes(&request) > self.limits.max_header_bytes {
             return Ok(header_too_large());
         }
+        let stays = stays_open(&request);
         let mut state = State::from_request(request, peer);
         (self.prepare)(&mut state);
         let handler = Arc::new(self.handler.clone());
         let answer = call_handler(handler, AssertUnwindSafe(state)).await;
-        Ok(answer.unwrap_or_else(|_| empty_response(StatusCode::INTERNAL_SERVER_ERROR)))
+        let mut answer =
+            answer.unwrap_or_else(|_| empty_response(StatusCode::INTERNAL_SERVER_ERROR));
+        let headers = answer.headers_mut();
+        if let Some(told) = told_idle_time(self.limits.header_timeout)
+            && stays
+            && !headers.contains_key(CONNECTION)
+        {
+            headers.insert(KEEP_ALIVE, told);
+        }
+        Ok(answer)
     }
 }
 
@@ -164,6 +178,26 @@
     request_line + fields.map(field_bytes).sum::<usize>()
 }
 
+/// Returns whether the connection stays open after the answer to `request`.
+fn stays_open(request: &Request<Incoming>) -> bool {
+    let options = request.headers().get_all(CONNECTION).iter();
+    let texts = options.filter_map(|value| value.to_str().ok());
+    let mut options = texts.flat_map(|text| text.split(','));
+    let closes = options.any(|option| option.trim().eq_ignore_ascii_case("close"));
+    request.version() == Version::HTTP_11 && !closes
+}
+
+/// Returns the time for which callers are told to keep an idle connection, where it is a second or
+/// more.
+///
+/// The connection stays open for a quarter longer, so that no request that a caller sends within
+/// that time crosses the close.
+fn told_idle_time(limit: Duration) -> Option<HeaderValue> {
+    let seconds = (limit * 4 / 5).as_secs();
+    let told = HeaderValue::try_from(format!("timeout={seconds}")).ok()?;
+    (seconds > 0).then_some(told)
+}
+
 fn header_too_large() -> Response<Body> {
     let mut response = empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     let headers = response.headers_mut();
