Report one crash with the suspects of all its requests

A deadly part was never quarantined if the engines that it crashed had many requests of one host: the host kept at most 64 records, one for each request that broke off, and dropped the oldest, also before it was reported.

Change: a host keeps one record for each crash of an upstream, with the parts of all its requests there and the greatest depth of each, and reports it again when parts are added. Both the host and the ledger keep at most 256 suspects of a crash; of more, those with the latest whole answers are dropped, not those that come last.

Evidence: `a_host_reports_the_deadly_part_of_a_crash_with_many_neighbours` failed before with

assertion failed: suspects.any(|suspect| suspect.part == "deadly")

and passes with the change, as do the 18 other tests of coordination/part_quarantine.

--- a/crates/coordination/src/part_evidence.rs
+++ b/crates/coordination/src/part_evidence.rs
@@ -14,9 +14,11 @@
 use crate::part_quarantine::Change;
 use crate::part_quarantine::Crash;
 use crate::part_quarantine::PartQuarantine;
+use crate::part_quarantine::SAME_CRASH_MS;
 use crate::part_quarantine::Sentence;
 use crate::part_quarantine::Success;
 use crate::part_quarantine::Suspect;
+use crate::part_quarantine::add_suspects;
 use state::time::Instant;
 
 /// Time without an answer of the leader after which a host judges by its own evidence, in
@@ -140,12 +142,13 @@
     }
 }
 
-/// A crash that this host saw.
+/// A crash that this host saw, with the parts of all its requests there.
 #[derive(Clone, Debug)]
 struct OwnCrash {
     at: Instant,
     is_reported: bool,
-    suspects: Vec<Suspect>,
+    /// Suspects with their depths.
+    suspects: BTreeMap<String, u32>,
     upstream: String,
 }
 
@@ -185,16 +188,31 @@
             .zip(0..)
             .map(|(part, depth)| Suspect { part, depth })
             .collect();
-        let own = OwnCrash {
-            at: now,
-            is_reported: false,
-            suspects,
-            upstream: upstream.into(),
+        let upstream = upstream.into();
+        let crash = Crash {
+            upstream: upstream.clone(),
+            suspects: suspects.clone(),
+            age_ms: 0,
         };
-        self.quarantine.record_crash(now, host, &own.report(now));
-        self.crashes.push_back(own);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.pop_front();
+        self.quarantine.record_crash(now, host, &crash);
+        let is_same =
+            |own: &OwnCrash| own.upstream == upstream && now.since(own.at) <= SAME_CRASH_MS;
+        let index = self.crashes.iter().rposition(is_same);
+        let index = index.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.pop_front();
+            }
+            self.crashes.push_back(OwnCrash {
+                at: now,
+                is_reported: false,
+                suspects: BTreeMap::new(),
+                upstream,
+            });
+            self.crashes.len() - 1
+        });
+        let own = &mut self.crashes[index];
+        if add_suspects(&mut own.suspects, &suspects, &self.successes) {
+            own.is_reported = false;
         }
     }
 
@@ -322,9 +340,13 @@
 
 impl OwnCrash {
     fn report(&self, now: Instant) -> Crash {
+        let suspect = |(part, depth): (&String, &u32)| Suspect {
+            part: part.clone(),
+            depth: *depth,
+        };
         Crash {
             upstream: self.upstream.clone(),
-            suspects: self.suspects.clone(),
+            suspects: self.suspects.iter().map(suspect).collect(),
             age_ms: now.since(self.at),
         }
     }
--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -39,8 +39,8 @@
 const EXPIRY_INTERVAL_MS: u64 = 1_000;
 /// Most crashes that are kept; the oldest are dropped first.
 const MAX_CRASHES: usize = 64;
-/// Most suspects of one crash that are kept.
-const MAX_SUSPECTS: usize = 128;
+/// Most suspects of one crash that are kept, those with the oldest whole answers.
+const MAX_SUSPECTS: usize = 256;
 /// Most quarantined parts that are kept.
 const MAX_QUARANTINED: usize = 256;
 /// Most suspected parts that hosts are told of, the most suspected first.
@@ -189,11 +189,8 @@
         });
         let known = &mut self.crashes[index];
         known.hosts.insert(host.into());
-        for suspect in &crash.suspects {
-            if known.suspects.len() < MAX_SUSPECTS && !known.suspects.contains_key(&suspect.part) {
-                known.suspects.insert(suspect.part.clone(), suspect.depth);
-                known.judged = false;
-            }
+        if add_suspects(&mut known.suspects, &crash.suspects, &self.successes) {
+            known.judged = false;
         }
         let crashed = known.clone();
         if self.crashes.len() > MAX_CRASHES {
@@ -408,3 +405,28 @@
         (suspicion.crashes, Reverse(succeeded), suspicion.depth)
     }
 }
+
+/// Adds the suspects of one crash to those that are known, with the greatest depth of each, and
+/// returns whether that changed them.
+pub(crate) fn add_suspects(
+    known: &mut BTreeMap<String, u32>,
+    suspects: &[Suspect],
+    successes: &BTreeMap<String, Instant>,
+) -> bool {
+    let mut changed = BTreeSet::new();
+    for Suspect { part, depth } in suspects {
+        let before = known.get(part).copied();
+        if before.is_none_or(|before| before < *depth) {
+            known.insert(part.clone(), *depth);
+            changed.insert(part);
+        }
+    }
+    if known.len() > MAX_SUSPECTS {
+        let mut parts: Vec<String> = known.keys().cloned().collect();
+        parts.sort_by_cached_key(|part| (successes.get(part).copied(), changed.contains(part)));
+        for part in &parts[MAX_SUSPECTS..] {
+            known.remove(part);
+        }
+    }
+    changed.into_iter().any(|part| known.contains_key(part))
+}
--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -379,3 +379,18 @@
         assert_eq!(verdict, None::<Verdict>);
     }
 }
+
+/// A host must not lose the deadly request among many at the same crashed engine.
+#[test]
+fn a_host_reports_the_deadly_part_of_a_crash_with_many_neighbours() {
+    let mut monitor = PartMonitor::new(0);
+    let now = Instant(10_000);
+    monitor.record_crash(now, "h", "u", ["first", "deadly", "own"]);
+    for index in 0..64 {
+        monitor.record_crash(now, "h", "u", ["first".to_owned(), format!("own{index}")]);
+    }
+    let evidence = monitor.take_evidence(now + 100);
+    let crashes = evidence.crashes.iter();
+    let mut suspects = crashes.flat_map(|crash| &crash.suspects);
+    assert!(suspects.any(|suspect| suspect.part == "deadly"));
+}
