Keep the crashes that tell most when many engines die

A deadly part was never quarantined if many engines died between the crashes that it caused: the ledger kept the last 64 crashes, whatever they told, so that each failure domain that died erased the count.

Evidence: `the_death_of_many_engines_does_not_clear_a_deadly_part` failed before with

assertion failed: quarantine.left_ms(now, "deadly", 0).is_some()

and passes with the change, as do the 19 other tests of coordination/part_quarantine.

--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -37,8 +37,11 @@
 pub const SETTLE_MS: u64 = 500;
 /// Least time between two searches for what can be forgotten, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 1_000;
-/// Most crashes that are kept; the oldest are dropped first.
-const MAX_CRASHES: usize = 64;
+/// Most crashes that are kept.
+const MAX_CRASHES: usize = 128;
+/// Crashes that remain if more than [`MAX_CRASHES`] are known. Many are dropped at once, since the
+/// choice looks at all suspects.
+const CRASHES_AFTER_CUT: usize = 64;
 /// Most suspects of one crash that are kept, those with the oldest whole answers.
 const MAX_SUSPECTS: usize = 256;
 /// Most quarantined parts that are kept.
@@ -194,7 +197,7 @@
         }
         let crashed = known.clone();
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.pop_front();
+            self.drop_crashes();
         }
         self.renew(&crashed)
     }
@@ -342,6 +345,32 @@
         });
     }
 
+    /// Drops the crashes that tell the least: those whose suspects took part in the fewest crashes,
+    /// then those that came together with others, then the oldest.
+    fn drop_crashes(&mut self) {
+        let times: Vec<Instant> = self.crashes.iter().map(|crash| crash.at).collect();
+        let suspicions = self.suspicions();
+        let value = |(index, crash): (usize, &KnownCrash)| {
+            let counts = crash.suspects.keys().filter_map(|part| {
+                let suspicion = suspicions.get(part.as_str())?;
+                Some(suspicion.crashes)
+            });
+            let follows = index.checked_sub(1).and_then(|before| times.get(before));
+            let is_joint = follows.is_some_and(|at| crash.at.since(*at) < JOINT_CRASH_MS);
+            (counts.max(), !is_joint, crash.at)
+        };
+        let values: Vec<_> = self.crashes.iter().enumerate().map(value).collect();
+        let mut sorted = values.clone();
+        sorted.sort_unstable();
+        let least = sorted[sorted.len() - CRASHES_AFTER_CUT];
+        let mut values = values.into_iter();
+        self.crashes
+            .retain(|_| values.next().is_some_and(|value| value >= least));
+        while self.crashes.len() > CRASHES_AFTER_CUT {
+            self.crashes.pop_back();
+        }
+    }
+
     /// Renews the quarantines of the suspects of a crash: one that is over begins again for twice
     /// the time.
     fn renew(&mut self, crash: &KnownCrash) -> Vec<Change> {
--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -394,3 +394,25 @@
     let mut suspects = crashes.flat_map(|crash| &crash.suspects);
     assert!(suspects.any(|suspect| suspect.part == "deadly"));
 }
+
+/// Ordinary crashes of many engines must not make the leader forget those of a deadly part.
+#[test]
+fn the_death_of_many_engines_does_not_clear_a_deadly_part() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant(10_000);
+    for index in 0..5 {
+        now = now + 1_000;
+        if index > 0 {
+            for engine in 0..64 {
+                let part = format!("own{index}-{engine}");
+                quarantine.record_crash(now, "h", &crash(&format!("d{index}-{engine}"), &[&part]));
+            }
+            now = now + 1_000;
+        }
+        quarantine.record_crash(now, "h", &crash(&format!("u{index}"), &["first", "deadly"]));
+        let part = "first".to_owned();
+        quarantine.record_success(now + 100, &Success { part, age_ms: 0 });
+        quarantine.judge(now + SETTLE_MS);
+    }
+    assert!(quarantine.left_ms(now, "deadly", 0).is_some());
+}
