Quarantine no sound part in front of several deadly ones

Prompts with a sound first part were refused if two deadly parts followed it by turns: it took part in all crashes, each deadly part in half of them, and a whole answer between two of the crashes only made the count begin anew.

Cause: parts with a whole answer came after the others only at equal counts.

Change: a part that had a whole answer needs more than twice the crashes of any part without one that took part in the same crashes. A part that becomes deadly after its first answers is still found.

Evidence: `two_deadly_parts_do_not_convict_their_shared_first_part` failed before with

assertion `left == right` failed left: Some(59500) right: None

and passes with the change; it also checks since that both deadly parts are quarantined.

--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -3,7 +3,8 @@
 //! A part may crash every engine that begins an answer to a prompt with it, whatever else the
 //! prompt holds. Hosts report which parts were at risk at an engine that crashed, and which parts
 //! of those were in a prompt that got its whole answer. A part is quarantined after several crashes
-//! without a whole answer in between. Of the parts that the same crashes leave under suspicion, one
+//! without a whole answer in between; one that ever had a whole answer needs more than twice the
+//! crashes of any part without one beside it. Of the parts that the same crashes leave under suspicion, one
 //! is quarantined, and the crashes in which it took part no longer count against the others.
 
 use std::cmp::Reverse;
@@ -20,6 +21,9 @@
 pub const CRASHES_TO_QUARANTINE: u32 = 3;
 /// The same, if all crashes are of one upstream, which may be faulty itself.
 pub const CRASHES_OF_ONE_UPSTREAM: u32 = 5;
+/// Times as many crashes that convict a part with a whole answer, as those of any part without one
+/// that took part in them; several deadly parts may stand behind the same sound one.
+const ANSWERED_FACTOR: u32 = 2;
 /// Length of the first quarantine of a part, in milliseconds; each further one lasts twice as long.
 pub const QUARANTINE_MS: u64 = 60_000;
 /// Longest quarantine, in milliseconds.
@@ -139,14 +143,19 @@
     counted_at: Instant,
     crashes: u32,
     depth: u32,
+    /// If the part had a whole answer: most crashes of another without one that took part in these.
+    rival_crashes: u32,
     upstreams: BTreeSet<&'a str>,
     hosts: BTreeSet<&'a str>,
 }
 
 impl Suspicion<'_> {
     fn is_enough(&self) -> bool {
-        self.crashes >= CRASHES_OF_ONE_UPSTREAM
-            || self.crashes >= CRASHES_TO_QUARANTINE && self.upstreams.len() > 1
+        let least = match self.upstreams.len() {
+            0 | 1 => CRASHES_OF_ONE_UPSTREAM,
+            _ => CRASHES_TO_QUARANTINE,
+        };
+        self.crashes >= least && self.crashes > ANSWERED_FACTOR * self.rival_crashes
     }
 }
 
@@ -402,13 +411,11 @@
     fn suspicions(&self) -> BTreeMap<&str, Suspicion<'_>> {
         let mut suspicions: BTreeMap<&str, Suspicion<'_>> = BTreeMap::new();
         for crash in &self.crashes {
-            let mut parts = crash.suspects.keys();
-            if parts.any(|part| self.quarantines.contains_key(part)) {
+            if self.is_explained(crash) {
                 continue;
             }
             for (part, depth) in &crash.suspects {
-                let succeeded = self.successes.get(part);
-                if succeeded.is_some_and(|at| *at >= crash.at) {
+                if self.has_succeeded_since(part, crash) {
                     continue;
                 }
                 let suspicion = suspicions.entry(part).or_default();
@@ -424,9 +431,45 @@
                     .extend(crash.hosts.iter().map(String::as_str));
             }
         }
+        self.count_rivals(&mut suspicions);
         suspicions
     }
 
+    /// Sets the crashes of rivals of the parts that had a whole answer.
+    fn count_rivals(&self, suspicions: &mut BTreeMap<&str, Suspicion<'_>>) {
+        for crash in &self.crashes {
+            if self.is_explained(crash) {
+                continue;
+            }
+            let parts = || crash.suspects.keys().map(String::as_str);
+            let unanswered = parts().filter(|part| !self.successes.contains_key(*part));
+            let crashes = unanswered.filter_map(|part| Some(suspicions.get(part)?.crashes));
+            let Some(most) = crashes.max() else {
+                continue;
+            };
+            for part in parts().filter(|part| self.successes.contains_key(*part)) {
+                if self.has_succeeded_since(part, crash) {
+                    continue;
+                }
+                if let Some(suspicion) = suspicions.get_mut(part) {
+                    suspicion.rival_crashes = suspicion.rival_crashes.max(most);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a quarantined part accounts for a crash.
+    fn is_explained(&self, crash: &KnownCrash) -> bool {
+        let mut parts = crash.suspects.keys();
+        parts.any(|part| self.quarantines.contains_key(part))
+    }
+
+    /// Returns whether a prompt with the part got its whole answer after a crash.
+    fn has_succeeded_since(&self, part: &str, crash: &KnownCrash) -> bool {
+        let succeeded = self.successes.get(part);
+        succeeded.is_some_and(|at| *at >= crash.at)
+    }
+
     /// Returns the order in which suspected parts are quarantined: most crashes, longest without a
     /// whole answer, shared by the fewest prompts.
     fn rank(&self, part: &str, suspicion: &Suspicion<'_>) -> (u32, Reverse<Option<Instant>>, u32) {
--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -416,3 +416,34 @@
     }
     assert!(quarantine.left_ms(now, "deadly", 0).is_some());
 }
+
+/// Two deadly parts behind one first part: the first part, with whole answers in between, must not
+/// be quarantined in their place.
+#[test]
+fn two_deadly_parts_do_not_convict_their_shared_first_part() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant(10_000);
+    let whole = |quarantine: &mut PartQuarantine, now| {
+        let part = "first".to_owned();
+        quarantine.record_success(now, &Success { part, age_ms: 0 });
+    };
+    for (index, deadly) in ["p", "q", "p"].iter().enumerate() {
+        now = now + 250;
+        quarantine.record_crash(now, "h", &crash(&format!("u{index}"), &["first", deadly]));
+        if index == 0 {
+            // Just before the second crash.
+            whole(&mut quarantine, now + 100);
+        }
+    }
+    now = now + 250;
+    quarantine.record_crash(now, "h", &crash("u3", &["first", "q"]));
+    now = now + SETTLE_MS;
+    quarantine.judge(now);
+    assert_eq!(quarantine.left_ms(now, "first", 0), None);
+    for (index, deadly) in ["p", "q"].iter().enumerate() {
+        now = now + 250;
+        quarantine.record_crash(now, "h", &crash(&format!("v{index}"), &["first", deadly]));
+    }
+    let changes = quarantine.judge(now + SETTLE_MS);
+    assert_eq!(names(&changes), ["q", "p"]);
+}
