Quarantine a deadly first part after the wrong choice of another

A deadly part in the first place of prompts with several sessions was never quarantined: of the parts with equal crashes, the deepest is taken, so that a part of one session was quarantined after its three crashes, and these no longer counted when the next session crashed three engines.

Change: at equal counts, the part that also took part in crashes that a quarantined part accounts for comes first. It is the one that all of them share, if the crashes go on without the quarantined part. These crashes also count where a part that had a whole answer is compared with those that had none.

Evidence: `a_deadly_first_part_with_several_sessions_is_quarantined` failed before with

assertion failed: quarantine.left_ms(now, "deadly", 0).is_some()

and so did `a_first_part_that_becomes_deadly_is_quarantined_despite_several_sessions`, in which the part had a whole answer before the first crash.

--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -4,8 +4,9 @@
 //! prompt holds. Hosts report which parts were at risk at an engine that crashed, and which parts
 //! of those were in a prompt that got its whole answer. A part is quarantined after several crashes
 //! without a whole answer in between; one that ever had a whole answer needs more than twice the
-//! crashes of any part without one beside it. Of the parts that the same crashes leave under suspicion, one
-//! is quarantined, and the crashes in which it took part no longer count against the others.
+//! crashes of any part without one beside it. Of the parts that the same crashes leave under
+//! suspicion, one is quarantined, and the crashes in which it took part no longer count against the
+//! others.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -145,6 +146,9 @@
     depth: u32,
     /// If the part had a whole answer: most crashes of another without one that took part in these.
     rival_crashes: u32,
+    /// Crashes that count, and those that a quarantined part accounts for.
+    total: u32,
+    total_at: Instant,
     upstreams: BTreeSet<&'a str>,
     hosts: BTreeSet<&'a str>,
 }
@@ -155,7 +159,7 @@
             0 | 1 => CRASHES_OF_ONE_UPSTREAM,
             _ => CRASHES_TO_QUARANTINE,
         };
-        self.crashes >= least && self.crashes > ANSWERED_FACTOR * self.rival_crashes
+        self.crashes >= least && self.total > ANSWERED_FACTOR * self.rival_crashes
     }
 }
 
@@ -411,14 +415,19 @@
     fn suspicions(&self) -> BTreeMap<&str, Suspicion<'_>> {
         let mut suspicions: BTreeMap<&str, Suspicion<'_>> = BTreeMap::new();
         for crash in &self.crashes {
-            if self.is_explained(crash) {
-                continue;
-            }
+            let is_explained = self.is_explained(crash);
             for (part, depth) in &crash.suspects {
                 if self.has_succeeded_since(part, crash) {
                     continue;
                 }
                 let suspicion = suspicions.entry(part).or_default();
+                if suspicion.total == 0 || crash.at.since(suspicion.total_at) >= JOINT_CRASH_MS {
+                    suspicion.total += 1;
+                    suspicion.total_at = crash.at;
+                }
+                if is_explained {
+                    continue;
+                }
                 let is_first = suspicion.crashes == 0;
                 if is_first || crash.at.since(suspicion.counted_at) >= JOINT_CRASH_MS {
                     suspicion.crashes += 1;
@@ -431,6 +440,7 @@
                     .extend(crash.hosts.iter().map(String::as_str));
             }
         }
+        suspicions.retain(|_, suspicion| suspicion.crashes > 0);
         self.count_rivals(&mut suspicions);
         suspicions
     }
@@ -443,7 +453,7 @@
             }
             let parts = || crash.suspects.keys().map(String::as_str);
             let unanswered = parts().filter(|part| !self.successes.contains_key(*part));
-            let crashes = unanswered.filter_map(|part| Some(suspicions.get(part)?.crashes));
+            let crashes = unanswered.filter_map(|part| Some(suspicions.get(part)?.total));
             let Some(most) = crashes.max() else {
                 continue;
             };
@@ -470,11 +480,23 @@
         succeeded.is_some_and(|at| *at >= crash.at)
     }
 
-    /// Returns the order in which suspected parts are quarantined: most crashes, longest without a
-    /// whole answer, shared by the fewest prompts.
-    fn rank(&self, part: &str, suspicion: &Suspicion<'_>) -> (u32, Reverse<Option<Instant>>, u32) {
+    /// Returns the order in which suspected parts are quarantined: most crashes, most of those that
+    /// the quarantine of another part accounts for, longest without a whole answer, shared by the
+    /// fewest prompts. If a quarantine was wrong, crashes go on without the quarantined part, and the
+    /// deadly one took part in both kinds.
+    fn rank(
+        &self,
+        part: &str,
+        suspicion: &Suspicion<'_>,
+    ) -> (u32, u32, Reverse<Option<Instant>>, u32) {
         let succeeded = self.successes.get(part).copied();
-        (suspicion.crashes, Reverse(succeeded), suspicion.depth)
+        let Suspicion {
+            crashes,
+            total,
+            depth,
+            ..
+        } = *suspicion;
+        (crashes, total, Reverse(succeeded), depth)
     }
 }
 
--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -447,3 +447,41 @@
     let changes = quarantine.judge(now + SETTLE_MS);
     assert_eq!(names(&changes), ["q", "p"]);
 }
+
+/// A deadly first part must not go free because a rarer part behind it is chosen each time.
+#[test]
+fn a_deadly_first_part_with_several_sessions_is_quarantined() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant(10_000);
+    for index in 0..9 {
+        now = now + 1_000;
+        let session = format!("s{}", index / 3);
+        quarantine.record_crash(
+            now,
+            "h",
+            &crash(&format!("u{index}"), &["deadly", &session]),
+        );
+        quarantine.judge(now + SETTLE_MS);
+    }
+    assert!(quarantine.left_ms(now, "deadly", 0).is_some());
+}
+
+/// The same, with a whole answer before it became deadly: later, but still found.
+#[test]
+fn a_first_part_that_becomes_deadly_is_quarantined_despite_several_sessions() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant(10_000);
+    for index in 0..12 {
+        now = now + 1_000;
+        let session = format!("s{}", index / 3);
+        let crash = crash(&format!("u{index}"), &["deadly", &session]);
+        quarantine.record_crash(now, "h", &crash);
+        let earlier = Success {
+            age_ms: now.since(Instant(5_000)),
+            ..success("deadly")
+        };
+        quarantine.record_success(now, &earlier);
+        quarantine.judge(now + SETTLE_MS);
+    }
+    assert!(quarantine.left_ms(now, "deadly", 0).is_some());
+}
