Look for deadly parts also deep in a prompt

A deadly part behind sixteen others was never quarantined, and prompts with it went on crashing engines: hosts looked at the first 16 parts only.

Change: they look at 128. Evidence stays bounded: at most 256 suspects of a crash are kept, and a report to the leader takes no further crash after 2,048 suspects; the others wait for the next report.

Evidence: `a_deadly_part_deep_in_a_prompt_is_quarantined` failed before with

assertion failed: monitor.quarantined(now, &prompt).is_some()

and passes with the change. `evidence_on_long_prompts_is_bounded` is new and guards the limits.

--- a/crates/coordination/src/part_evidence.rs
+++ b/crates/coordination/src/part_evidence.rs
@@ -34,8 +34,10 @@
 const MAX_EXTRA_PERCENT: u64 = 25;
 /// Least time between two versions of the verdict, in milliseconds; hosts ask as often.
 const VERDICT_INTERVAL_MS: u64 = 100;
-/// Parts of a prompt that are looked at; further ones are ignored.
-const MAX_PARTS: usize = 16;
+/// Parts of a prompt that are looked at; further ones are ignored, so that memory is bounded.
+const MAX_PARTS: usize = 128;
+/// Suspects in one report after which further crashes wait for the next one.
+const MAX_REPORTED_SUSPECTS: usize = 2_048;
 /// Length to which IDs of parts are cut, in bytes.
 const MAX_ID_BYTES: usize = 64;
 
@@ -273,12 +275,16 @@
     pub fn take_evidence(&mut self, now: Instant) -> Evidence {
         self.crashes
             .retain(|crash| now.since(crash.at) < CRASH_MEMORY_MS);
-        let unreported = self.crashes.iter_mut().filter(|crash| !crash.is_reported);
-        let crashes = unreported.map(|crash| {
+        let mut crashes = Vec::new();
+        let mut suspects = 0;
+        for crash in self.crashes.iter_mut().filter(|crash| !crash.is_reported) {
+            if suspects >= MAX_REPORTED_SUSPECTS {
+                break;
+            }
+            suspects += crash.suspects.len();
             crash.is_reported = true;
-            crash.report(now)
-        });
-        let crashes = crashes.collect();
+            crashes.push(crash.report(now));
+        }
         let mut successes = Vec::new();
         for part in &self.suspected {
             let Some(at) = self.successes.get(part) else {
--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -482,7 +482,7 @@
 
     /// Returns the order in which suspected parts are quarantined: most crashes, most of those that
     /// the quarantine of another part accounts for, longest without a whole answer, shared by the
-    /// fewest prompts. If a quarantine was wrong, crashes go on without the quarantined part, and the
+    /// fewest prompts. After a wrong quarantine crashes go on without the quarantined part, and the
     /// deadly one took part in both kinds.
     fn rank(
         &self,
--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -485,3 +485,51 @@
     }
     assert!(quarantine.left_ms(now, "deadly", 0).is_some());
 }
+
+/// A deadly part must be found wherever it stands, here behind sixteen sound ones.
+#[test]
+fn a_deadly_part_deep_in_a_prompt_is_quarantined() {
+    let mut monitor = PartMonitor::new(0);
+    let mut now = Instant(10_000);
+    let mut prompt: Vec<String> = (0..16).map(|index| format!("part{index}")).collect();
+    prompt.extend(["deadly".to_owned(), "own".to_owned()]);
+    for index in 0..8 {
+        now = now + 1_000;
+        monitor.record_success(now, prompt[..16].iter().chain([&"x".to_owned()]));
+        monitor.record_crash(now + 100, "h", format!("u{index}"), &prompt);
+    }
+    now = now + 2_000;
+    monitor.judge_alone(now);
+    // A sound prompt with the same sixteen parts must be admitted, and the deadly one refused.
+    let sound: Vec<String> = prompt[..16]
+        .iter()
+        .cloned()
+        .chain(["x".to_owned()])
+        .collect();
+    assert_eq!(monitor.quarantined(now, &sound), None);
+    assert!(monitor.quarantined(now, &prompt).is_some());
+}
+
+/// Long prompts must not make evidence grow without limit, nor may a report exceed a message.
+#[test]
+fn evidence_on_long_prompts_is_bounded() {
+    let mut monitor = PartMonitor::new(0);
+    let now = Instant(10_000);
+    for index in 0..600 {
+        let parts = (0..300).map(|part| format!("{index}-{part}"));
+        monitor.record_crash(now + index, "h", format!("u{}", index / 3), parts);
+    }
+    let size = format!("{monitor:?}").len();
+    assert!(size < 2 << 20, "{size} bytes");
+    let mut crashes = 0;
+    loop {
+        let evidence = monitor.take_evidence(now + 1_000);
+        if evidence.crashes.is_empty() {
+            break;
+        }
+        crashes += evidence.crashes.len();
+        let suspects: usize = evidence.crashes.iter().map(|c| c.suspects.len()).sum();
+        assert!((1..=2_304).contains(&suspects), "{suspects} suspects");
+    }
+    assert_eq!(crashes, 64);
+}
