List the conviction of a part by engines that die in turn

The review of the quarantine of prompt parts showed that three engines which die 250 ms apart, each with a request of one part waiting, have the part refused for a minute.

Cause: crashes less than 0.2 s apart count once, since a failure domain that dies takes its engines down together. Engines that die more slowly look like those that a deadly part crashes.

Counting only crashes that are further apart would let a part that comes often crash more engines before it is quarantined.

--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -533,3 +533,23 @@
     }
     assert_eq!(crashes, 64);
 }
+
+/// Engines that die a quarter of a second apart must not cut off the callers of a part that is in
+/// use on each of them and had a whole answer just before.
+#[test]
+fn engines_that_die_one_after_another_do_not_convict_a_part_in_use() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant(10_000);
+    for index in 0..3 {
+        now = now + 250;
+        let crash = crash(&format!("u{index}"), &["common", &format!("own{index}")]);
+        quarantine.record_crash(now, "h", &crash);
+        if index == 0 {
+            let part = "common".to_owned();
+            // Reported late: it ended just before the crash.
+            quarantine.record_success(now, &Success { part, age_ms: 10 });
+        }
+    }
+    quarantine.judge(now + SETTLE_MS);
+    assert_eq!(quarantine.left_ms(now, "common", 0), None);
+}
