Say in the reload module how engines take turns

Cause: the module comment described one engine, not the order of several.

Change: the comment names the order and the end of a turn, and that an engine whose order may be lost goes on serving.

--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -4,8 +4,12 @@
 //! has accepted, orders the newest weights on the condition that the engine has accepted no other
 //! order since, and reads again until the weights are loaded. An order without an answer is sent
 //! again under the same condition, so that it is carried out once even when the first one arrives
-//! late. When a newer version appears while an engine waits, the older one is skipped. A new leader
-//! sends no orders until no order of the previous leader can still arrive.
+//! late; until the engine is seen to load, it goes on serving. When a newer version appears while
+//! an engine waits, the older one is skipped. A new leader sends no orders until no order of the
+//! previous leader can still arrive.
+//!
+//! Engines take turns: those that have lagged longest come first, and a turn ends after one load,
+//! or after a while without one, so that no engine keeps the others waiting.
 
 use std::collections::BTreeMap;
 
