Bound what evidence on prompt parts costs the leading host

Cause: 18 of 60 engines crash at once, three times. The leading host then looked through all crashes for each report of a whole answer, of which 74 hosts sent up to 64 each in every routing update, and through all suspects for each judgement and verdict. It stopped answering: hosts kept old tables, leaders changed four times in 17 s, and as whole answers went unreported, 55 sound parts were quarantined.

Change: a whole answer of a part that is known is recorded without a search. A host reports a part at most four times a second, the leader judges twice and states a verdict once a second where no quarantine changes. Half as many crashes, and half as many suspects of each, are kept.

Result: `a_host_reports_the_whole_answers_of_a_part_a_few_times_a_second` failed before with 10 reports in a second.

--- a/crates/coordination/src/part_evidence.rs
+++ b/crates/coordination/src/part_evidence.rs
@@ -32,8 +32,14 @@
 const MAX_SUCCESSES: usize = 4_096;
 /// Random extra length of quarantines at a host, at most, in percent.
 const MAX_EXTRA_PERCENT: u64 = 25;
-/// Least time between two versions of the verdict, in milliseconds; hosts ask as often.
-const VERDICT_INTERVAL_MS: u64 = 100;
+/// Least time between two judgements, in milliseconds; each looks at all crashes and suspects.
+const JUDGE_INTERVAL_MS: u64 = 500;
+/// Least time between two reports of whole answers to prompts with the same part, in milliseconds.
+/// Parts that are much in use get whole answers all the time.
+const SUCCESS_INTERVAL_MS: u64 = 250;
+/// Least time between two versions of the verdict without a change of quarantines, in milliseconds;
+/// each looks at all crashes and suspects.
+const VERDICT_INTERVAL_MS: u64 = 1_000;
 /// Parts of a prompt that are looked at; further ones are ignored, so that memory is bounded.
 const MAX_PARTS: usize = 128;
 /// Suspects in one report after which further crashes wait for the next one.
@@ -78,6 +84,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceCollector {
     changed: bool,
+    judged_at: Instant,
     quarantine: PartQuarantine,
     stated_at: Instant,
     verdict: Verdict,
@@ -109,7 +116,10 @@
         for crash in &evidence.crashes {
             changes.extend(self.quarantine.record_crash(now, host.clone(), crash));
         }
-        changes.extend(self.quarantine.judge(now));
+        if now.since(self.judged_at) >= JUDGE_INTERVAL_MS {
+            self.judged_at = now;
+            changes.extend(self.quarantine.judge(now));
+        }
         self.changed |= has_evidence || !changes.is_empty();
         let is_new_term = self.verdict.position.term != term;
         let is_due = !changes.is_empty() || now.since(self.stated_at) >= VERDICT_INTERVAL_MS;
@@ -290,7 +300,8 @@
             let Some(at) = self.successes.get(part) else {
                 continue;
             };
-            if self.reported.get(part) == Some(at) {
+            let reported = self.reported.get(part);
+            if reported.is_some_and(|reported| at.since(*reported) < SUCCESS_INTERVAL_MS) {
                 continue;
             }
             self.reported.insert(part.clone(), *at);
--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -43,12 +43,12 @@
 /// Least time between two searches for what can be forgotten, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 1_000;
 /// Most crashes that are kept.
-const MAX_CRASHES: usize = 128;
+const MAX_CRASHES: usize = 64;
 /// Crashes that remain if more than [`MAX_CRASHES`] are known. Many are dropped at once, since the
 /// choice looks at all suspects.
-const CRASHES_AFTER_CUT: usize = 64;
+const CRASHES_AFTER_CUT: usize = 32;
 /// Most suspects of one crash that are kept, those with the oldest whole answers.
-const MAX_SUSPECTS: usize = 256;
+const MAX_SUSPECTS: usize = 128;
 /// Most quarantined parts that are kept.
 const MAX_QUARANTINED: usize = 256;
 /// Most suspected parts that hosts are told of, the most suspected first.
@@ -220,8 +220,10 @@
     pub fn record_success(&mut self, now: Instant, success: &Success) -> Option<Change> {
         let at = now.before(success.age_ms);
         let part = &success.part;
-        let is_known = self.crashes.iter().any(|c| c.suspects.contains_key(part))
-            || self.quarantines.contains_key(part);
+        // Sound parts that are much in use are known already, and are reported most.
+        let is_known = self.successes.contains_key(part)
+            || self.quarantines.contains_key(part)
+            || self.crashes.iter().any(|c| c.suspects.contains_key(part));
         if !is_known {
             return None;
         }
--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -553,3 +553,22 @@
     quarantine.judge(now + SETTLE_MS);
     assert_eq!(quarantine.left_ms(now, "common", 0), None);
 }
+
+/// Whole answers with a part that is much in use must not flood the leader after a crash.
+#[test]
+fn a_host_reports_the_whole_answers_of_a_part_a_few_times_a_second() {
+    let mut monitor = PartMonitor::new(0);
+    let suspected = vec!["common".to_owned()];
+    let verdict = Verdict {
+        suspected,
+        ..Verdict::default()
+    };
+    monitor.adopt(Instant(10_000), Some(verdict));
+    let mut reports = 0;
+    for tenth in 1..=10 {
+        let now = Instant(10_000 + tenth * 100);
+        monitor.record_success(now, ["common", "own"]);
+        reports += monitor.take_evidence(now).successes.len();
+    }
+    assert!((3..=4).contains(&reports), "{reports}");
+}
