Take limits that have a fraction

Cause: the platform gives some bounds with a fraction (a small twin of a deployment has a retry slack of 35.17), and [gateway] took whole numbers only, so that no host which serves callers started.

Change: the limits of [gateway] are cut off after the point. What is no plain number is still refused.

--- a/crates/hibiscushoistd/src/settings.rs
+++ b/crates/hibiscushoistd/src/settings.rs
@@ -371,14 +371,14 @@
     }
     let address = |key| file.optional("gateway", key, None, ADDRESS, some_address);
     let count = |key, default, most| {
-        let accepted = format!("a whole number from 0 to {most}");
-        file.optional("gateway", key, default, &accepted, number(0, most))
+        let accepted = format!("a number from 0 to {most}");
+        file.optional("gateway", key, default, &accepted, limit(0, most))
     };
     let accepted = "milliseconds from 1 to 86400000";
-    let freshness = number(1, 86_400_000);
-    let freshness = file.optional("gateway", "freshness_ms", 4_000, accepted, freshness)?;
-    let limit = number(1, 86_400_000);
-    let limit = file.optional("gateway", "weights_limit_ms", 60_000, accepted, limit)?;
+    let millis = |key, default| {
+        file.optional("gateway", key, default, accepted, limit(1, 86_400_000))
+            .map(Duration::from_millis)
+    };
     Ok(Some(Gateway {
         callers: address("callers")?,
         control: file.optional(
@@ -388,12 +388,12 @@
             "a list of addresses",
             list,
         )?,
-        freshness: Duration::from_millis(freshness),
+        freshness: millis("freshness_ms", 4_000)?,
         list: address("list")?,
         readiness: address("readiness")?,
         retry_percent: count("retry_percent", 20, 100)?,
         retry_slack: count("retry_slack", 50, 1_000_000)?,
-        weights_limit: Duration::from_millis(limit),
+        weights_limit: millis("weights_limit_ms", 60_000)?,
     }))
 }
 
@@ -490,6 +490,19 @@
     }
 }
 
+/// Reads a limit that may have a fraction, which is cut off: half a retry is none.
+fn limit(least: u64, most: u64) -> impl Fn(&str) -> Option<u64> {
+    move |text| {
+        let limit: f64 = text.parse().ok()?;
+        // Without this, words such as `inf` would pass.
+        let is_plain = text
+            .bytes()
+            .all(|byte| byte.is_ascii_digit() || byte == b'.');
+        let whole = (is_plain && limit < most as f64 + 1.0).then_some(limit as u64)?;
+        (least..=most).contains(&whole).then_some(whole)
+    }
+}
+
 fn roles(text: &str) -> Option<BTreeSet<Role>> {
     let roles: BTreeSet<Role> = list(text)?.into_iter().collect();
     (!roles.is_empty()).then_some(roles)
--- a/crates/hibiscushoistd/tests/settings.rs
+++ b/crates/hibiscushoistd/tests/settings.rs
@@ -133,6 +133,30 @@
         .fails("a.ini: [entry] connections: `0` is not a whole number from 1 to 1000000");
 }
 
+/// The platform gives some bounds with a fraction, and hosts did not start.
+#[test]
+fn fraction_of_a_limit_is_cut_off() {
+    let test = Test::new().append(
+        "[gateway]\nretry_slack = 35.166666666666664\nweights_limit_ms = 6000.5\n\
+         freshness_ms = 1600.0\n",
+    );
+    let gateway = test.passes().gateway.unwrap();
+    assert_eq!(gateway.retry_slack, 35);
+    assert_eq!(gateway.weights_limit.as_millis(), 6_000);
+    assert_eq!(gateway.freshness.as_millis(), 1_600);
+}
+
+#[test]
+fn limit_that_is_no_number_is_named() {
+    for value in ["inf", "-1", "1e3", "NaN", "1000001", "9.9.9"] {
+        Test::new()
+            .append(&format!("[gateway]\nretry_slack = {value}\n"))
+            .fails(&format!(
+                "a.ini: [gateway] retry_slack: `{value}` is not a number from 0 to 1000000"
+            ));
+    }
+}
+
 #[test]
 fn entry_role_without_section_clashes() {
     Test::new()
