Keep the time at which a weights version was named

Cause: voters counted the age of a version from when they applied it. After all of them had started again, the age began at zero, and requests began on weights that had been replaced 42 s before. Besides, the margin before the expiry was 4 s whatever the limit: with a limit of 6 s, every engine was off work 2 s after a version was named.

Change: log entries carry the time of day at which the leader took them, and the replicated state keeps when each version was named, on both clocks; the greater age counts. Both stand behind what earlier versions read, and are unknown where they are missing. The margin is a quarter of the limit, 4 s at most.

--- a/crates/coordination/src/state_machine.rs
+++ b/crates/coordination/src/state_machine.rs
@@ -2,6 +2,9 @@
 //!
 //! A snapshot holds all of it as of one index, with the stored answers that suppress duplicates, so
 //! that a voter restored from it answers a resent command as any other voter does.
+//!
+//! What was added to log entries and snapshots later stands behind the rest, where a version that
+//! does not know it reads no further; where it is missing, it counts as unknown.
 
 use std::sync::Arc;
 
@@ -16,6 +19,8 @@
 use state::history::History;
 use state::ledger;
 use state::ledger::Ledger;
+use state::naming;
+use state::naming::Namings;
 use state::routing;
 use state::routing::RoutingState;
 use state::table;
@@ -91,6 +96,30 @@
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
         Ok(postcard::to_stdvec(self)?)
     }
+
+    /// Encodes a command that the leader took at `unix_ms`, the time of day in Unix milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the command does not encode.
+    pub fn encode_stamped(&self, unix_ms: u64) -> Result<Vec<u8>, Error> {
+        Ok(postcard::to_extend(&unix_ms, self.encode()?)?)
+    }
+
+    /// Decodes a command with the time of day at which the leader took it, in Unix milliseconds; 0
+    /// if the entry has none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the bytes do not decode.
+    pub fn decode_stamped(bytes: impl AsRef<[u8]>) -> Result<(Self, u64), Error> {
+        let (command, rest) = postcard::take_from_bytes(bytes.as_ref())?;
+        let unix_ms = match rest.is_empty() {
+            false => postcard::from_bytes(rest)?,
+            true => 0,
+        };
+        Ok((command, unix_ms))
+    }
 }
 
 /// The replicated state; every voter applies the same commands to it in the same order.
@@ -100,6 +129,8 @@
     history: History,
     leases: Leases,
     ledger: Ledger,
+    #[serde(skip)]
+    namings: Arc<Namings>,
     routed: Arc<RoutingState>,
     table: Arc<Table>,
 }
@@ -113,9 +144,21 @@
         }
     }
 
-    /// Applies one command that the leader stamped with `log_time_ms`.
+    /// Applies one command that the leader stamped with `log_time_ms`, at an unknown time of day.
     pub fn apply(&mut self, log_time_ms: u64, command: &Command) -> Answer {
-        self.log_time_ms = self.log_time_ms.max(log_time_ms);
+        let unix_ms = 0;
+        self.apply_stamped(
+            naming::Time {
+                log_time_ms,
+                unix_ms,
+            },
+            command,
+        )
+    }
+
+    /// Applies one command that the leader took at `time`.
+    pub fn apply_stamped(&mut self, time: naming::Time, command: &Command) -> Answer {
+        self.log_time_ms = self.log_time_ms.max(time.log_time_ms);
         let now = self.log_time_ms;
         match command {
             Command::Begin(intent) => Answer::Begin(self.ledger.begin(now, intent)),
@@ -133,6 +176,11 @@
             Command::Weights { model, version } => {
                 let routed = Arc::make_mut(&mut self.routed);
                 routed.raise_weights_version(model.clone(), *version);
+                let named = naming::Time {
+                    log_time_ms: now,
+                    unix_ms: time.unix_ms,
+                };
+                Arc::make_mut(&mut self.namings).record(model.clone(), *version, named);
                 Answer::Weights(routed.weights_versions[model])
             }
         }
@@ -158,13 +206,22 @@
         &self.ledger
     }
 
+    /// Returns when each weights version was named.
+    pub fn namings(&self) -> &Arc<Namings> {
+        &self.namings
+    }
+
     /// Decodes a state machine from the bytes of a snapshot.
     ///
     /// # Errors
     ///
     /// Returns an error when the bytes do not decode.
     pub fn restore(bytes: impl AsRef<[u8]>) -> Result<Self, Error> {
-        Ok(postcard::from_bytes(bytes.as_ref())?)
+        let (mut machine, rest): (Self, _) = postcard::take_from_bytes(bytes.as_ref())?;
+        if !rest.is_empty() {
+            machine.namings = Arc::new(postcard::from_bytes(rest)?);
+        }
+        Ok(machine)
     }
 
     /// Returns the table of routed services and the weights versions.
@@ -178,7 +235,10 @@
     ///
     /// Returns an error when the state does not encode.
     pub fn snapshot(&self) -> Result<Vec<u8>, Error> {
-        Ok(postcard::to_stdvec(self)?)
+        Ok(postcard::to_extend(
+            &*self.namings,
+            postcard::to_stdvec(self)?,
+        )?)
     }
 
     /// Returns the configuration table.
--- a/crates/coordination/src/version_history.rs
+++ b/crates/coordination/src/version_history.rs
@@ -2,16 +2,22 @@
 //! request may begin on any more.
 //!
 //! Every voter records a version when it applies it, so that a new leader does not start to count
-//! anew. The leader sends the ages to all hosts, and each host counts on by its own clock, so that
-//! a version expires there even while no further update arrives.
+//! anew; one that has started again takes the age from the replicated state. The leader sends the
+//! ages to all hosts, and each host counts on by its own clock, so that a version expires there
+//! even while no further update arrives.
 
 use std::collections::BTreeMap;
 
+use state::naming;
+use state::naming::Namings;
 use state::time::Instant;
 
-/// Time that is set aside for a request to wait at its engine, in milliseconds: a host sends
-/// nothing to an engine whose weights expire sooner.
-pub const BEGIN_MARGIN_MS: u64 = 4_000;
+/// Time that is set aside for a request to wait at its engine, in milliseconds, at most: a host
+/// sends nothing to an engine whose weights expire sooner.
+const MAX_BEGIN_MARGIN_MS: u64 = 4_000;
+/// The same as a divisor of the time until a version expires. Where that time is short, a longer
+/// margin would leave no engine to serve before the fleet can have loaded the newer weights.
+const BEGIN_MARGIN_DIVISOR: u64 = 4;
 /// Time before the weights expire at which a host cancels a request that has not begun, in
 /// milliseconds: the cancellation has to reach the engine, and hosts know the age of a version to
 /// within some tenths of a second.
@@ -38,6 +44,23 @@
         }
     }
 
+    /// Returns the time before the weights of an engine expire from which it is sent no request, in
+    /// milliseconds.
+    pub fn begin_margin_ms(&self) -> u64 {
+        (self.limit_ms / BEGIN_MARGIN_DIVISOR).min(MAX_BEGIN_MARGIN_MS)
+    }
+
+    /// Records the versions of the replicated state that were unknown until `now`, with their ages
+    /// at `time`; the ages of the others are counted on by the clock of this host.
+    pub fn record_namings(&mut self, now: Instant, time: naming::Time, namings: &Namings) {
+        let mut unknown = namings.ages(time);
+        for (model, versions) in &mut unknown {
+            let known = self.models.get(model);
+            versions.retain(|version, _| known.is_none_or(|known| !known.contains_key(version)));
+        }
+        self.merge(now, &unknown);
+    }
+
     /// Records that these versions are the newest ones; one that was unknown counts as named at
     /// `now`.
     pub fn record(&mut self, now: Instant, newest_versions: &BTreeMap<String, u64>) {
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -13,7 +13,6 @@
 use coordination::choice::Choice;
 use coordination::choice::Refusal;
 use coordination::demand::Demand;
-use coordination::version_history::BEGIN_MARGIN_MS;
 use transport::event;
 use transport::event::Event;
 use transport::metric;
@@ -189,7 +188,9 @@
     let model = routed.request_head.model.clone().filter(|_| engine);
     let newest = model.as_ref().and_then(|model| snapshot.weights.get(model));
     let now = context.clock.now();
-    let min_weights = gateway.versions().min_versions(now, BEGIN_MARGIN_MS);
+    let versions = gateway.versions();
+    let min_weights = versions.min_versions(now, versions.begin_margin_ms());
+    drop(versions);
     let min_weights = model.as_ref().and_then(|model| min_weights.get(model));
     let waited = now.since(routed.arrived);
     let shared_prefix = shared_prefix(routed).filter(|_| progress.exact_weights.is_none());
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -48,7 +48,9 @@
 use protocol::voter::Rejection;
 use protocol::voter::TableUpdate;
 use protocol::voter::VoterChange;
+use state::naming;
 use transport::clock::Clock;
+use transport::clock::wall_millis;
 use transport::event;
 use transport::event::Event;
 use transport::peer_handshake;
@@ -180,6 +182,11 @@
         let loads = tally.report(now, ask.host, ask.loads);
         drop(tally);
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let time = naming::Time {
+            log_time_ms: reading.log_time_ms,
+            unix_ms: wall_millis(),
+        };
+        versions.record_namings(now, time, &reading.namings);
         versions.record(now, &reading.routed.weights_versions);
         Ok(RoutingUpdate {
             fleet,
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -30,12 +30,12 @@
 use coordination::upstream::Standing;
 use coordination::upstream::Upstream;
 use coordination::upstream_load::LoadAggregator;
-use coordination::version_history;
 use coordination::version_history::VersionHistory;
 use platform::engine;
 use platform::header;
 use platform::path;
 use platform::upstream_list;
+use state::naming;
 use state::time::Instant;
 use transport::clock::wall_millis;
 use transport::connection_pool::Body;
@@ -145,7 +145,11 @@
     fn record_versions(&self) {
         let now = self.context.clock.now();
         if let Some(status) = self.context.voter.status() {
-            self.versions().record(now, &status.weights_versions);
+            let time = naming::Time {
+                log_time_ms: status.log_time_ms,
+                unix_ms: wall_millis(),
+            };
+            self.versions().record_namings(now, time, &status.namings);
         }
     }
 
@@ -303,9 +307,9 @@
         let upstreams: Vec<Upstream> = self.seen.iter().map(|seen| self.shown(seen)).collect();
         let shown = self.publish.borrow().clone();
         let now = self.context.clock.now();
-        let min_weights = self
-            .versions()
-            .min_versions(now, version_history::BEGIN_MARGIN_MS);
+        let versions = self.versions();
+        let min_weights = versions.min_versions(now, versions.begin_margin_ms());
+        drop(versions);
         let same = shown.upstreams == upstreams && shown.min_weights == min_weights;
         if shown.edition.term == term && same {
             return;
--- a/crates/hibiscushoistd/src/voter_call.rs
+++ b/crates/hibiscushoistd/src/voter_call.rs
@@ -1,6 +1,5 @@
 //! What the duty of a voter is asked, and what it shows of itself.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -18,6 +17,7 @@
 use protocol::voter::MessageBatch;
 use protocol::voter::Rejection;
 use protocol::voter::TableUpdate;
+use state::naming::Namings;
 use state::routing::RoutingState;
 use state::table::Table;
 
@@ -47,6 +47,10 @@
 /// Holds the replicated state as of a read.
 #[derive(Clone, Debug)]
 pub struct Reading {
+    /// Gives the log time of the newest command, in milliseconds.
+    pub log_time_ms: u64,
+    /// Tells when each weights version was named.
+    pub namings: Arc<Namings>,
     /// Holds the routed table and the weights versions.
     pub routed: Arc<RoutingState>,
     /// Holds the table.
@@ -70,12 +74,14 @@
     pub leader_name: Option<String>,
     /// Tells whether this voter leads.
     pub leads: bool,
+    /// Gives the log time of the newest command that was applied here, in milliseconds.
+    pub log_time_ms: u64,
     /// Gives the index up to which each member's log is known to match; only the leader knows.
     pub matched: Vec<(MemberId, u64)>,
+    /// Tells when each weights version that was applied here was named.
+    pub namings: Arc<Namings>,
     /// Gives the newest term seen.
     pub term: u64,
-    /// Holds the newest weights version of each model that was applied here.
-    pub weights_versions: BTreeMap<String, u64>,
     /// Tells whether the voter works.
     pub works: bool,
 }
--- a/crates/hibiscushoistd/src/voter_duty.rs
+++ b/crates/hibiscushoistd/src/voter_duty.rs
@@ -32,9 +32,11 @@
 use protocol::operator::History;
 use protocol::voter::Rejection;
 use protocol::voter::TableUpdate;
+use state::naming;
 use state::table::Table;
 use transport::channel;
 use transport::clock::Clock;
+use transport::clock::wall_millis;
 use transport::event;
 use transport::event::Event;
 use transport::metric;
@@ -181,7 +183,7 @@
         reply: Reply<Answer>,
         batch: &mut Vec<(Token, Arc<[u8]>)>,
     ) {
-        match command.encode() {
+        match command.encode_stamped(wall_millis()) {
             Err(_) => drop(reply.send(Err(Rejection::Change))),
             Ok(bytes) => {
                 let token = self.wait_for(Waiter::Command(reply));
@@ -315,12 +317,18 @@
     }
 
     fn execute(&mut self, at: u64, bytes: &Arc<[u8]>) -> Option<Answer> {
-        let command = Command::decode(bytes).ok()?;
-        Some(self.machine.apply(at, &command))
+        let (command, unix_ms) = Command::decode_stamped(bytes).ok()?;
+        let time = naming::Time {
+            log_time_ms: at,
+            unix_ms,
+        };
+        Some(self.machine.apply_stamped(time, &command))
     }
 
     fn answer_reads(&mut self) {
         let reading = Reading {
+            log_time_ms: self.machine.log_time_ms(),
+            namings: self.machine.namings().clone(),
             routed: self.machine.routed().clone(),
             table: self.machine.table().clone(),
             term: self.raft.as_ref().map_or(0, Raft::term),
@@ -414,9 +422,10 @@
             leader: leader.filter(|_| !leads).map(|member| member.address),
             leader_name: leader.map(|member| member.name.clone()),
             leads,
+            log_time_ms: self.machine.log_time_ms(),
             matched: raft.matched(),
+            namings: self.machine.namings().clone(),
             term: raft.term(),
-            weights_versions: self.machine.routed().weights_versions.clone(),
             works: true,
         };
         metrics::gauge!(metric::LOG_COMMITTED).set(new.committed as f64);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod history;
 pub mod ident;
 pub mod ledger;
+pub mod naming;
 pub mod rank;
 pub mod routing;
 pub mod routing_index;
