Learn how long engines take to load weights

Cause: an engine was read 1.9 s after its order, where loads take between 0.3 s and several seconds.

Change: coordination::load_time keeps the last loads of each service; an engine is read when 90 percent of their lower quartile have passed, and then at intervals that grow with the load.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod host;
 pub mod lease;
 pub mod liveness;
+pub mod load_time;
 pub mod local_state;
 pub mod membership;
 pub mod order;
--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -16,6 +16,8 @@
 use strum::Display;
 use strum::IntoStaticStr;
 
+use crate::load_time;
+use crate::load_time::LoadTimes;
 use crate::reload_engine::Engine;
 use crate::reload_engine::Phase;
 use crate::reload_engine::Urgency;
@@ -37,15 +39,16 @@
 /// The configuration of a rolling reload.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
-    /// Shortest time in which an engine can load weights, in milliseconds; it is not read earlier.
-    pub min_load_ms: u64,
     /// Number of engines that may always load at once, however small the share is.
     pub min_concurrent: usize,
     /// Time that an engine with requests in flight has to finish them before its order, in
     /// milliseconds; most answers take less.
     pub finish_wait_ms: u64,
-    /// Time between two reads of an engine that loads, in milliseconds.
+    /// Time after which a read that got no answer is repeated, in milliseconds.
     pub read_interval_ms: u64,
+    /// Time after which an engine is read whose order has got neither an answer nor an error, in
+    /// milliseconds.
+    pub answer_wait_ms: u64,
     /// What happens to the requests in flight.
     pub in_flight_policy: InFlightPolicy,
     /// Maximum share of the engines that load at once, in percent; as many more may be off new work
@@ -66,12 +69,11 @@
 }
 
 impl Default for Policy {
-    /// Returns a policy for engines that load in about two seconds, in a fleet where every host
-    /// learns of a change within a third of a second.
+    /// Returns a policy for a fleet where every host learns of a change within a third of a second.
     fn default() -> Self {
         Self {
             min_concurrent: 2,
-            min_load_ms: 1_900,
+            answer_wait_ms: 1_900,
             finish_wait_ms: 2_500,
             read_interval_ms: 150,
             in_flight_policy: InFlightPolicy::Finish,
@@ -177,6 +179,7 @@
 #[derive(Clone, Debug)]
 pub struct Reload {
     engines: BTreeMap<String, Engine>,
+    load_times: LoadTimes,
     loads: UpstreamLoads,
     newest_versions: BTreeMap<String, u64>,
     orders_allowed_from: Option<Instant>,
@@ -188,6 +191,7 @@
     pub fn new(policy: Policy) -> Self {
         Self {
             engines: BTreeMap::new(),
+            load_times: LoadTimes::default(),
             loads: UpstreamLoads::new(),
             newest_versions: BTreeMap::new(),
             orders_allowed_from: None,
@@ -266,7 +270,7 @@
             return;
         };
         let wait = match outcome {
-            Outcome::Accepted => policy.min_load_ms,
+            Outcome::Accepted => self.load_times.first_read_ms(&engine.listed.service),
             Outcome::Holds => 0,
             Outcome::Refused | Outcome::Unknown => policy.retry_delay_ms,
         };
@@ -311,9 +315,12 @@
                 // answer was lost, in place of the last one.
                 engine.serve();
                 engine.failed_turns = 0;
+                let took_ms = now.since(engine.ordered);
+                let service = engine.listed.service.clone();
+                self.load_times.record(service, took_ms);
                 return vec![Effect::Done {
                     id: id.to_owned(),
-                    took_ms: now.since(engine.ordered),
+                    took_ms,
                     version: engine.ordered_weights().min(version),
                 }];
             }
@@ -324,20 +331,21 @@
                         orders, version, ..
                     } => (orders, version),
                     _ => {
+                        engine.ordered = now;
                         engine.ordered_model = model;
                         (report.accepted_orders.saturating_sub(1), newest_version)
                     }
                 };
                 engine.record_load(now);
                 engine.phase = Phase::Loading {
-                    next_read: now + policy.read_interval_ms,
+                    next_read: now + load_time::next_read_ms(now.since(engine.ordered)),
                     orders,
                     version,
                 };
             }
             (_, Some((model, version))) => {
                 engine.phase = Phase::Loading {
-                    next_read: now + policy.min_load_ms,
+                    next_read: now + policy.answer_wait_ms,
                     orders: report.accepted_orders,
                     version,
                 };
