Send hosts differences, shared sums and a place in a queue

Cause: on a site of 200 hosts, the leading host built and encoded the whole list of upstreams for every host whenever one thing in it had changed, copied the sums of all loads for each of them, read the replicated state for each request through the thread of its voter, and answered every waiting long prompt 25 times a second. Its look at engines ran once for each message that arrived and read the list of upstreams in between.

Change: fleet_log gives a host the difference from the edition that it has, and the whole fleet only where that does not fit. The sums of loads are computed once for all hosts; each subtracts its own report. Reads that arrive while one is under way share the next. A long prompt waits in a queue of the leading host, in order of rank and arrival, instead of asking again. Prefixes in constant use are announced every 3 s. The steward takes all messages that have arrived at once, looks at engines ten times a second whatever arrives, and reads the list beside that.

The peer protocol is version 7.

--- a/crates/coordination/examples/assign_slope.rs
+++ b/crates/coordination/examples/assign_slope.rs
@@ -91,7 +91,6 @@
 fn request(number: u64) -> Request {
     let prefix_id = format!("part-{}", number % PROMPTS);
     Request {
-        unusable: Vec::new(),
         demand: Demand {
             domain: "domain-1".to_owned(),
             first_byte_left_ms: 1_000,
@@ -104,6 +103,7 @@
             shared_prefix: Some((prefix_id, 13_300)),
             ..Demand::default()
         },
+        ..Request::default()
     }
 }
 
--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -29,6 +29,13 @@
 /// A request to assign an engine to a long prompt.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Request {
+    /// Longest time for which the request waits at the leading host until an engine has room for
+    /// it, in milliseconds.
+    pub max_wait_ms: u64,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u32,
+    /// Time that the request has waited before, in milliseconds.
+    pub waited_ms: u64,
     /// IDs of the engines that the requesting host does not use for now.
     pub unusable: Vec<String>,
     /// Needs of the request.
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -74,6 +74,9 @@
     max_ejected_percent: 60,
 };
 
+/// IDs of the engines that have a shared prefix cached, by weights version.
+type Holders<'a> = BTreeMap<u64, Vec<&'a str>>;
+
 /// Chooses upstreams for the requests of this host, and records what becomes of them.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -128,7 +131,8 @@
             return Err(Refusal::Paused);
         }
         let upstream = self.pick(now, &eligible, demand)?.clone();
-        let expected = self.candidate(now, &upstream, demand);
+        let holders = self.holders(now, &[&upstream], demand);
+        let expected = self.candidate(now, &upstream, demand, &holders);
         let _ = self.breaker.admit(now, &upstream.id);
         let weights = demand
             .model
@@ -166,7 +170,8 @@
     pub fn record_sent(&mut self, now: Instant, choice: &Choice, demand: &Demand) -> InFlight {
         self.assignment_ids.extend(choice.assignment_id);
         let upstream_id = choice.upstream.id.clone();
-        let availability = self.prefix_availability(now, &choice.upstream, demand);
+        let holders = self.holders(now, &[&choice.upstream], demand);
+        let availability = self.prefix_availability(&choice.upstream, demand, &holders);
         let pending_prefill_tokens = prefill::tokens(demand, availability);
         let long_prompt_tokens = demand
             .shared_prefix
@@ -423,8 +428,9 @@
         };
         let (newest, older): (Vec<&Upstream>, Vec<&Upstream>) =
             eligible.iter().partition(|upstream| has_newest(upstream));
+        let holders = self.holders(now, eligible, demand);
         let candidates = |upstreams: &[&Upstream]| -> Vec<Candidate> {
-            let candidate = |upstream: &&Upstream| self.candidate(now, upstream, demand);
+            let candidate = |upstream: &&Upstream| self.candidate(now, upstream, demand, &holders);
             upstreams.iter().map(candidate).collect()
         };
         let (new, old) = (candidates(&newest), candidates(&older));
@@ -484,11 +490,39 @@
         }
     }
 
+    /// Returns the engines that have the request's shared prefix cached, for each weights version
+    /// of these upstreams.
+    fn holders(&self, now: Instant, upstreams: &[&Upstream], demand: &Demand) -> Holders<'_> {
+        let mut holders = Holders::new();
+        let Some(model) = demand
+            .model
+            .as_ref()
+            .filter(|_| demand.shared_prefix.is_some())
+        else {
+            return holders;
+        };
+        for upstream in upstreams {
+            let weights = self.weights(upstream, model);
+            if !holders.contains_key(&weights) {
+                let prefix = demand.prefix_key(weights);
+                let engines = prefix.map(|prefix| self.prefix_index.engines(now, &prefix));
+                holders.insert(weights, engines.unwrap_or_default());
+            }
+        }
+        holders
+    }
+
     /// Returns an upstream with the expected cost of the request there.
-    fn candidate(&self, now: Instant, upstream: &Upstream, demand: &Demand) -> Candidate {
+    fn candidate(
+        &self,
+        now: Instant,
+        upstream: &Upstream,
+        demand: &Demand,
+        holders: &Holders<'_>,
+    ) -> Candidate {
         let load = self.load(now, &upstream.id);
         let running_ms = u64::from(load.running) * RUNNING_REQUEST_DELAY_MS;
-        let availability = self.prefix_availability(now, upstream, demand);
+        let availability = self.prefix_availability(upstream, demand, holders);
         Candidate {
             backlog_ms: load.pending_prefill_tokens / PREFILL_TOKENS_PER_MS + running_ms,
             connected: demand.connected.contains(&upstream.address),
@@ -503,16 +537,15 @@
     /// Returns where a request's shared prefix is expected to be cached, as seen from an engine.
     fn prefix_availability(
         &self,
-        now: Instant,
         upstream: &Upstream,
         demand: &Demand,
+        holders: &Holders<'_>,
     ) -> Availability {
         let model = demand.model.as_ref();
         let weights = model.map(|model| self.weights(upstream, model));
-        let Some(prefix) = weights.and_then(|weights| demand.prefix_key(weights)) else {
+        let Some(engines) = weights.and_then(|weights| holders.get(&weights)) else {
             return Availability::Nowhere;
         };
-        let engines = self.prefix_index.engines(now, &prefix);
         match (engines.contains(&upstream.id.as_str()), engines.is_empty()) {
             (true, _) => Availability::Here,
             (false, false) => Availability::Elsewhere,
--- a/crates/coordination/src/prefix_index.rs
+++ b/crates/coordination/src/prefix_index.rs
@@ -21,6 +21,9 @@
 /// Time after which a prefix is saved to the store again, in milliseconds, because the store may
 /// have evicted it or was down.
 const SAVE_INTERVAL_MS: u64 = 10_000;
+/// Time for which an entry that this host observes again is not sent again, in milliseconds: the
+/// other hosts keep it three times as long.
+const ANNOUNCE_INTERVAL_MS: u64 = 3_000;
 /// Largest number of entries that wait to be sent to the other hosts; a host sends fewer long
 /// prompts to engines between two updates.
 const UNSENT_LIMIT: usize = 256;
@@ -61,17 +64,35 @@
     stores.iter().max_by_key(score).copied()
 }
 
+/// When an entry was observed.
+#[derive(Clone, Copy, Debug)]
+struct Observation {
+    /// When any host was last known to have observed it.
+    at: Instant,
+    /// When the other hosts were last told of it.
+    announced: Instant,
+}
+
 /// Records which locations have which prefixes cached.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixIndex {
-    locations: BTreeMap<PrefixKey, BTreeMap<CacheLocation, Instant>>,
+    locations: BTreeMap<PrefixKey, BTreeMap<CacheLocation, Observation>>,
     sent: VecDeque<(Instant, CachedPrefix)>,
     unsent: Vec<CachedPrefix>,
 }
 
 impl PrefixIndex {
-    /// Records an entry that this host has observed, and queues it for the other hosts.
+    /// Records an entry that this host has observed, and queues it for the other hosts unless they
+    /// were told of it lately.
     pub fn record_local(&mut self, now: Instant, cached_prefix: CachedPrefix) {
+        let CachedPrefix { location, prefix } = &cached_prefix;
+        let locations = self.locations.entry(prefix.clone()).or_default();
+        if let Some(known) = locations.get_mut(location)
+            && now.since(known.announced) < ANNOUNCE_INTERVAL_MS
+        {
+            known.at = now;
+            return;
+        }
         if self.unsent.len() < UNSENT_LIMIT {
             self.unsent.push(cached_prefix.clone());
         }
@@ -116,9 +137,9 @@
     pub fn engines(&self, now: Instant, prefix: &PrefixKey) -> Vec<&str> {
         let locations = self.locations.get(prefix).into_iter().flatten();
         let mut engines: Vec<(Instant, &str)> = locations
-            .filter(|(_, at)| now.since(**at) <= CACHED_MS)
-            .filter_map(|(location, at)| match location {
-                CacheLocation::Engine(id) => Some((*at, id.as_str())),
+            .filter(|(_, seen)| now.since(seen.at) <= CACHED_MS)
+            .filter_map(|(location, seen)| match location {
+                CacheLocation::Engine(id) => Some((seen.at, id.as_str())),
                 CacheLocation::Store => None,
             })
             .collect();
@@ -130,7 +151,7 @@
     pub fn claim_save(&mut self, now: Instant, prefix: &PrefixKey) -> bool {
         let saved = self.locations.get(prefix);
         let saved = saved.and_then(|locations| locations.get(&CacheLocation::Store));
-        let due = saved.is_none_or(|at| now.since(*at) > SAVE_INTERVAL_MS);
+        let due = saved.is_none_or(|saved| now.since(saved.at) > SAVE_INTERVAL_MS);
         if due {
             self.record_local(
                 now,
@@ -147,13 +168,17 @@
     pub fn expire(&mut self, now: Instant) {
         let longest_ms = CACHED_MS.max(SAVE_INTERVAL_MS);
         self.locations.retain(|_, locations| {
-            locations.retain(|_, at| now.since(*at) <= longest_ms);
+            locations.retain(|_, seen| now.since(seen.at) <= longest_ms);
             !locations.is_empty()
         });
     }
 
     fn insert(&mut self, now: Instant, cached_prefix: CachedPrefix) {
         let locations = self.locations.entry(cached_prefix.prefix).or_default();
-        locations.insert(cached_prefix.location, now);
+        let seen = Observation {
+            at: now,
+            announced: now,
+        };
+        locations.insert(cached_prefix.location, seen);
     }
 }
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -12,12 +12,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet_log::FleetUpdate;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::Verdict;
 use crate::prefix_index::CachedPrefix;
 use crate::prefix_log::Position;
 use crate::upstream::Edition;
-use crate::upstream::Fleet;
+use crate::upstream_load::LoadSums;
 use crate::upstream_load::UpstreamLoads;
 use crate::version_history::Ages;
 use state::routing::Table;
@@ -38,6 +39,8 @@
     pub host: String,
     /// Load that the host causes at each upstream.
     pub loads: UpstreamLoads,
+    /// Number of this report of loads.
+    pub loads_number: u64,
     /// Cached prefixes that the host has recorded since its last request.
     pub cached_prefixes: Vec<CachedPrefix>,
     /// Version of the routed table that the host has.
@@ -47,12 +50,14 @@
 /// The changes that a host lacks.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RoutingUpdate {
-    /// The upstreams, if the host lacks this edition of them.
-    pub fleet: Option<Fleet>,
+    /// What the host lacks of the newest edition of the upstreams.
+    pub fleet: Option<FleetUpdate>,
     /// Cached prefixes that other hosts have recorded.
     pub cached_prefixes: Vec<CachedPrefix>,
-    /// Load that the other hosts cause at each upstream.
-    pub loads: UpstreamLoads,
+    /// Load that all hosts cause at each upstream.
+    pub loads: LoadSums,
+    /// Number of the report of this host that `loads` includes; 0 if none.
+    pub loads_included: u64,
     /// What is known of prompt parts that crash engines, if the host lacks this version of it.
     pub part_verdict: Option<Verdict>,
     /// Position of the last entry of the prefix log.
--- a/crates/coordination/tests/assignment.rs
+++ b/crates/coordination/tests/assignment.rs
@@ -37,8 +37,8 @@
 
 fn request(prefix_id: impl Into<String>) -> Request {
     Request {
-        unusable: Vec::new(),
         demand: demand(prefix_id),
+        ..Request::default()
     }
 }
 
@@ -108,15 +108,15 @@
         ..demand("q")
     };
     let next = || Request {
-        unusable: Vec::new(),
         demand: late.clone(),
+        ..Request::default()
     };
     let before = assigner
         .assign(Instant(50), &fleet, aggregator.total(), next())
         .unwrap();
     let (reported, loads) = report(&mut host, Instant(60), &choice, &first.demand);
     let (reported_next, _) = report(&mut Dispatcher::new(2), Instant(60), &before, &late);
-    aggregator.report(Instant(90), "h", loads);
+    aggregator.exchange(Instant(90), "h", 1, loads, &fleet);
     assigner.record_report(Instant(90), &reported, &[]);
     assigner.record_report(Instant(90), &reported_next, &[]);
     let after = assigner
@@ -145,7 +145,7 @@
     for unusable in ["e", "f"] {
         let request = Request {
             unusable: vec![unusable.to_owned()],
-            demand: demand("p"),
+            ..request("p")
         };
         let choice = Assigner::new(0).assign(Instant(0), &fleet, &UpstreamLoads::new(), request);
         assert_ne!(choice.unwrap().upstream.id, unusable);
--- a/crates/coordination/tests/hold.rs
+++ b/crates/coordination/tests/hold.rs
@@ -301,6 +301,7 @@
     let request = Request {
         unusable: host.unusable(NOW, &fleet, "engines"),
         demand: long,
+        ..Request::default()
     };
     let choice = leader.assign(NOW, &fleet, &UpstreamLoads::new(), request);
     let choice = choice.unwrap();
--- a/crates/coordination/tests/prefix_index.rs
+++ b/crates/coordination/tests/prefix_index.rs
@@ -53,6 +53,41 @@
     assert!(index.engines(Instant(10_001), &prefix("p", 1)).is_empty());
 }
 
+/// A prefix in constant use was announced with every answer, some hundred times a second to some
+/// hundred hosts.
+#[test]
+fn a_prefix_in_constant_use_is_announced_now_and_then_and_never_forgotten() {
+    let mut hosts = [PrefixIndex::default(), PrefixIndex::default()];
+    let mut announced = 0;
+    for now in (0..60_000).step_by(50) {
+        let now = Instant(now);
+        hosts[0].record_local(now, at("a", "p"));
+        let updates = hosts[0].take_updates(now);
+        announced += updates.len();
+        hosts[1].record_remote(now, updates);
+        hosts[1].expire(now);
+        assert_eq!(hosts[1].engines(now, &prefix("p", 1)), ["a"], "{now:?}");
+    }
+    assert!(announced <= 21, "{announced}");
+}
+
+/// An entry that another host has just announced need not be announced again.
+#[test]
+fn a_prefix_that_several_hosts_use_is_announced_as_often_as_by_one() {
+    let mut hosts = [PrefixIndex::default(), PrefixIndex::default()];
+    let mut announced = 0;
+    for now in (0..60_000).step_by(50) {
+        let now = Instant(now);
+        for (first, second) in [(0, 1), (1, 0)] {
+            hosts[first].record_local(now, at("a", "p"));
+            let updates = hosts[first].take_updates(now);
+            announced += updates.len();
+            hosts[second].record_remote(now, updates);
+        }
+    }
+    assert!(announced <= 21, "{announced}");
+}
+
 #[test]
 fn only_one_host_saves_a_prefix_until_the_save_interval_has_passed() {
     let mut hosts = [PrefixIndex::default(), PrefixIndex::default()];
--- a/crates/coordination/tests/routed.rs
+++ b/crates/coordination/tests/routed.rs
@@ -1,13 +1,18 @@
 //! Tests of the unresponsive detector, the sums of upstream loads and the freshness of routing
 //! data.
 
+mod upstream_fixtures;
+
 use std::collections::BTreeMap;
 
 use coordination::routing_update::Freshness;
 use coordination::unresponsive::PATH_TIMEOUT_MS;
 use coordination::unresponsive::TIMEOUT_MS;
 use coordination::unresponsive::UnresponsiveDetector;
+use coordination::upstream::Edition;
+use coordination::upstream::Fleet;
 use coordination::upstream_load::LoadAggregator;
+use coordination::upstream_load::OwnReports;
 use coordination::upstream_load::UpstreamLoad;
 use coordination::upstream_load::UpstreamLoads;
 use state::time::Instant;
@@ -65,22 +70,100 @@
     assert!(!detector.is_unresponsive(Instant(10_000), "u"));
 }
 
+/// A leading host and the hosts that report to it, all with the same fleet.
+struct Reports {
+    aggregator: LoadAggregator,
+    fleet: Fleet,
+    hosts: BTreeMap<String, OwnReports>,
+}
+
+impl Reports {
+    fn new(upstreams: &[&str]) -> Self {
+        let upstreams: Vec<(&str, u64)> = upstreams.iter().map(|id| (*id, 1)).collect();
+        Self {
+            aggregator: LoadAggregator::default(),
+            fleet: upstream_fixtures::fleet(&upstreams),
+            hosts: BTreeMap::new(),
+        }
+    }
+
+    /// Reports the loads of a host, and returns what it then knows of the others.
+    fn report(&mut self, at: u64, host: &str, loads: UpstreamLoads) -> UpstreamLoads {
+        let new = || OwnReports::new(7);
+        let own = self.hosts.entry(host.to_owned()).or_insert_with(new);
+        let number = own.record(loads.clone());
+        let fleet = &self.fleet;
+        let (sums, included) = self
+            .aggregator
+            .exchange(Instant(at), host, number, loads, fleet);
+        own.others(fleet, &sums, included).unwrap()
+    }
+}
+
 #[test]
-fn a_report_returns_the_loads_of_the_other_hosts_only() {
-    let mut aggregator = LoadAggregator::default();
+fn a_host_learns_the_loads_of_the_other_hosts_only() {
+    let mut reports = Reports::new(&["u", "v"]);
     assert_eq!(
-        aggregator.report(Instant(0), "h1", loads(&[("u", 2)])),
+        reports.report(0, "h1", loads(&[("u", 2)])),
         UpstreamLoads::new()
     );
     assert_eq!(
-        aggregator.report(Instant(1), "h2", loads(&[("u", 3), ("v", 1)])),
+        reports.report(1_000, "h2", loads(&[("u", 3), ("v", 1)])),
         loads(&[("u", 2)])
     );
     assert_eq!(
-        aggregator.report(Instant(2), "h1", loads(&[("v", 5)])),
+        reports.report(1_100, "h1", loads(&[("v", 5)])),
         loads(&[("u", 3), ("v", 1)])
     );
-    assert_eq!(aggregator.total(), &loads(&[("u", 3), ("v", 6)]));
+    assert_eq!(reports.aggregator.total(), &loads(&[("u", 3), ("v", 6)]));
+}
+
+/// The sums are computed once for many hosts, so they may lack the newest report of the host that
+/// asks. It must neither see its own load as that of others nor subtract what is not included.
+#[test]
+fn sums_that_lack_the_newest_report_of_a_host_still_tell_it_the_others() {
+    let mut reports = Reports::new(&["u"]);
+    reports.report(0, "h1", loads(&[("u", 2)]));
+    for round in 1..20_u64 {
+        let at = round * 100;
+        let (first, second) = (round as u32, 40 + round as u32);
+        reports.report(at, "h2", loads(&[("u", second)]));
+        let others = reports.report(at + 1, "h1", loads(&[("u", first)]));
+        assert_eq!(others, loads(&[("u", second)]), "round {round}");
+        let others = reports.report(at + 2, "h3", UpstreamLoads::new());
+        let before = if round == 1 { 2 } else { first - 1 };
+        assert_eq!(others["u"].running, before + second, "round {round}");
+    }
+}
+
+#[test]
+fn a_host_that_starts_again_does_not_take_the_reports_before_for_its_own() {
+    let mut reports = Reports::new(&["u"]);
+    reports.report(0, "h1", loads(&[("u", 2)]));
+    reports
+        .hosts
+        .insert("h1".to_owned(), OwnReports::new(9_000));
+    let others = reports.report(15, "h1", loads(&[("u", 1)]));
+    assert_eq!(others, loads(&[("u", 2)]));
+    let others = reports.report(100, "h1", loads(&[("u", 1)]));
+    assert_eq!(others, UpstreamLoads::new());
+}
+
+#[test]
+fn sums_for_another_edition_of_the_fleet_are_not_used() {
+    let mut reports = Reports::new(&["u", "v"]);
+    let fleet = reports.fleet.clone();
+    let own = OwnReports::new(0);
+    let (sums, included) =
+        reports
+            .aggregator
+            .exchange(Instant(0), "h1", 1, loads(&[("v", 2)]), &fleet);
+    assert!(own.others(&fleet, &sums, included).is_some());
+    let newer = Fleet {
+        edition: Edition { term: 1, number: 2 },
+        ..fleet
+    };
+    assert_eq!(own.others(&newer, &sums, included), None);
 }
 
 #[test]
@@ -93,19 +176,19 @@
         };
         UpstreamLoads::from([("u".to_owned(), load)])
     };
-    let mut aggregator = LoadAggregator::default();
-    aggregator.report(Instant(1_000), "h1", with_last_byte(400));
-    aggregator.report(Instant(1_010), "h2", with_last_byte(30));
-    aggregator.report(Instant(1_020), "h1", with_last_byte(420));
-    let others = aggregator.report(Instant(1_050), "h3", UpstreamLoads::new());
+    let mut reports = Reports::new(&["u"]);
+    reports.report(1_000, "h1", with_last_byte(400));
+    reports.report(1_010, "h2", with_last_byte(30));
+    reports.report(1_020, "h1", with_last_byte(420));
+    let others = reports.report(1_050, "h3", UpstreamLoads::new());
     assert_eq!(others["u"].last_byte_age_ms, Some(70));
 }
 
 #[test]
 fn a_report_that_is_not_renewed_expires() {
-    let mut aggregator = LoadAggregator::default();
-    aggregator.report(Instant(0), "h1", loads(&[("u", 2)]));
-    let others = aggregator.report(Instant(1_001), "h2", loads(&[("u", 1)]));
+    let mut reports = Reports::new(&["u"]);
+    reports.report(0, "h1", loads(&[("u", 2)]));
+    let others = reports.report(1_001, "h2", loads(&[("u", 1)]));
     assert_eq!(others, BTreeMap::new());
 }
 
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::assign_desk::Desk;
 use crate::broker;
 use crate::budget::Budget;
 use crate::context::Context;
@@ -46,8 +47,8 @@
 use crate::steward;
 use crate::suspects::Suspects;
 use crate::voter;
+use crate::voter_reads::Reads;
 use crate::voter_start;
-use coordination::assignment::Assigner;
 use coordination::drain;
 use coordination::drain::Drain;
 use coordination::drain::Effect;
@@ -195,11 +196,12 @@
             broker,
             bulletin: Arc::default(),
             clock,
-            desk: Arc::new(Mutex::new(Assigner::new(rand::random()))),
+            desk: Desk::new(clock, fleet.clone(), tally.clone(), voter.clone()),
             evidence: Arc::default(),
             fleet,
             log: log.clone(),
             member,
+            reads: Reads::start(voter.clone()),
             suspects,
             tally,
             versions,
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -20,8 +20,11 @@
 /// Timeout of a call that asks the leader for an engine. The leader answers within a round trip and
 /// one turn of its thread; choosing without it costs less than a longer wait.
 const ASSIGN_TIMEOUT: Duration = Duration::from_millis(100);
-/// Pause between two placement attempts while all engines are busy; the prefill of one chunk takes
-/// about twice as long.
+/// Longest time for which the leader keeps a request until an engine has room for it, in
+/// milliseconds; a request waits as long for a leader that is gone.
+const MAX_HOLD_MS: u64 = 200;
+/// Pause between two placement attempts while all engines are busy and no leader keeps the request;
+/// the prefill of one chunk takes about twice as long.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 /// Longest wait for a free engine, as a multiple of the route's time-to-first-byte goal. Callers
 /// disconnect at four times the goal, and prefill takes about one.
@@ -48,7 +51,8 @@
 ) -> Result<(Demand, Choice), Refusal> {
     loop {
         let demand = demand(context, gateway, routed, progress);
-        let chosen = match ask_leader(context, gateway, &demand).await {
+        let asked_at = context.clock.now();
+        let chosen = match ask_leader(context, gateway, routed, &demand).await {
             // The engine may have asked for no requests while the leader chose it.
             Some(Ok(choice)) if !is_held(context, gateway, &choice) => Ok(choice),
             Some(Err(refusal @ (Refusal::Busy | Refusal::TooLate))) => Err(refusal),
@@ -58,7 +62,9 @@
         };
         match chosen {
             Err(Refusal::Busy) if may_wait(context, routed, 0) => {
-                tokio::time::sleep(BUSY_PAUSE).await;
+                let asked_ms = context.clock.now().since(asked_at);
+                let pause = BUSY_PAUSE.saturating_sub(Duration::from_millis(asked_ms));
+                tokio::time::sleep(pause).await;
             }
             Err(Refusal::Paused) if ends_in_time(context, gateway, routed, &demand) => {
                 tokio::time::sleep(BUSY_PAUSE).await;
@@ -74,6 +80,7 @@
 async fn ask_leader(
     context: &Context,
     gateway: &Gateway,
+    routed: &RoutedRequest,
     demand: &Demand,
 ) -> Option<Result<Choice, Refusal>> {
     demand.shared_prefix.as_ref()?;
@@ -81,14 +88,21 @@
     let pool = context.pool.as_ref()?;
     let snapshot = gateway.routing.latest();
     let now = context.clock.now();
+    let waited_ms = now.since(routed.arrived);
+    let left_ms = (routed.route.first_byte_goal_ms * MAX_WAIT_GOALS).saturating_sub(waited_ms);
+    let max_wait_ms = left_ms.min(MAX_HOLD_MS);
+    let timeout = ASSIGN_TIMEOUT + Duration::from_millis(max_wait_ms);
     let request = Request {
+        max_wait_ms,
+        rank: rank(routed),
+        waited_ms,
         unusable: gateway
             .dispatcher()
             .unusable(now, &snapshot.fleet, &demand.service),
         demand: demand.clone(),
     };
     let client = pool.client(leader, None);
-    let call = client.call(ASSIGN_TIMEOUT, |peer, call| async move {
+    let call = client.call(timeout, |peer, call| async move {
         peer.assign(call, request).await
     });
     let error = match call.await {
@@ -109,6 +123,12 @@
     None
 }
 
+/// Returns the rank of a request: that of its workspace, or else that of its route.
+fn rank(routed: &RoutedRequest) -> u32 {
+    let workspace = routed.workspace.as_ref();
+    workspace.map_or(routed.route.rank, |workspace| workspace.rank)
+}
+
 /// Returns whether an upstream that has not been tried can take a request now.
 pub fn has_alternative(
     context: &Context,
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod assign_desk;
 pub mod attempt;
 pub mod auth;
 pub mod broker;
@@ -49,10 +50,12 @@
 pub mod story;
 pub mod stream;
 pub mod suspects;
+pub mod upstream_reader;
 pub mod voter;
 pub mod voter_call;
 pub mod voter_disk;
 pub mod voter_duty;
-pub mod voter_route;
+pub mod voter_reads;
+mod voter_route;
 pub mod voter_start;
 pub mod voter_upkeep;
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::assign_desk::Desk;
 use crate::broker::Error;
 use crate::broker::Handle;
 use crate::gateway_crash;
@@ -19,16 +20,17 @@
 use crate::owner::Part;
 use crate::suspects::Suspects;
 use crate::voter;
+use crate::voter_reads::Reads;
 use coordination::admission::Reason;
 use coordination::admission::Refusal;
 use coordination::assignment;
-use coordination::assignment::Assigner;
 use coordination::broker;
 use coordination::broker::Grant;
 use coordination::broker::InFlightRequest;
 use coordination::broker::ProgressReport;
 use coordination::choice;
 use coordination::choice::Choice;
+use coordination::fleet_log::FleetLog;
 use coordination::gossip::Message;
 use coordination::part_evidence::EvidenceCollector;
 use coordination::prefix_log::PrefixLog;
@@ -37,7 +39,6 @@
 use coordination::routing_update::RoutingUpdate;
 use coordination::state_machine::Answer;
 use coordination::state_machine::Command;
-use coordination::upstream::Fleet;
 use coordination::upstream_load::LoadAggregator;
 use coordination::version_history::VersionHistory;
 use protocol::operator::History;
@@ -70,15 +71,17 @@
     /// Reads the clock.
     pub clock: Clock,
     /// Assigns engines to long prompts while this host leads.
-    pub desk: Arc<Mutex<Assigner>>,
+    pub desk: Desk,
     /// Shows the upstreams of routed services, as this host published them while it led.
-    pub fleet: watch::Receiver<Arc<Fleet>>,
+    pub fleet: watch::Receiver<Arc<FleetLog>>,
     /// Collects evidence on prompt parts that crash engines while this host leads.
     pub evidence: Arc<Mutex<EvidenceCollector>>,
     /// Receives the events.
     pub log: Logger,
     /// Reaches the duty that knows the fleet.
     pub member: member::Handle,
+    /// Reads the replicated state while this host leads.
+    pub reads: Reads,
     /// Adds up what hosts have under way at upstreams.
     pub tally: Arc<Mutex<LoadAggregator>>,
     /// Answers for the requests that may crash upstreams.
@@ -157,14 +160,12 @@
         _: Context,
         ask: routing_update::Request,
     ) -> Result<RoutingUpdate, Rejection> {
-        let reading = self.voter.read_here().await?;
-        let fleet = self.fleet.borrow().clone();
-        let fleet = (fleet.edition > ask.edition).then(|| (*fleet).clone());
+        let reading = self.reads.read().await?;
+        let fleet_log = self.fleet.borrow().clone();
         let table = &reading.routed.table;
         let now = self.clock.now();
-        let mut desk = self.desk.lock().unwrap_or_else(PoisonError::into_inner);
-        desk.record_report(now, &ask.assignment_ids, &ask.cached_prefixes);
-        drop(desk);
+        self.desk
+            .record_report(now, &ask.assignment_ids, &ask.cached_prefixes);
         let mut bulletin = self.bulletin.lock().unwrap_or_else(PoisonError::into_inner);
         let (cached_prefixes, prefix_position) = bulletin.exchange(
             reading.term,
@@ -179,7 +180,13 @@
         drop(evidence);
         gateway_crash::log_changes(&self.log, changes);
         let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
-        let loads = tally.report(now, ask.host, ask.loads);
+        let (loads, loads_included) = tally.exchange(
+            now,
+            ask.host,
+            ask.loads_number,
+            ask.loads,
+            fleet_log.fleet(),
+        );
         drop(tally);
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         let time = naming::Time {
@@ -189,9 +196,10 @@
         versions.record_namings(now, time, &reading.namings);
         versions.record(now, &reading.routed.weights_versions);
         Ok(RoutingUpdate {
-            fleet,
+            fleet: fleet_log.update_after(ask.edition),
             cached_prefixes,
             loads,
+            loads_included,
             part_verdict,
             prefix_position,
             table: (table.version > ask.table_version).then(|| table.clone()),
@@ -210,19 +218,7 @@
         _: Context,
         ask: assignment::Request,
     ) -> Result<Result<Choice, choice::Refusal>, Rejection> {
-        let status = self.voter.status().ok_or(Rejection::Ended)?;
-        if !status.leads {
-            return Err(Rejection::NotLeader(status.leader));
-        }
-        let fleet = self.fleet.borrow().clone();
-        // Until this host has read the list in its term, it only has one that it published before.
-        if fleet.edition.term != status.term {
-            return Ok(Err(choice::Refusal::NoUpstream));
-        }
-        let now = self.clock.now();
-        let tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut desk = self.desk.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(desk.assign(now, &fleet, tally.total(), ask))
+        self.desk.assign(ask).await
     }
 }
 
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -11,12 +11,15 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
+use coordination::fleet_log::FleetUpdate;
 use coordination::host::Role;
 use coordination::prefix_log::Position;
 use coordination::routing_update::Freshness;
 use coordination::routing_update::Request;
 use coordination::routing_update::RoutingUpdate;
+use coordination::upstream::Edition;
 use coordination::upstream::Fleet;
+use coordination::upstream_load::OwnReports;
 use protocol::voter::Rejection;
 use state::routing_index::RoutingIndex;
 use transport::event;
@@ -112,6 +115,14 @@
     (updater, handle)
 }
 
+/// What a host needs to know of its earlier polls.
+struct Progress {
+    own_reports: OwnReports,
+    prefix_position: Position,
+    /// Whether the last difference of the fleet did not fit.
+    wants_whole_fleet: bool,
+}
+
 /// Polls the leader for updates and publishes them as snapshots.
 pub struct Updater {
     freshness: Arc<Mutex<Freshness>>,
@@ -122,7 +133,11 @@
 impl Updater {
     /// Polls until the task is dropped.
     pub async fn run(self, context: Arc<Context>) {
-        let mut prefix_position = Position::default();
+        let mut progress = Progress {
+            own_reports: OwnReports::new(rand::random()),
+            prefix_position: Position::default(),
+            wants_whole_fleet: false,
+        };
         let mut leader: Option<SocketAddr> = None;
         let mut next_voter = rand::random::<u32>() as usize;
         loop {
@@ -135,7 +150,7 @@
                 tokio::time::sleep(FAILURE_PAUSE).await;
                 continue;
             };
-            let result = self.poll(&context, target, &mut prefix_position).await;
+            let result = self.poll(&context, target, &mut progress).await;
             self.leader_sender
                 .send_replace(result.is_ok().then_some(target));
             match result {
@@ -166,7 +181,7 @@
         &self,
         context: &Context,
         target: SocketAddr,
-        prefix_position: &mut Position,
+        progress: &mut Progress,
     ) -> Result<(), Option<SocketAddr>> {
         let pool = context.pool.as_ref().ok_or(None)?;
         let snapshot = self.snapshot_sender.borrow().clone();
@@ -185,13 +200,18 @@
             let mut monitor = gateway.part_monitor();
             monitor.take_evidence(polled_at)
         });
+        let loads_number = progress.own_reports.record(loads.clone());
         let request = Request {
-            edition: snapshot.fleet.edition,
+            edition: match progress.wants_whole_fleet {
+                false => snapshot.fleet.edition,
+                true => Edition::default(),
+            },
             assignment_ids,
             part_evidence: part_evidence.unwrap_or_default(),
-            prefix_position: *prefix_position,
+            prefix_position: progress.prefix_position,
             host: context.settings.name.clone(),
             loads,
+            loads_number,
             cached_prefixes,
             table_version: snapshot.index.table().version,
         };
@@ -210,6 +230,7 @@
             Ok(Err(_)) => return Err(None),
             Ok(Ok(update)) => update,
         };
+        let fleet = self.apply_fleet(context, &snapshot, progress, update.fleet.take())?;
         if let Some(gateway) = &context.gateway {
             let now = context.clock.now();
             let mut versions = gateway.versions();
@@ -218,17 +239,20 @@
             drop(versions);
             let verdict = update.part_verdict.take();
             gateway.part_monitor().adopt(now, verdict);
-            let loads = std::mem::take(&mut update.loads);
+            let (sums, included) = (&update.loads, update.loads_included);
+            let other_loads = progress.own_reports.others(&fleet, sums, included);
             let cached_prefixes = std::mem::take(&mut update.cached_prefixes);
             let mut dispatcher = gateway.dispatcher();
-            dispatcher.set_other_loads(now, loads);
+            if let Some(other_loads) = other_loads {
+                dispatcher.set_other_loads(now, other_loads);
+            }
             dispatcher.record_remote_prefixes(now, cached_prefixes);
-            if prefix_position.term != update.prefix_position.term {
+            if progress.prefix_position.term != update.prefix_position.term {
                 dispatcher.requeue_prefix_updates(now);
             }
         }
-        *prefix_position = update.prefix_position;
-        self.publish_changes(context, &snapshot, update);
+        progress.prefix_position = update.prefix_position;
+        self.publish_changes(context, &snapshot, fleet, update);
         let mut freshness = self
             .freshness
             .lock()
@@ -237,15 +261,46 @@
         Ok(())
     }
 
+    /// Returns the newest edition of the fleet. A difference that does not fit is dropped with the
+    /// rest of its update, and the next request asks for the whole fleet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error like that of a poll without an answer.
+    fn apply_fleet(
+        &self,
+        context: &Context,
+        snapshot: &Snapshot,
+        progress: &mut Progress,
+        update: Option<FleetUpdate>,
+    ) -> Result<Arc<Fleet>, Option<SocketAddr>> {
+        let fleet = match update {
+            None => Ok(snapshot.fleet.clone()),
+            Some(update) => update.apply(&snapshot.fleet),
+        };
+        progress.wants_whole_fleet = fleet.is_err();
+        fleet.map_err(|error| {
+            let details = slog::o!("error" => error.to_string());
+            event::emit(&context.log, Event::FleetMisfit, details);
+            None
+        })
+    }
+
     /// Publishes a new snapshot if the update contains a change.
-    fn publish_changes(&self, context: &Context, snapshot: &Snapshot, update: RoutingUpdate) {
+    fn publish_changes(
+        &self,
+        context: &Context,
+        snapshot: &Snapshot,
+        fleet: Arc<Fleet>,
+        update: RoutingUpdate,
+    ) {
         let newer = |table: &Arc<_>| {
             let table: &Arc<state::routing::Table> = table;
             table.version > snapshot.index.table().version
         };
         let table = update.table.filter(newer);
-        let fleet = update.fleet.filter(|f| f.edition > snapshot.fleet.edition);
-        if table.is_none() && fleet.is_none() && update.weights == snapshot.weights {
+        let is_newer_fleet = fleet.edition > snapshot.fleet.edition;
+        if table.is_none() && !is_newer_fleet && update.weights == snapshot.weights {
             return;
         }
         if let Some(table) = &table {
@@ -253,7 +308,10 @@
             event::emit(&context.log, Event::RoutesApplied, details);
         }
         self.snapshot_sender.send_replace(Arc::new(Snapshot {
-            fleet: fleet.map_or_else(|| snapshot.fleet.clone(), Arc::new),
+            fleet: match is_newer_fleet {
+                false => snapshot.fleet.clone(),
+                true => fleet,
+            },
             index: table.map_or_else(
                 || snapshot.index.clone(),
                 |t| Arc::new(RoutingIndex::new(t)),
--- a/crates/hibiscushoistd/src/steward.rs
+++ b/crates/hibiscushoistd/src/steward.rs
@@ -8,14 +8,18 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::context::Context;
+use crate::upstream_reader;
+use crate::upstream_reader::CALL_TIMEOUT;
+use crate::upstream_reader::CONNECTION_LIMITS;
+use crate::upstream_reader::List;
 use crate::voter_call::Reading;
+use coordination::fleet_log::FleetLog;
 use coordination::reload::Effect;
 use coordination::reload::Event;
 use coordination::reload::Order;
@@ -23,9 +27,6 @@
 use coordination::reload::Policy;
 use coordination::reload::Reload;
 use coordination::reload::Report;
-use coordination::upstream;
-use coordination::upstream::Edition;
-use coordination::upstream::Fleet;
 use coordination::upstream::ListedUpstream;
 use coordination::upstream::Standing;
 use coordination::upstream::Upstream;
@@ -34,43 +35,38 @@
 use platform::engine;
 use platform::header;
 use platform::path;
-use platform::upstream_list;
 use state::naming;
 use state::time::Instant;
 use transport::clock::wall_millis;
 use transport::connection_pool::Body;
 use transport::connection_pool::ConnectionPool;
-use transport::connection_pool::Limits;
 use transport::event;
 use transport::metric;
 
-/// Bounds one call to the platform or an engine; they answer within milliseconds.
-const CALL_LIMIT: Duration = Duration::from_millis(600);
 /// Gives the time between two reads of the list, which itself lags by most of a second.
 const LIST_PERIOD_MS: u64 = 400;
-/// Bounds one read of the list, whose thirty or so pages are each answered within milliseconds.
-const LIST_LIMIT_MS: u64 = 2_000;
-/// Bounds the pages of one read of the list, against a list that never ends.
-const PAGES: usize = 64;
-const RING_EVENTS: usize = 1_024;
-const TICK: Duration = Duration::from_millis(100);
+const RING_MESSAGES: usize = 1_024;
+/// Gives the time between two looks at the reload and at what is published, in milliseconds.
+const TICK_MS: u64 = 100;
 
-/// Bounds the connections to the platform and to engines: opening one takes milliseconds, and
-/// engines close idle ones after a few seconds.
-const LIMITS: Limits = Limits {
-    connect_timeout: Duration::from_millis(300),
-    max_idle: Duration::from_millis(2_000),
-};
+/// Tells what a call of this duty has brought.
+enum Message {
+    /// Brings what an engine reported or answered.
+    Engine(Event),
+    /// Brings the list of upstreams, read in this term.
+    List(u64, Result<List, upstream_reader::Error>),
+}
 
 struct Steward {
     context: Arc<Context>,
-    events: mpsc::Sender<Event>,
+    messages: mpsc::Sender<Message>,
     connection_pool: ConnectionPool,
     list: SocketAddr,
+    /// Whether a read of the list is under way.
+    lists: bool,
     /// Number of malformed entries in the list, when it was read last.
     malformed: usize,
-    number: u64,
-    publish: watch::Sender<Arc<Fleet>>,
+    publish: watch::Sender<Arc<FleetLog>>,
     reload: Reload,
     seen: Vec<ListedUpstream>,
     tally: Arc<Mutex<LoadAggregator>>,
@@ -82,18 +78,18 @@
 pub async fn run(
     context: Arc<Context>,
     list: SocketAddr,
-    publish: watch::Sender<Arc<Fleet>>,
+    publish: watch::Sender<Arc<FleetLog>>,
     tally: Arc<Mutex<LoadAggregator>>,
     versions: Arc<Mutex<VersionHistory>>,
 ) {
-    let (events, mut arrived) = mpsc::channel(RING_EVENTS);
+    let (messages, mut arrived) = mpsc::channel(RING_MESSAGES);
     let mut steward = Steward {
         context,
-        events,
+        messages,
         connection_pool: ConnectionPool::default(),
         list,
+        lists: false,
         malformed: 0,
-        number: 0,
         publish,
         reload: Reload::new(Policy::default()),
         seen: Vec::new(),
@@ -101,26 +97,44 @@
         term: None,
         versions,
     };
-    let mut list_due = Instant::default();
+    let (mut list_due, mut tick_due) = (Instant::default(), Instant::default());
     loop {
-        let event = tokio::select! {
-            Some(event) = arrived.recv() => event,
-            () = tokio::time::sleep(TICK) => Event::Tick,
-        };
+        let now = steward.context.clock.now();
+        let wait = Duration::from_millis(tick_due.since(now).min(TICK_MS));
+        let mut batch = Vec::new();
+        tokio::select! {
+            Some(message) = arrived.recv() => batch.push(message),
+            () = tokio::time::sleep(wait) => {}
+        }
+        // Everything that has arrived is taken at once: each turn reads the replicated state, and
+        // engines may answer faster than that.
+        while batch.len() < RING_MESSAGES
+            && let Ok(message) = arrived.try_recv()
+        {
+            batch.push(message);
+        }
         steward.record_versions();
         let Some(reading) = steward.lead().await else {
+            steward.take_unled(batch);
+            tick_due = steward.context.clock.now() + TICK_MS;
             continue;
         };
         let newest_versions = reading.routed.weights_versions.clone();
         steward.step(Event::NewestVersions(newest_versions));
+        for message in batch {
+            steward.take(message);
+        }
         let now = steward.context.clock.now();
-        if now >= list_due {
+        if now >= list_due && !steward.lists {
             list_due = now + LIST_PERIOD_MS;
-            steward.read_list().await;
+            steward.read_list(reading.term);
+        }
+        if now >= tick_due {
+            tick_due = now + TICK_MS;
+            let loads = steward.tally().total().clone();
+            steward.step(Event::Loads(loads));
+            steward.step(Event::Tick);
         }
-        let loads = steward.tally().total().clone();
-        steward.step(Event::Loads(loads));
-        steward.step(event);
         steward.show();
     }
 }
@@ -134,7 +148,6 @@
         };
         if self.term != Some(reading.term) {
             self.term = Some(reading.term);
-            self.number = 0;
             self.seen.clear();
             self.step(Event::LeadershipGained);
         }
@@ -161,39 +174,43 @@
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn read_list(&mut self) {
-        let mut seen = Vec::new();
-        let mut next: Option<String> = None;
-        let began = self.context.clock.now();
-        let mut malformed = 0;
-        let mut malformed_error = None;
-        for _ in 0..PAGES {
-            if self.context.clock.now().since(began) > LIST_LIMIT_MS {
-                return self.list_failed(format!("no end within {LIST_LIMIT_MS} ms"));
-            }
-            let path = match &next {
-                None => path::UPSTREAM_LIST.to_owned(),
-                Some(page) => format!("{}?page_token={page}", path::UPSTREAM_LIST),
-            };
-            let answer = self.get(self.list, path, None).await;
-            let page = match answer.map(|bytes| upstream_list::decode(&bytes)) {
-                Some(Ok(page)) => page,
-                Some(Err(error)) => return self.list_failed(error.to_string()),
-                None => return self.list_failed("no answer".to_owned()),
-            };
-            seen.extend(page.upstreams);
-            malformed += page.malformed;
-            malformed_error = malformed_error.or(page.error);
-            next = page.next;
-            if next.is_none() {
-                self.note_malformed(malformed, malformed_error.unwrap_or_default());
-                let seen = upstream::distinct(seen, wall_millis());
-                self.seen = seen.clone();
-                self.step(Event::Listed(seen));
-                return;
+    /// Begins a read of the list. A slow platform must not keep engines from their orders.
+    fn read_list(&mut self, term: u64) {
+        self.lists = true;
+        let call = upstream_reader::read(
+            self.context.clone(),
+            self.connection_pool.clone(),
+            self.list,
+        );
+        let messages = self.messages.clone();
+        tokio::spawn(async move {
+            let list = call.await;
+            let _ = messages.send(Message::List(term, list)).await;
+        });
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Engine(event) => self.step(event),
+            Message::List(term, list) => {
+                self.lists = false;
+                match list {
+                    Err(error) => self.list_failed(error.to_string()),
+                    Ok(list) if self.term == Some(term) => {
+                        self.note_malformed(list.malformed, list.error.unwrap_or_default());
+                        self.seen.clone_from(&list.upstreams);
+                        self.step(Event::Listed(list.upstreams));
+                    }
+                    Ok(_) => {}
+                }
             }
         }
-        self.list_failed(format!("no end within {PAGES} pages"));
+    }
+
+    /// Takes what arrives while this host does not lead: nothing but the end of a read counts.
+    fn take_unled(&mut self, batch: Vec<Message>) {
+        let ends = |message: &Message| matches!(message, Message::List(..));
+        self.lists &= !batch.iter().any(ends);
     }
 
     /// Records how many entries of the list are malformed, and logs it when the number changes.
@@ -252,8 +269,8 @@
         let Some(address) = self.address(&id) else {
             return;
         };
-        let events = self.events.clone();
-        let call = get(
+        let messages = self.messages.clone();
+        let call = upstream_reader::get(
             self.connection_pool.clone(),
             address,
             path::ENGINE_REPORT.to_owned(),
@@ -263,7 +280,8 @@
         tokio::spawn(async move {
             let answer = call.await;
             let report = answer.and_then(|bytes| decode_report(&context, &id, &bytes));
-            let _ = events.send(Event::Reported(id, report)).await;
+            let event = Event::Reported(id, report);
+            let _ = messages.send(Message::Engine(event)).await;
         });
     }
 
@@ -272,7 +290,7 @@
             return;
         };
         let context = self.context.clone();
-        let events = self.events.clone();
+        let messages = self.messages.clone();
         let connection_pool = self.connection_pool.clone();
         tokio::spawn(async move {
             let outcome = give(&context, &connection_pool, address, &order, term).await;
@@ -286,46 +304,32 @@
                 "outcome" => <&str>::from(outcome),
             );
             event::emit(&context.log, event::Event::ReloadOrdered, details);
-            let _ = events.send(Event::Answered(order.id, outcome)).await;
+            let event = Event::Answered(order.id, outcome);
+            let _ = messages.send(Message::Engine(event)).await;
         });
     }
 
-    async fn get(
-        &self,
-        address: SocketAddr,
-        path: String,
-        expect: Option<String>,
-    ) -> Option<Bytes> {
-        get(self.connection_pool.clone(), address, path, expect).await
-    }
-
     /// Publishes the upstreams where something about them has changed.
     fn show(&mut self) {
         let Some(term) = self.term.filter(|_| !self.seen.is_empty()) else {
             return;
         };
         let upstreams: Vec<Upstream> = self.seen.iter().map(|seen| self.shown(seen)).collect();
-        let shown = self.publish.borrow().clone();
         let now = self.context.clock.now();
         let versions = self.versions();
         let min_weights = versions.min_versions(now, versions.begin_margin_ms());
         drop(versions);
-        let same = shown.upstreams == upstreams && shown.min_weights == min_weights;
-        if shown.edition.term == term && same {
+        let published = self.publish.borrow().clone();
+        let Some(newer) = published.publish(term, upstreams, min_weights) else {
             return;
-        }
-        self.number += 1;
-        let edition = Edition {
-            term,
-            number: self.number,
         };
-        let details = slog::o!("upstreams" => upstreams.len(), "edition" => self.number);
+        let fleet = newer.fleet();
+        let details = slog::o!(
+            "upstreams" => fleet.upstreams.len(),
+            "edition" => fleet.edition.number,
+        );
         event::emit(&self.context.log, event::Event::FleetChanged, details);
-        self.publish.send_replace(Arc::new(Fleet {
-            edition,
-            min_weights,
-            upstreams,
-        }));
+        self.publish.send_replace(Arc::new(newer));
     }
 
     fn shown(&self, seen: &ListedUpstream) -> Upstream {
@@ -385,7 +389,7 @@
         return Outcome::Refused;
     };
     match connection_pool
-        .exchange(address, request, LIMITS, CALL_LIMIT)
+        .exchange(address, request, CONNECTION_LIMITS, CALL_TIMEOUT)
         .await
     {
         Err(error) if error.not_sent() => Outcome::Refused,
@@ -393,23 +397,3 @@
         Ok(response) => engine::order_outcome(response.status().as_u16()),
     }
 }
-
-async fn get(
-    connection_pool: ConnectionPool,
-    address: SocketAddr,
-    path: String,
-    expect: Option<String>,
-) -> Option<Bytes> {
-    let mut request = Request::get(path).header("host", address.to_string());
-    if let Some(id) = expect {
-        request = request.header(header::EXPECT_UPSTREAM, id);
-    }
-    let request = request.body(Body::default()).ok()?;
-    let answer = connection_pool
-        .exchange(address, request, LIMITS, CALL_LIMIT)
-        .await;
-    let response = answer
-        .ok()
-        .filter(|response| response.status().is_success())?;
-    Some(response.into_body())
-}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -25,7 +25,7 @@
 use coordination::state_machine::Command;
 
 /// Version of the message formats; both ends of a connection need the same one.
-pub const VERSION: u32 = 6;
+pub const VERSION: u32 = 7;
 
 /// Service for the other daemons of the fleet.
 ///
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -148,6 +148,8 @@
     HostListFailed = 333,
     /// The number of malformed entries in the platform's list of hosts has changed.
     HostListMalformed = 334,
+    /// A difference of the list of upstreams did not fit the list that this host has.
+    FleetMisfit = 335,
 }
 
 impl Event {
@@ -171,6 +173,7 @@
             | Self::DiskFull
             | Self::DrainLimitPassed
             | Self::EngineCrashed
+            | Self::FleetMisfit
             | Self::HostDied
             | Self::HostListFailed
             | Self::HostListMalformed
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -7,6 +7,8 @@
 
 /// Counter of the leading host's answers for long prompts, by outcome.
 pub const ASSIGNMENTS: &str = "hibiscushoist_assignments_total";
+/// Gauge of the long prompts that wait at the leading host until an engine has room for them.
+pub const ASSIGNMENTS_WAITING: &str = "hibiscushoist_assignments_waiting";
 /// Counter of engines that crashed under requests of this host, by request.
 pub const CRASHES: &str = "hibiscushoist_crashes_total";
 /// Counter of ejections of upstreams, by the reason of the last failure.
