Convict no part in use by engines that die one after another

Cause: three engines that died 250 ms apart, each with a request of one part waiting, quarantined the part for a minute, although it had had a whole answer just before. In 250 ms none of its prompts could have got another one, so that the second and third crash told nothing.

Change: against a part with a whole answer in the 10 s before, crashes within one second count once. A part that crashes every engine gets no whole answer, and counts as before.

--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -37,6 +37,12 @@
 /// Time within which crashes of several upstreams count once, in milliseconds. The upstreams of a
 /// failure domain that dies crash together, whatever they run.
 pub const JOINT_CRASH_MS: u64 = 200;
+/// The same for a part that had a recent whole answer. In a shorter time its prompts could not have
+/// got another one, so that crashes one after the other tell no more than joint ones.
+const ANSWERED_JOINT_CRASH_MS: u64 = 1_000;
+/// How long before a crash a whole answer counts as recent, in milliseconds. A part that has
+/// crashed engines for longer no longer counts as sound.
+const RECENT_ANSWER_MS: u64 = 10_000;
 /// Time from a crash until it is judged, in milliseconds: within two reports of every host, so that
 /// the other hosts' suspects and whole answers are known.
 pub const SETTLE_MS: u64 = 500;
@@ -422,8 +428,9 @@
                 if self.has_succeeded_since(part, crash) {
                     continue;
                 }
+                let joint_ms = self.joint_crash_ms(part, crash);
                 let suspicion = suspicions.entry(part).or_default();
-                if suspicion.total == 0 || crash.at.since(suspicion.total_at) >= JOINT_CRASH_MS {
+                if suspicion.total == 0 || crash.at.since(suspicion.total_at) >= joint_ms {
                     suspicion.total += 1;
                     suspicion.total_at = crash.at;
                 }
@@ -431,7 +438,7 @@
                     continue;
                 }
                 let is_first = suspicion.crashes == 0;
-                if is_first || crash.at.since(suspicion.counted_at) >= JOINT_CRASH_MS {
+                if is_first || crash.at.since(suspicion.counted_at) >= joint_ms {
                     suspicion.crashes += 1;
                     suspicion.counted_at = crash.at;
                 }
@@ -447,6 +454,16 @@
         suspicions
     }
 
+    /// Returns the time within which crashes count once against a part, in milliseconds.
+    fn joint_crash_ms(&self, part: &str, crash: &KnownCrash) -> u64 {
+        let answered = self.successes.get(part);
+        let is_recent = answered.is_some_and(|at| crash.at.since(*at) <= RECENT_ANSWER_MS);
+        match is_recent {
+            false => JOINT_CRASH_MS,
+            true => ANSWERED_JOINT_CRASH_MS,
+        }
+    }
+
     /// Sets the crashes of rivals of the parts that had a whole answer.
     fn count_rivals(&self, suspicions: &mut BTreeMap<&str, Suspicion<'_>>) {
         for crash in &self.crashes {
