Take engines off new work just before their load

Cause: twice as many engines as load at once were off new work, the second half of them waiting for an order. Where a load takes longer than the wait before it, most of these could have served meanwhile.

Change: load_time also keeps how long engines take until they are ready for their order; as many wait as loads end in that time, and at most as many as load. Engines whose order got no answer go on serving, and count as before.

Result: with loads of 2.2 s and waits of 0.9 s, 8 instead of 19 engines wait beside 19 that load (test).

--- a/crates/coordination/src/load_time.rs
+++ b/crates/coordination/src/load_time.rs
@@ -29,32 +29,57 @@
     (elapsed_ms / READ_INTERVAL_DIVISOR).max(MIN_READ_INTERVAL_MS)
 }
 
-/// The times of the last loads, by service.
+/// The times of the last loads, and of the waits before them, by service.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTimes {
     by_service: BTreeMap<String, VecDeque<u64>>,
+    waits: BTreeMap<String, VecDeque<u64>>,
+}
+
+fn push(times: &mut BTreeMap<String, VecDeque<u64>>, service: String, ms: u64) {
+    let times = times.entry(service).or_default();
+    times.push_back(ms);
+    if times.len() > LOADS_LIMIT {
+        times.pop_front();
+    }
+}
+
+/// Returns the value below which `quarters` quarters of the times lie.
+fn quantile(times: Option<&VecDeque<u64>>, quarters: usize) -> Option<u64> {
+    let mut sorted: Vec<u64> = times?.iter().copied().collect();
+    sorted.sort_unstable();
+    sorted.get(sorted.len() * quarters / 4).copied()
 }
 
 impl LoadTimes {
     /// Records that a load was seen to have ended `took_ms` after its order.
     pub fn record(&mut self, service: impl Into<String>, took_ms: u64) {
-        let loads = self.by_service.entry(service.into()).or_default();
-        loads.push_back(took_ms);
-        if loads.len() > LOADS_LIMIT {
-            loads.pop_front();
-        }
+        push(&mut self.by_service, service.into(), took_ms);
+    }
+
+    /// Records that an engine was ready for its order `waited_ms` after it was taken off new work.
+    pub fn record_wait(&mut self, service: impl Into<String>, waited_ms: u64) {
+        push(&mut self.waits, service.into(), waited_ms);
+    }
+
+    /// Returns how many engines should wait for their order while `loading` others load, so that a
+    /// load begins when another one ends: as many as there are loads in the time of a wait, but not
+    /// more than load.
+    pub fn waiting_engines(&self, service: &str, loading: usize) -> usize {
+        let wait_ms = quantile(self.waits.get(service), 2);
+        let load_ms = quantile(self.by_service.get(service), 2);
+        let Some((wait_ms, load_ms)) = wait_ms.zip(load_ms) else {
+            return loading;
+        };
+        let waiting = (loading as u64 * wait_ms).div_ceil(load_ms.max(1));
+        (waiting as usize).clamp(1, loading.max(1))
     }
 
     /// Returns the time after an order until the engine should be read first, in milliseconds. The
     /// lower quartile of the last loads decides, so that neither a few slow engines nor one that
     /// claims to be done at once move it far.
     pub fn first_read_ms(&self, service: &str) -> u64 {
-        let Some(loads) = self.by_service.get(service) else {
-            return PRIOR_MS;
-        };
-        let mut sorted: Vec<u64> = loads.iter().copied().collect();
-        sorted.sort_unstable();
-        let quartile = sorted.get(sorted.len() / 4).copied();
+        let quartile = quantile(self.by_service.get(service), 1);
         let expected_ms = quartile.map_or(PRIOR_MS, |ms| ms * FIRST_READ_PERCENT / 100);
         let (least, most) = FIRST_READ_RANGE_MS;
         expected_ms.clamp(least, most)
--- a/crates/coordination/src/reload.rs
+++ b/crates/coordination/src/reload.rs
@@ -12,6 +12,7 @@
 //! or after a while without one, so that no engine keeps the others waiting.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use strum::Display;
 use strum::IntoStaticStr;
@@ -376,7 +377,9 @@
         let mut effects = self.withdraw_lagging(now);
         let free_loads = self.free_loads();
         let mut due = self.due_reads(now);
-        due.extend(self.due_orders(now).into_iter().take(free_loads));
+        let due_orders = self.due_orders(now);
+        self.record_waits(now, &due_orders);
+        due.extend(due_orders.into_iter().take(free_loads));
         for id in due {
             if let Some(engine) = self.engines.get_mut(&id) {
                 engine.phase = match engine.phase {
@@ -434,6 +437,19 @@
         due.into_iter().map(|(_, _, id)| id).collect()
     }
 
+    /// Records how long the engines that have become ready for their order took for it.
+    fn record_waits(&mut self, now: Instant, due: &[String]) {
+        for id in due {
+            if let Some(engine) = self.engines.get_mut(id)
+                && let Phase::Withdrawn { since } = engine.phase
+                && !std::mem::replace(&mut engine.is_ready, true)
+            {
+                let service = engine.listed.service.clone();
+                self.load_times.record_wait(service, now.since(since));
+            }
+        }
+    }
+
     /// Returns how many more engines may get an order. As many orders as may load at once may
     /// besides be without an answer, since most of these are lost or late.
     fn free_loads(&self) -> usize {
@@ -458,10 +474,24 @@
         engines.filter(|engine| is_counted(engine)).count()
     }
 
-    /// Takes engines off new work, as many as the share allows: the most urgent first, and among
-    /// equals the ones with the fewest requests in flight.
+    /// Takes engines off new work, as many as the share allows and as many more as should wait for
+    /// their order meanwhile: the most urgent first, and among equals the ones with the fewest
+    /// requests in flight.
     fn withdraw_lagging(&mut self, now: Instant) -> Vec<Effect> {
-        let max_withdrawn = self.max_loading() * 2;
+        let max_loading = self.max_loading();
+        let services = self
+            .engines
+            .values()
+            .map(|engine| &engine.listed.service)
+            .collect::<BTreeSet<_>>();
+        let waiting = services
+            .into_iter()
+            .map(|service| self.load_times.waiting_engines(service, max_loading))
+            .max();
+        // An engine whose order got no answer goes on serving, and must not keep others waiting.
+        let unconfirmed = self.count(|engine| engine.is_unconfirmed).min(max_loading);
+        let waiting = waiting.unwrap_or(max_loading).max(unconfirmed);
+        let max_withdrawn = max_loading + waiting;
         let in_turn = self.count(|engine| engine.phase != Phase::Serving);
         let running = |id: &str| self.loads.get(id).map_or(0, |load| load.running);
         let mut lagging: Vec<(Urgency, u32, String)> = self
@@ -481,6 +511,7 @@
         for (_, _, id) in &lagging {
             if let Some(engine) = self.engines.get_mut(id) {
                 engine.phase = Phase::Withdrawn { since: now };
+                engine.is_ready = false;
             }
         }
         let withdrawn = lagging.into_iter();
--- a/crates/coordination/src/reload_engine.rs
+++ b/crates/coordination/src/reload_engine.rs
@@ -51,6 +51,8 @@
     pub(crate) failed_turns: u32,
     /// Whether the engine has been seen to load in this turn.
     has_loaded: bool,
+    /// Whether it has become ready for its order since it was taken off new work.
+    pub(crate) is_ready: bool,
     /// Whether its last order got no answer and the engine has not been seen to load since. The
     /// order may be lost, so the engine goes on serving.
     pub(crate) is_unconfirmed: bool,
@@ -73,6 +75,7 @@
         Self {
             failed_turns: 0,
             has_loaded: false,
+            is_ready: false,
             is_unconfirmed: false,
             lagging_since: BTreeMap::new(),
             listed,
--- a/crates/coordination/tests/load_time.rs
+++ b/crates/coordination/tests/load_time.rs
@@ -133,6 +133,24 @@
     }
 }
 
+/// Engines that wait for their order serve nobody. Where a load takes much longer than the wait
+/// before it, few have to wait so that a load begins whenever one ends.
+#[test]
+fn only_as_many_engines_wait_as_loads_end_meanwhile() {
+    let mut times = LoadTimes::default();
+    assert_eq!(times.waiting_engines("engines", 19), 19);
+    for _ in 0..16 {
+        times.record("engines", 2_200);
+        times.record_wait("engines", 900);
+    }
+    assert_eq!(times.waiting_engines("engines", 19), 8);
+    assert_eq!(times.waiting_engines("engines", 1), 1);
+    for _ in 0..16 {
+        times.record("engines", 300);
+    }
+    assert_eq!(times.waiting_engines("engines", 19), 19);
+}
+
 #[test]
 fn one_engine_that_claims_to_be_done_at_once_changes_little() {
     let mut times = LoadTimes::default();
