Serve the newest long prompt first

Cause: with the oldest first, a prompt that waits at the leading host got its engine in the last moment in which it could begin in time, and whatever took longer made it late.

Change: among prompts of one rank the newest comes first. The number that find no engine is the same in any order; those that do have time to spare.

--- a/crates/coordination/src/assign_queue.rs
+++ b/crates/coordination/src/assign_queue.rs
@@ -1,10 +1,13 @@
 //! Order in which long prompts wait at the leading host until an engine has room for them.
 //!
 //! In a burst there are more long prompts than engines can begin. If every host asked again and
-//! again, the leading host would answer many times as many questions as there are prompts, and the
-//! host that asks at the right moment would win. Here the urgent ones come first, and among equals
-//! those that have waited longest, from whichever host they come.
+//! again, the leading host would answer many times as many questions as there are prompts. Here
+//! the urgent ones come first, and among equals the newest. With the oldest first, each prompt
+//! would wait until the last moment in which it can begin in time, and all answers of a burst would
+//! be late; with the newest first, as many as engines can begin in time do, and the others are
+//! refused when their time has passed, as they would be in any order.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use state::time::Instant;
@@ -16,7 +19,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Place {
     rank: u32,
-    arrived: Instant,
+    arrived: Reverse<Instant>,
     number: u64,
 }
 
@@ -57,7 +60,7 @@
         self.last_number += 1;
         let place = Place {
             rank,
-            arrived,
+            arrived: Reverse(arrived),
             number: self.last_number,
         };
         self.waiting.insert(place, Waiting { item, until });
@@ -67,7 +70,8 @@
     /// Returns whether a prompt waits that comes before one with this rank and arrival.
     pub fn is_behind(&self, rank: u32, arrived: Instant) -> bool {
         let first = self.waiting.first_key_value();
-        first.is_some_and(|(place, _)| (place.rank, place.arrived) <= (rank, arrived))
+        let place = (rank, Reverse(arrived));
+        first.is_some_and(|(first, _)| (first.rank, first.arrived) < place)
     }
 
     /// Returns whether no prompt waits.
