Learn how fast engines prefill, and keep short prefixes together

Cause: the routed path judged by the prefill rate and the first byte of one class of engines. Prefixes of less than 1,024 tokens were spread over all engines and read again at each.

Change: engine_model fits rate and first byte to the answers that all hosts see; the leading host sends the result with the routing update, and each decision asks it. Only answers of calm engines count whose work is known; others made the rate look higher than it is.

--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -5,6 +5,8 @@
 //! assignments at once: it counts an assigned prompt as load until the report of the requesting
 //! host includes it. A host that gets no answer chooses by itself.
 
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -12,6 +14,9 @@
 use crate::choice::Refusal;
 use crate::demand::Demand;
 use crate::dispatch::Dispatcher;
+use crate::engine_model::ModelFitter;
+use crate::engine_model::Models;
+use crate::engine_model::Sample;
 use crate::local_state::InFlight;
 use crate::prefix_index::CachedPrefix;
 use crate::upstream::Edition;
@@ -56,6 +61,7 @@
     dispatcher: Dispatcher,
     edition: Edition,
     last_id: u64,
+    fitter: ModelFitter,
     pending: Vec<PendingAssignment>,
     loads_taken_at: Option<Instant>,
 }
@@ -68,6 +74,7 @@
             dispatcher: Dispatcher::new(seed),
             edition: Edition::default(),
             last_id: seed >> 1,
+            fitter: ModelFitter::default(),
             pending: Vec::new(),
             loads_taken_at: None,
         }
@@ -112,6 +119,15 @@
         Ok(choice)
     }
 
+    /// Records samples of a host. Returns how fast the engines of each service are, and which of
+    /// these models are news for the log.
+    pub fn record_samples(&mut self, now: Instant, samples: Vec<Sample>) -> (Arc<Models>, Models) {
+        self.fitter.record(samples);
+        let models = self.fitter.models(now);
+        self.dispatcher.set_models(models.clone());
+        (models, self.fitter.take_news())
+    }
+
     /// Records which assignments the report of a host includes, and the prefixes that it saw
     /// cached.
     pub fn record_report(
--- a/crates/coordination/src/demand.rs
+++ b/crates/coordination/src/demand.rs
@@ -37,6 +37,9 @@
     /// ID of the prefix that the prompt shares with other requests, and the tokens up to its end;
     /// only long prompts have one.
     pub shared_prefix: Option<(String, u64)>,
+    /// ID of a shorter prefix that the prompt shares with other requests, and the tokens up to its
+    /// end. It decides between engines that are about equally loaded.
+    pub short_prefix: Option<(String, u64)>,
     /// Addresses of the stores of cached prefixes.
     pub stores: Vec<SocketAddr>,
     /// IDs of the upstreams that have failed this request.
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -5,7 +5,7 @@
 //! the published list of upstreams and with the loads and cached prefixes that other hosts report.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::affinity;
 use crate::affinity::Candidate;
@@ -16,25 +16,24 @@
 use crate::choice::Rank;
 use crate::choice::Refusal;
 use crate::demand::Demand;
+use crate::engine_model::EngineModel;
+use crate::engine_model::Models;
+use crate::engine_model::Sample;
 use crate::hold;
 use crate::hold::Holds;
 use crate::local_state::InFlight;
 use crate::local_state::LocalState;
 use crate::prefill;
 use crate::prefill::Availability;
-use crate::prefill::FIRST_BYTE_AFTER_PREFILL_MS;
-use crate::prefill::PREFILL_TOKENS_PER_MS;
 use crate::prefix_index;
 use crate::prefix_index::CacheLocation;
 use crate::prefix_index::CachedPrefix;
 use crate::prefix_index::PrefixIndex;
-use crate::prefix_index::PrefixKey;
 use crate::shard;
 use crate::unresponsive::UnresponsiveDetector;
 use crate::upstream;
 use crate::upstream::Fleet;
 use crate::upstream::Upstream;
-use crate::upstream_load::UpstreamLoad;
 use crate::upstream_load::UpstreamLoads;
 use state::time::Instant;
 
@@ -42,10 +41,6 @@
 /// long answer should begin within a second, and an answer on older weights is worth a fifth less,
 /// which makes 200 ms; as much again because its prompt may have to be prefilled twice.
 const NEWEST_WEIGHTS_WAIT_MS: u64 = 400;
-/// Delay that one more running request causes to the others, in milliseconds of waiting.
-const RUNNING_REQUEST_DELAY_MS: u64 = 3;
-/// Age up to which the loads of other hosts count, in milliseconds.
-const OTHER_LOADS_MAX_AGE_MS: u64 = 1_000;
 /// How long an upstream that refused a request gets no further one, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 250;
 /// Backlog up to which an engine counts as idle, in milliseconds of prefill. A long prompt that
@@ -58,6 +53,8 @@
 /// should begin. A new connection costs a round trip and a handshake at the upstream; a twentieth
 /// of the time does not make an answer late.
 const CONNECTED_SLACK_DIVISOR: u64 = 20;
+/// Largest number of samples that wait to be sent to the leading host.
+const UNSENT_SAMPLES_LIMIT: usize = 32;
 /// Number of engines that are considered for a long prompt, the first in its rendezvous order, so
 /// that a choice costs no more in a larger fleet; as many as a shard has.
 const LONG_PROMPT_CANDIDATES: usize = shard::UPSTREAMS_PER_SHARD;
@@ -74,19 +71,18 @@
     max_ejected_percent: 60,
 };
 
-/// IDs of the engines that have a shared prefix cached, by weights version.
-type Holders<'a> = BTreeMap<u64, Vec<&'a str>>;
-
 /// Chooses upstreams for the requests of this host, and records what becomes of them.
 #[derive(Debug)]
 pub struct Dispatcher {
-    breaker: CircuitBreaker,
-    assignment_ids: Vec<u64>,
-    holds: Holds,
-    prefix_index: PrefixIndex,
-    other_loads: (Instant, UpstreamLoads),
-    local: BTreeMap<String, LocalState>,
-    unresponsive: UnresponsiveDetector,
+    pub(crate) breaker: CircuitBreaker,
+    pub(crate) assignment_ids: Vec<u64>,
+    pub(crate) holds: Holds,
+    pub(crate) prefix_index: PrefixIndex,
+    pub(crate) other_loads: (Instant, UpstreamLoads),
+    pub(crate) local: BTreeMap<String, LocalState>,
+    pub(crate) models: Arc<Models>,
+    pub(crate) samples: Vec<Sample>,
+    pub(crate) unresponsive: UnresponsiveDetector,
 }
 
 impl Dispatcher {
@@ -99,6 +95,8 @@
             prefix_index: PrefixIndex::default(),
             other_loads: Default::default(),
             local: BTreeMap::new(),
+            models: Arc::default(),
+            samples: Vec::new(),
             unresponsive: UnresponsiveDetector::default(),
         }
     }
@@ -153,7 +151,7 @@
             assignment_id: None,
             rank: match (
                 &demand.shared_prefix,
-                demand.first_byte_left_ms > FIRST_BYTE_AFTER_PREFILL_MS,
+                demand.first_byte_left_ms > self.model(&demand.service).first_byte_ms,
             ) {
                 (None, _) => Rank::Normal,
                 (Some(_), true) => Rank::First,
@@ -179,8 +177,16 @@
             .map_or(0, |_| demand.prompt_tokens);
         let local = self.local.entry(upstream_id.clone()).or_default();
         local.record_sent(long_prompt_tokens, pending_prefill_tokens);
-        let work_ms =
-            2 * self.load(now, &upstream_id).pending_prefill_tokens / PREFILL_TOKENS_PER_MS;
+        let load = self.load(now, &upstream_id);
+        let model = self.model(&demand.service);
+        let work_ms = 2 * model.prefill_ms(load.pending_prefill_tokens);
+        // A full engine keeps requests waiting for other reasons than their prefill, and it is not
+        // known how much of the prefill of others is over, nor whether a fetch finds anything.
+        let is_calm = 2 * load.running <= choice.upstream.slots
+            && 4 * pending_prefill_tokens >= 3 * load.pending_prefill_tokens;
+        let is_known = demand.shared_prefix.is_none() || availability == Availability::Here;
+        let is_sample = demand.model.is_some() && is_calm && is_known;
+        let sampled_tokens = is_sample.then_some(load.pending_prefill_tokens);
         let request_id = self
             .unresponsive
             .record_sent(now, upstream_id.clone(), work_ms);
@@ -192,6 +198,9 @@
                 .and_then(|weights| demand.prefix_key(weights)),
             request_id,
             pending_prefill_tokens,
+            sampled_tokens,
+            sent_at: now,
+            service: demand.service.clone(),
             started: choice.upstream.started,
         }
     }
@@ -212,6 +221,23 @@
         busy.map(load).collect()
     }
 
+    /// Returns how fast the engines of a service are, as far as it is known.
+    pub(crate) fn model(&self, service: &str) -> EngineModel {
+        self.models.get(service).copied().unwrap_or_default()
+    }
+
+    /// Replaces what is known of the engines of these services.
+    pub fn set_models(&mut self, models: Arc<Models>) {
+        if !models.is_empty() {
+            self.models = models;
+        }
+    }
+
+    /// Takes the samples of engines that were not sent to the leading host yet.
+    pub fn take_samples(&mut self) -> Vec<Sample> {
+        std::mem::take(&mut self.samples)
+    }
+
     /// Replaces the loads that other hosts cause at upstreams.
     pub fn set_other_loads(&mut self, now: Instant, other_loads: UpstreamLoads) {
         for (id, load) in &other_loads {
@@ -251,6 +277,15 @@
 
     /// Records that the upstream has the request's prefix in its cache, because it began to answer.
     pub fn record_prefill(&mut self, now: Instant, in_flight: &mut InFlight) {
+        if let Some(tokens) = in_flight.sampled_tokens.take()
+            && self.samples.len() < UNSENT_SAMPLES_LIMIT
+        {
+            self.samples.push(Sample {
+                first_byte_ms: now.since(in_flight.sent_at),
+                service: in_flight.service.clone(),
+                tokens,
+            });
+        }
         if let Some(prefix) = in_flight.prefix.take() {
             let location = CacheLocation::Engine(in_flight.upstream_id.clone());
             self.prefix_index
@@ -376,7 +411,7 @@
 
     /// Returns whether an upstream is neither held, ejected nor unresponsive, and has not refused a
     /// request lately.
-    fn is_usable(&self, now: Instant, upstream: &Upstream) -> bool {
+    pub(crate) fn is_usable(&self, now: Instant, upstream: &Upstream) -> bool {
         let id = upstream.id.as_str();
         let refused_at = self.local.get(id).and_then(|local| local.refused_at);
         !matches!(self.breaker.state(now, id), State::Open(_))
@@ -414,8 +449,9 @@
     /// A long prompt goes to an engine where its answer begins in time, preferably one that has the
     /// prefix cached, because each further engine that prefills it evicts another prefix. A prompt
     /// that is late everywhere goes to an idle engine, while enough engines are idle. Both prefer
-    /// the newest weights. A short prompt goes to the newest weights, unless the backlog there is
-    /// much longer.
+    /// the newest weights. A short prompt goes to the newest weights, unless the
+    /// backlog there is much longer, and among engines with about the same backlog to the one that
+    /// its prefix names.
     fn pick<'a>(
         &self,
         now: Instant,
@@ -445,8 +481,10 @@
                 let upstream = affinity::first_fit(&new, prefix_id, has_room).map(|i| newest[i]);
                 upstream.or_else(|| Some(older[affinity::first_fit(&old, prefix_id, has_room)?]))
             };
+            let model = self.model(&demand.service);
             let in_time = |candidate: &Candidate| {
-                prefill::fits(candidate, demand) && prefill::begins_in_time(candidate, demand)
+                prefill::fits(candidate, demand)
+                    && prefill::begins_in_time(candidate, demand, &model)
             };
             let cached_in_time = |candidate: &Candidate| candidate.has_prefix && in_time(candidate);
             let is_idle = |candidate: &Candidate| candidate.backlog_ms <= IDLE_BACKLOG_MS;
@@ -472,129 +510,15 @@
         let index = affinity::least_loaded_of_sample(&candidates, demand.random);
         let index = index.ok_or(Refusal::NoUpstream)?;
         let slack_ms = demand.first_byte_left_ms / CONNECTED_SLACK_DIVISOR;
-        Ok(upstreams[affinity::prefer_connected(&candidates, index, slack_ms)])
-    }
-
-    /// Returns the load that all hosts cause at an upstream.
-    fn load(&self, now: Instant, id: &str) -> UpstreamLoad {
-        let own = self.local.get(id).map(|local| local.load(None));
-        let own = own.unwrap_or_default();
-        let fresh = now.since(self.other_loads.0) <= OTHER_LOADS_MAX_AGE_MS;
-        let other_loads = self.other_loads.1.get(id).copied().filter(|_| fresh);
-        let other_loads = other_loads.unwrap_or_default();
-        UpstreamLoad {
-            long_prompt_tokens: own.long_prompt_tokens + other_loads.long_prompt_tokens,
-            last_byte_age_ms: None,
-            running: own.running + other_loads.running,
-            pending_prefill_tokens: own.pending_prefill_tokens + other_loads.pending_prefill_tokens,
-        }
-    }
-
-    /// Returns the engines that have the request's shared prefix cached, for each weights version
-    /// of these upstreams.
-    fn holders(&self, now: Instant, upstreams: &[&Upstream], demand: &Demand) -> Holders<'_> {
-        let mut holders = Holders::new();
-        let Some(model) = demand
-            .model
-            .as_ref()
-            .filter(|_| demand.shared_prefix.is_some())
-        else {
-            return holders;
-        };
-        for upstream in upstreams {
-            let weights = self.weights(upstream, model);
-            if !holders.contains_key(&weights) {
-                let prefix = demand.prefix_key(weights);
-                let engines = prefix.map(|prefix| self.prefix_index.engines(now, &prefix));
-                holders.insert(weights, engines.unwrap_or_default());
+        if let Some((prefix_id, tokens)) = &demand.short_prefix {
+            let saved_ms = self.model(&demand.service).prefill_ms(*tokens);
+            let limit_ms = candidates[index].backlog_ms + slack_ms + saved_ms;
+            if let Some(named) = affinity::first_fit(&candidates, prefix_id, |_| true)
+                && candidates[named].backlog_ms <= limit_ms
+            {
+                return Ok(upstreams[named]);
             }
         }
-        holders
-    }
-
-    /// Returns an upstream with the expected cost of the request there.
-    fn candidate(
-        &self,
-        now: Instant,
-        upstream: &Upstream,
-        demand: &Demand,
-        holders: &Holders<'_>,
-    ) -> Candidate {
-        let load = self.load(now, &upstream.id);
-        let running_ms = u64::from(load.running) * RUNNING_REQUEST_DELAY_MS;
-        let availability = self.prefix_availability(upstream, demand, holders);
-        Candidate {
-            backlog_ms: load.pending_prefill_tokens / PREFILL_TOKENS_PER_MS + running_ms,
-            connected: demand.connected.contains(&upstream.address),
-            has_prefix: availability == Availability::Here,
-            id: upstream.id.clone(),
-            long_prompt_tokens: load.long_prompt_tokens,
-            same_domain: upstream.domain == demand.domain,
-            prefill_ms: prefill::tokens(demand, availability) / PREFILL_TOKENS_PER_MS,
-        }
-    }
-
-    /// Returns where a request's shared prefix is expected to be cached, as seen from an engine.
-    fn prefix_availability(
-        &self,
-        upstream: &Upstream,
-        demand: &Demand,
-        holders: &Holders<'_>,
-    ) -> Availability {
-        let model = demand.model.as_ref();
-        let weights = model.map(|model| self.weights(upstream, model));
-        let Some(engines) = weights.and_then(|weights| holders.get(&weights)) else {
-            return Availability::Nowhere;
-        };
-        match (engines.contains(&upstream.id.as_str()), engines.is_empty()) {
-            (true, _) => Availability::Here,
-            (false, false) => Availability::Elsewhere,
-            (false, true) => Availability::Nowhere,
-        }
-    }
-
-    /// Returns the weights version of an upstream: the newer of the listed one and the one that its
-    /// answers named.
-    fn weights(&self, upstream: &Upstream, model: &str) -> u64 {
-        let listed = upstream.weights.get(model).copied().unwrap_or_default();
-        let answered = self
-            .local
-            .get(&upstream.id)
-            .and_then(|local| local.weights.get(model).copied());
-        listed.max(answered.unwrap_or_default())
-    }
-
-    /// Returns the engine from which the chosen one fetches a shared prefix that it may lack: one
-    /// that computed it with the same weights, preferably in the same failure domain.
-    ///
-    /// An engine that has the prefix fetches nothing, and one that lacks it gets it in a fraction
-    /// of the time of its prefill. An engine that finishes its requests before it loads new weights
-    /// keeps its prefixes until then.
-    fn fetch_source(
-        &self,
-        now: Instant,
-        fleet: &Fleet,
-        demand: &Demand,
-        chosen: &Upstream,
-        prefix: &PrefixKey,
-    ) -> Option<SocketAddr> {
-        let as_source = |id: &&str| {
-            let upstream = fleet.upstreams.iter().find(|upstream| upstream.id == *id)?;
-            let model = demand.model.as_ref()?;
-            let is_source = upstream.id != chosen.id
-                && upstream.service == chosen.service
-                && upstream.standing != upstream::Standing::Leaving
-                && self.weights(upstream, model) == prefix.weights
-                && !demand.tried.contains(&upstream.id)
-                && self.is_usable(now, upstream);
-            is_source.then_some(upstream)
-        };
-        let engines = self.prefix_index.engines(now, prefix);
-        let sources: Vec<&Upstream> = engines.iter().filter_map(as_source).collect();
-        let same_domain = sources
-            .iter()
-            .find(|upstream| upstream.domain == chosen.domain);
-        let source = same_domain.or(sources.first());
-        source.map(|upstream| upstream.address)
+        Ok(upstreams[affinity::prefer_connected(&candidates, index, slack_ms)])
     }
 }
--- a/crates/coordination/src/local_state.rs
+++ b/crates/coordination/src/local_state.rs
@@ -15,6 +15,10 @@
     pub(crate) long_prompt_tokens: u64,
     pub(crate) prefix: Option<PrefixKey>,
     pub(crate) request_id: RequestId,
+    /// Tokens ahead of the answer, its own included, if it tells how fast the engine is.
+    pub(crate) sampled_tokens: Option<u64>,
+    pub(crate) sent_at: Instant,
+    pub(crate) service: String,
     pub(crate) pending_prefill_tokens: u64,
     pub(crate) started: u64,
 }
--- a/crates/coordination/src/prefill.rs
+++ b/crates/coordination/src/prefill.rs
@@ -3,13 +3,8 @@
 
 use crate::affinity::Candidate;
 use crate::demand::Demand;
+use crate::engine_model::EngineModel;
 
-/// Prefill rate of an engine, in prompt tokens per millisecond. An engine of this class computes 62
-/// when it does nothing else; a chunk of 4,096 tokens takes 93 ms with decode steps in between.
-pub const PREFILL_TOKENS_PER_MS: u64 = 45;
-/// Time from the end of a prefill until the answer reaches the caller's host, in milliseconds: the
-/// first token, one step of the engine's batch and the network.
-pub const FIRST_BYTE_AFTER_PREFILL_MS: u64 = 200;
 /// Share of an engine's memory that long prompts in flight may fill, in percent; the rest is for
 /// short prompts and for the tokens of answers.
 const LONG_PROMPT_MEMORY_PERCENT: u64 = 85;
@@ -54,7 +49,6 @@
 }
 
 /// Returns whether the answer of a candidate is expected to begin in time.
-pub fn begins_in_time(candidate: &Candidate, demand: &Demand) -> bool {
-    candidate.backlog_ms + candidate.prefill_ms + FIRST_BYTE_AFTER_PREFILL_MS
-        <= demand.first_byte_left_ms
+pub fn begins_in_time(candidate: &Candidate, demand: &Demand, model: &EngineModel) -> bool {
+    candidate.backlog_ms + candidate.prefill_ms + model.first_byte_ms <= demand.first_byte_left_ms
 }
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::engine_model::Models;
+use crate::engine_model::Sample;
 use crate::fleet_log::FleetUpdate;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::Verdict;
@@ -43,6 +45,8 @@
     pub loads_number: u64,
     /// Cached prefixes that the host has recorded since its last request.
     pub cached_prefixes: Vec<CachedPrefix>,
+    /// Answers of engines that the host has seen since its last request.
+    pub samples: Vec<Sample>,
     /// Version of the routed table that the host has.
     pub table_version: u64,
 }
@@ -58,6 +62,8 @@
     pub loads: LoadSums,
     /// Number of the report of this host that `loads` includes; 0 if none.
     pub loads_included: u64,
+    /// How fast the engines of each service are.
+    pub models: Arc<Models>,
     /// What is known of prompt parts that crash engines, if the host lacks this version of it.
     pub part_verdict: Option<Verdict>,
     /// Position of the last entry of the prefix log.
--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use slog::Logger;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
@@ -16,6 +17,8 @@
 use coordination::assignment::Request;
 use coordination::choice::Choice;
 use coordination::choice::Refusal;
+use coordination::engine_model::Models;
+use coordination::engine_model::Sample;
 use coordination::fleet_log::FleetLog;
 use coordination::prefix_index::CachedPrefix;
 use coordination::upstream::Fleet;
@@ -23,12 +26,14 @@
 use protocol::voter::Rejection;
 use state::time::Instant;
 use transport::clock::Clock;
+use transport::event;
+use transport::event::Event;
 use transport::metric;
 
 /// Time between two attempts to serve the prompts that wait.
 const SERVE_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of prompts in a row that find no room before the others are not looked at any more.
-const MAX_FAILURES: usize = 2;
+const MAX_FAILURES: usize = 4;
 
 /// A prompt that waits, and the call that it came with.
 struct Waiter {
@@ -49,6 +54,7 @@
     clock: Clock,
     fleet: watch::Receiver<Arc<FleetLog>>,
     loads: Arc<Mutex<LoadAggregator>>,
+    log: Logger,
     queue: Arc<Mutex<Queue>>,
     voter: voter::Handle,
 }
@@ -59,6 +65,7 @@
         clock: Clock,
         fleet: watch::Receiver<Arc<FleetLog>>,
         loads: Arc<Mutex<LoadAggregator>>,
+        log: Logger,
         voter: voter::Handle,
     ) -> Self {
         Self {
@@ -66,6 +73,7 @@
             clock,
             fleet,
             loads,
+            log,
             queue: Arc::default(),
             voter,
         }
@@ -77,6 +85,20 @@
         lock(&self.assigner).record_report(now, ids, cached_prefixes);
     }
 
+    /// Records samples of a host, and returns how fast the engines of each service are.
+    pub fn record_samples(&self, now: Instant, samples: Vec<Sample>) -> Arc<Models> {
+        let (models, news) = lock(&self.assigner).record_samples(now, samples);
+        for (service, model) in news {
+            let details = slog::o!(
+                "service" => service,
+                "prefill_tokens_per_s" => model.prefill_tokens_per_s,
+                "first_byte_ms" => model.first_byte_ms,
+            );
+            event::emit(&self.log, Event::EnginesLearned, details);
+        }
+        models
+    }
+
     /// Assigns an engine to a long prompt, for which it may wait as long as the request says.
     ///
     /// # Errors
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -33,9 +33,12 @@
 const PAUSE_JITTER_DIVISOR: u64 = 4;
 /// Upper limit of that addition, in milliseconds; callers have waited long enough by then.
 const MAX_PAUSE_JITTER_MS: u64 = 1_500;
-/// Least length of a shared prefix for which a request is routed to the engine that caches it, in
-/// tokens; the prefill of a shorter prefix fits in one step of a batch.
+/// Least length of a shared prefix for which the leader assigns an engine, in tokens; the prefill
+/// of a shorter prefix fits in one step of a batch.
 const MIN_SHARED_PREFIX_TOKENS: u64 = 1_024;
+/// Least length of a shared prefix for which a host prefers the same engines by itself, in tokens:
+/// several blocks of an engine's memory.
+const MIN_SHORT_PREFIX_TOKENS: u64 = 256;
 
 /// Chooses the upstream of a request. While all engines are busy, waits as long as the answer can
 /// still be useful to the caller.
@@ -213,7 +216,10 @@
     drop(versions);
     let min_weights = model.as_ref().and_then(|model| min_weights.get(model));
     let waited = now.since(routed.arrived);
-    let shared_prefix = shared_prefix(routed).filter(|_| progress.exact_weights.is_none());
+    let prefix = shared_prefix(routed).filter(|_| progress.exact_weights.is_none());
+    let is_long = |(_, tokens): &(String, u64)| *tokens >= MIN_SHARED_PREFIX_TOKENS;
+    let short_prefix = prefix.clone().filter(|prefix| !is_long(prefix));
+    let shared_prefix = prefix.filter(is_long);
     let connected = match shared_prefix {
         None => gateway
             .connection_pool
@@ -234,6 +240,7 @@
         prompt_tokens: routed.request_head.prompt_tokens,
         service: routed.service.clone(),
         shared_prefix,
+        short_prefix,
         stores: stores(&snapshot),
         tried: progress.tried.clone(),
         isolated_workspace: routed
@@ -258,7 +265,7 @@
     let (_, shared) = parts.split_last()?;
     let last = shared.last()?;
     let tokens = shared.iter().map(|part| part.tokens).sum();
-    (tokens >= MIN_SHARED_PREFIX_TOKENS).then(|| (last.id.clone(), tokens))
+    (tokens >= MIN_SHORT_PREFIX_TOKENS).then(|| (last.id.clone(), tokens))
 }
 
 /// Chooses an upstream with the observations of this host alone.
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -166,6 +166,7 @@
         let now = self.clock.now();
         self.desk
             .record_report(now, &ask.assignment_ids, &ask.cached_prefixes);
+        let models = self.desk.record_samples(now, ask.samples);
         let mut bulletin = self.bulletin.lock().unwrap_or_else(PoisonError::into_inner);
         let (cached_prefixes, prefix_position) = bulletin.exchange(
             reading.term,
@@ -200,6 +201,7 @@
             cached_prefixes,
             loads,
             loads_included,
+            models,
             part_verdict,
             prefix_position,
             table: (table.version > ask.table_version).then(|| table.clone()),
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -192,9 +192,10 @@
                 dispatcher.take_assignment_ids(),
                 dispatcher.loads(polled_at),
                 dispatcher.take_prefix_updates(polled_at),
+                dispatcher.take_samples(),
             )
         });
-        let (assignment_ids, loads, cached_prefixes) = local_updates.unwrap_or_default();
+        let (assignment_ids, loads, cached_prefixes, samples) = local_updates.unwrap_or_default();
         let gateway = context.gateway.as_ref();
         let part_evidence = gateway.map(|gateway| {
             let mut monitor = gateway.part_monitor();
@@ -213,6 +214,7 @@
             loads,
             loads_number,
             cached_prefixes,
+            samples,
             table_version: snapshot.index.table().version,
         };
         let client = pool.client(target, None);
@@ -247,6 +249,7 @@
                 dispatcher.set_other_loads(now, other_loads);
             }
             dispatcher.record_remote_prefixes(now, cached_prefixes);
+            dispatcher.set_models(update.models.clone());
             if progress.prefix_position.term != update.prefix_position.term {
                 dispatcher.requeue_prefix_updates(now);
             }
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -150,6 +150,8 @@
     HostListMalformed = 334,
     /// A difference of the list of upstreams did not fit the list that this host has.
     FleetMisfit = 335,
+    /// The leading host has learned how fast the engines of a service are, or that it has changed.
+    EnginesLearned = 336,
 }
 
 impl Event {
@@ -196,6 +198,7 @@
             | Self::TableNotSaved => Level::Warning,
             Self::DrainBegun
             | Self::EditRefused
+            | Self::EnginesLearned
             | Self::HostCleared
             | Self::HostDraining
             | Self::HostJoined
