--- a/crates/coordination/src/dispatch_cost.rs
+++ b/crates/coordination/src/dispatch_cost.rs
@@ -57,11 +57,11 @@
         };
         for upstream in upstreams {
             let weights = self.weights(upstream, model);
-            if !holders.contains_key(&weights) {
+            holders.entry(weights).or_insert_with(|| {
                 let prefix = demand.prefix_key(weights);
                 let engines = prefix.map(|prefix| self.prefix_index.engines(now, &prefix));
-                holders.insert(weights, engines.unwrap_or_default());
-            }
+                engines.unwrap_or_default()
+            });
         }
         holders
     }
