Take an empty answer without a length for broken off

Cause: a worker that stops between the head of its answer and the first byte leaves an empty body that ends with the connection; callers got it as a 200 with an empty body, framed as whole. Engines and services answer with at least one event or byte.

Change: a 200 whose body is empty and has neither a length nor chunks counts as cut: a stream that may be resumed goes on at another upstream, anything else ends as broken or with 502.

Result: an_empty_answer_without_a_length_does_not_look_complete fails without the change. Two more tests show what cannot happen here: a head that stops at any place is no answer, and no error of a later upstream enters a stream that has begun.

--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HeaderMap;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http;
 
 use crate::context::Context;
@@ -124,6 +125,16 @@
         self.response.status()
     }
 
+    /// Returns whether the body has neither a length nor chunks, so that it looks complete wherever
+    /// its connection ends. An empty one is taken for broken off: engines and services answer with
+    /// at least one event or byte.
+    pub fn is_cut_if_empty(&self) -> bool {
+        let headers = self.response.headers();
+        self.response.status() == StatusCode::OK
+            && !headers.contains_key(CONTENT_LENGTH)
+            && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns whether the answer is a successful stream of events.
     pub fn is_stream(&self, routed: &RoutedRequest) -> bool {
         routed.route.kind == Kind::Stream && self.response.status().is_success()
--- a/crates/hibiscushoistd/src/gateway_body.rs
+++ b/crates/hibiscushoistd/src/gateway_body.rs
@@ -36,6 +36,7 @@
     deadline_timer: Pin<Box<Sleep>>,
     exposure: Exposure,
     has_data: bool,
+    is_cut_if_empty: bool,
     /// Error with which reads fail, once the upstream has broken off the body.
     error: Option<io::Error>,
     /// Whether a read has waited for the server to flush what was forwarded before the error.
@@ -56,6 +57,7 @@
     ) -> Self {
         let now = context.clock.now();
         let left = deadline.since(now);
+        let is_cut_if_empty = answered.is_cut_if_empty();
         let (body, connection, idle_limit, in_flight) = answered.into_stream();
         Self {
             answer_log,
@@ -66,6 +68,7 @@
             deadline_timer: Box::pin(tokio::time::sleep(Duration::from_millis(left))),
             exposure,
             has_data: false,
+            is_cut_if_empty,
             error: None,
             flushed: false,
             in_flight,
@@ -171,7 +174,9 @@
         }
         match Pin::new(&mut self.body).poll_frame(task) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(None) if self.position.is_inside_event() => {
+            Poll::Ready(None)
+                if self.position.is_inside_event() || self.is_cut_if_empty && !self.has_data =>
+            {
                 let error = self.cut(io::ErrorKind::UnexpectedEof.into());
                 self.poll_error(task, error)
             }
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -420,6 +420,7 @@
     answered: UpstreamAnswer,
 ) -> Result<Response<Body>, retry::Reason> {
     let head = answered.response_head();
+    let is_cut_if_empty = answered.is_cut_if_empty();
     let (body, connection, idle_limit, in_flight) = answered.into_stream();
     let left = Duration::from_millis(routed.left_ms(context.clock.now()));
     let collected = Limited::new(body, BUFFERED_ANSWER_LIMIT_BYTES).collect();
@@ -427,7 +428,10 @@
         Err(_) => Err(retry::Reason::Idle),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(retry::Reason::Format),
         Ok(Err(_)) => Err(retry::Reason::Cut),
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Ok(whole)) => match whole.to_bytes() {
+            empty if empty.is_empty() && is_cut_if_empty => Err(retry::Reason::Cut),
+            whole => Ok(whole),
+        },
     };
     let whole = whole.inspect_err(|_| {
         let now = context.clock.now();
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -174,6 +174,7 @@
     /// Forwards the stream of one upstream, in whole events.
     async fn forward_attempt(&mut self, progress: &Progress, answered: UpstreamAnswer) -> End {
         let upstream = answered.choice.upstream.id.clone();
+        let is_cut_if_empty = answered.is_cut_if_empty();
         let (mut body, connection, idle_limit, in_flight) = answered.into_stream();
         let gap = Duration::from_millis(self.routed.route.max_event_gap_ms);
         let stall_time = MIN_STALL_TIME.max(gap * STALL_GAPS);
@@ -197,7 +198,9 @@
             check_after = stall_time;
             let now = self.context.clock.now();
             let bytes = match frame {
-                None if !self.splitter.is_inside_event() => {
+                None if !self.splitter.is_inside_event()
+                    && !(is_cut_if_empty && self.splitter.last().is_none()) =>
+                {
                     self.gateway.dispatcher().record_success(&in_flight.handle);
                     if let Some(idle) = idle_limit {
                         tokio::spawn(connection.release(idle));
