--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -198,9 +198,7 @@
             check_after = stall_time;
             let now = self.context.clock.now();
             let bytes = match frame {
-                None if !self.splitter.is_inside_event()
-                    && !(is_cut_if_empty && self.splitter.last().is_none()) =>
-                {
+                None if !self.looks_cut(is_cut_if_empty) => {
                     self.gateway.dispatcher().record_success(&in_flight.handle);
                     if let Some(idle) = idle_limit {
                         tokio::spawn(connection.release(idle));
@@ -231,6 +229,12 @@
         }
     }
 
+    /// Returns whether a body that ends now was broken off.
+    fn looks_cut(&self, is_cut_if_empty: bool) -> bool {
+        let is_empty = self.splitter.last().is_none();
+        self.splitter.is_inside_event() || is_cut_if_empty && is_empty
+    }
+
     /// Sends bytes to the caller; returns whether that succeeded before the deadline.
     async fn send(&self, bytes: Bytes) -> bool {
         tokio::select! {
