--- a/crates/coordination/src/load_time.rs
+++ b/crates/coordination/src/load_time.rs
@@ -32,10 +32,13 @@
 /// The times of the last loads, and of the waits before them, by service.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTimes {
-    by_service: BTreeMap<String, VecDeque<u64>>,
+    /// Times from an order until the load was seen to have ended, in milliseconds.
+    loads: BTreeMap<String, VecDeque<u64>>,
+    /// Times from the end of new work until an engine was ready for its order, in milliseconds.
     waits: BTreeMap<String, VecDeque<u64>>,
 }
 
+/// Adds a time to those of a service, and drops the oldest one.
 fn push(times: &mut BTreeMap<String, VecDeque<u64>>, service: String, ms: u64) {
     let times = times.entry(service).or_default();
     times.push_back(ms);
@@ -54,7 +57,7 @@
 impl LoadTimes {
     /// Records that a load was seen to have ended `took_ms` after its order.
     pub fn record(&mut self, service: impl Into<String>, took_ms: u64) {
-        push(&mut self.by_service, service.into(), took_ms);
+        push(&mut self.loads, service.into(), took_ms);
     }
 
     /// Records that an engine was ready for its order `waited_ms` after it was taken off new work.
@@ -67,7 +70,7 @@
     /// more than load.
     pub fn waiting_engines(&self, service: &str, loading: usize) -> usize {
         let wait_ms = quantile(self.waits.get(service), 2);
-        let load_ms = quantile(self.by_service.get(service), 2);
+        let load_ms = quantile(self.loads.get(service), 2);
         let Some((wait_ms, load_ms)) = wait_ms.zip(load_ms) else {
             return loading;
         };
@@ -79,7 +82,7 @@
     /// lower quartile of the last loads decides, so that neither a few slow engines nor one that
     /// claims to be done at once move it far.
     pub fn first_read_ms(&self, service: &str) -> u64 {
-        let quartile = quantile(self.by_service.get(service), 1);
+        let quartile = quantile(self.loads.get(service), 1);
         let expected_ms = quartile.map_or(PRIOR_MS, |ms| ms * FIRST_READ_PERCENT / 100);
         let (least, most) = FIRST_READ_RANGE_MS;
         expected_ms.clamp(least, most)
