review: have the steward of case 1 lose its disk relative to its start

Cause: beside a busy machine the second loss came before the process was up, and a version behind a space was not read back in the calm run.

Done: the script waits until the steward takes connections, and has the disk lost twice more; the parser skips spaces.

--- a/review/stand_ins/steward_disks.rs
+++ b/review/stand_ins/steward_disks.rs
@@ -1,6 +1,7 @@
 //! Cases about stewards that lose their disks.
 
 use std::io;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -24,12 +25,16 @@
 const RECOVER: Duration = Duration::from_secs(12);
 /// Time for which the operator reads back and callers ask after `recover_s`.
 const JUDGED: Duration = Duration::from_secs(12);
-/// Time from the second start of the steward to the second loss of its disk. The fleet takes about
-/// one second to replace the member that the first loss ended.
+/// Time from the moment at which the steward takes connections again to the next loss of its disk.
+/// The fleet takes about one second to replace the member that a loss ended.
 const AGAIN: Duration = Duration::from_millis(600);
+/// How often the disk is lost again.
+const TIMES: usize = 2;
+/// Longest time until a steward that was started takes connections.
+const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// Has one steward lose its disk twice, the second time as the final fault; then judges whether
-/// what was acknowledged is still there and whether callers are served.
+/// Has one steward lose its disk again and again, the last time as the final fault; then judges
+/// whether what was acknowledged is still there and whether callers are served.
 pub fn run(folder: PathBuf, record: &Record, trouble: bool) -> io::Result<bool> {
     let mut fleet = Fleet::new(folder, 3, 2)?;
     let mut entries = Vec::new();
@@ -63,8 +68,10 @@
     let newest = 2;
     if trouble {
         lose_disk(&mut fleet, record, 1)?;
-        thread::sleep(AGAIN);
-        lose_disk(&mut fleet, record, 1)?;
+        for _ in 0..TIMES {
+            thread::sleep(AGAIN);
+            lose_disk(&mut fleet, record, 1)?;
+        }
     }
     let (asked, served) = callers.counts();
     record.line(format!(
@@ -94,12 +101,22 @@
     thread::sleep(DOWN);
     fleet.start(number, false)?;
     record.line(format!("{name} starts with an empty disk"));
+    let control = fleet.machines[number].control();
+    let until = Instant::now() + START_LIMIT;
+    while TcpStream::connect(control).is_err() {
+        if Instant::now() > until {
+            return Err(io::Error::other("a steward does not start"));
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    record.line(format!("{name} takes connections"));
     Ok(())
 }
 
 fn version_of(text: &str) -> Option<u64> {
     let (_, rest) = text.split_once("\"version\":")?;
-    let digits = rest.chars().take_while(char::is_ascii_digit);
+    let digits = rest.trim_start().chars();
+    let digits = digits.take_while(char::is_ascii_digit);
     digits.collect::<String>().parse().ok()
 }
 
