--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.."
 # The stand-ins and the daemons that they start form one process group, which ends with this script.
 set -m
-target/review/stand_ins isolation review/3 &
+target/review/stand_ins planned-stop review/3 &
 group=$!
 trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
 trap 'exit 2' INT TERM
--- a/review/stand_ins/isolation.rs
+++ b/review/stand_ins/isolation.rs
@@ -18,7 +18,7 @@
 /// Has `t1` send prompts, isolates it, and has `t2` send prompts with the same shared parts.
 ///
 /// Without trouble `t1` is isolated from the start.
-pub fn run(folder: PathBuf, record: &Record, trouble: bool) -> io::Result<bool> {
+pub fn isolation_change(folder: PathBuf, record: &Record, trouble: bool) -> io::Result<bool> {
     let mut fleet = Fleet::new(folder, 3, 2)?;
     let mut engines = Vec::new();
     let mut entries = Vec::new();
--- a/review/stand_ins/planned_stop.rs
+++ b/review/stand_ins/planned_stop.rs
@@ -35,7 +35,7 @@
 }
 
 /// Stops a gateway with SIGTERM and judges the requests that it took afterwards.
-pub fn run(folder: PathBuf, record: &Record, trouble: bool) -> io::Result<bool> {
+pub fn planned_stop(folder: PathBuf, record: &Record, trouble: bool) -> io::Result<bool> {
     let mut fleet = Fleet::new(folder, 3, 2)?;
     let mut entries = Vec::new();
     for number in 0..3 {
