Remove a voter whose disk is lost before its successor is added

Cause: the member that a lost disk ended stayed a voter until its successor voted. While both counted, the group had four voters, and a second loss left two of them dead for good. A learner that was lost before its first answer was asked to vote again and again, and nothing else was done meanwhile.

Done: `coordination::voters::changes` decides the repair, and the simulation of the log uses it too. A member whose host has another data folder is removed first; the voters that are left need as many of themselves as before. Learners are promoted only while their host has their folder, one on a dead host is removed, and one that lags holds up no other change. The changes follow each other within 50 ms instead of half a second, and all hosts are asked at once. A voter whose host may come back with its disk is still replaced before it is removed.

--- a/crates/coordination/src/voters.rs
+++ b/crates/coordination/src/voters.rs
@@ -1,19 +1,83 @@
-//! Replacement of voters whose hosts are unreachable, dead or draining, one at a time.
+//! Replacement of voters whose disks are lost, or whose hosts are unreachable, dead or draining,
+//! one at a time.
 //!
-//! The new voter is added and votes before the one that it replaces is removed, so that the group
-//! never has fewer healthy voters than before the change. A voter stays a member until then. It is
-//! already replaced while its host is only suspected, because another host may be lost before the
-//! failure detector declares the first one dead.
+//! A voter whose disk is lost never votes again, so it is removed first: the voters that are left
+//! need as many of themselves as before for a majority, and its successor may be lost in turn at
+//! any moment without harm.
+//!
+//! A voter whose host is unreachable may come back with its disk. The new voter is added and votes
+//! before the one that it replaces is removed, so that the group never has fewer healthy voters
+//! than before the change. A voter stays a member until then. It is already replaced while its host
+//! is only suspected, because another host may be lost before the failure detector declares the
+//! first one dead.
 
 use std::net::SocketAddr;
 
 use crate::host::Role;
 use crate::host::Standing;
+use crate::quorum::Change;
 use crate::quorum::Config;
 use crate::quorum::Member;
 use crate::quorum::MemberId;
 use crate::view::View;
 
+/// The data folder that a host has at present.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostFolder {
+    /// Address of the host's voter.
+    pub address: SocketAddr,
+    /// Id of the folder.
+    pub identity: MemberId,
+    /// Name of the host.
+    pub name: String,
+}
+
+/// Returns the changes that bring the members closer to the folders that hosts have, the most
+/// urgent first. `removable` is a member that [`removable_voter`] found.
+///
+/// A learner is promoted only if its host still has its folder.
+pub fn changes(
+    config: &Config,
+    folders: &[HostFolder],
+    removable: Option<MemberId>,
+) -> Vec<Change> {
+    let members = &config.members;
+    let is_lost = |(id, member): &(&MemberId, &Member)| {
+        let mut folders = folders.iter();
+        folders.any(|folder| folder.name == member.name && folder.identity != **id)
+    };
+    let lost = members.iter().filter(is_lost);
+    let mut changes: Vec<Change> = lost.map(|(id, _)| Change::Remove(*id)).collect();
+    let learns = |folder: &&HostFolder| {
+        let member = members.get(&folder.identity);
+        member.is_some_and(|member| !member.votes)
+    };
+    let learners = folders.iter().filter(learns);
+    changes.extend(learners.map(|folder| Change::Promote(folder.identity)));
+    changes.extend(removable.map(Change::Remove));
+    let is_new = |folder: &&HostFolder| !members.contains_key(&folder.identity);
+    changes.extend(folders.iter().filter(is_new).map(|folder| {
+        let member = Member {
+            address: folder.address,
+            name: folder.name.clone(),
+            votes: false,
+        };
+        Change::Add(folder.identity, member)
+    }));
+    changes
+}
+
+/// Returns a learner that can be removed: its host is dead or unknown.
+pub fn removable_learner(config: &Config, view: &View) -> Option<MemberId> {
+    let is_gone = |member: &Member| {
+        let host = view.get(&member.name).map(|host| &host.record);
+        host.is_none_or(|host| host.standing == Standing::Dead)
+    };
+    let mut members = config.members.iter();
+    let gone = members.find(|(_, member)| !member.votes && is_gone(member));
+    gone.map(|(id, _)| *id)
+}
+
 /// Returns a member that can be removed: more than `target` members vote, and its host is not
 /// healthy. The member on the own host is never removed.
 pub fn removable_voter(config: &Config, view: &View, target: usize) -> Option<MemberId> {
--- a/crates/coordination/tests/raft_sim/mod.rs
+++ b/crates/coordination/tests/raft_sim/mod.rs
@@ -17,7 +17,6 @@
 use rand_chacha::ChaCha8Rng;
 
 use coordination::lease::MAX_CLOCK_DRIFT_PERMILLE;
-use coordination::quorum::Change;
 use coordination::quorum::Member;
 use coordination::quorum::MemberId;
 use coordination::raft::Effect;
@@ -34,6 +33,8 @@
 use coordination::state_machine::Answer;
 use coordination::state_machine::Command;
 use coordination::state_machine::StateMachine;
+use coordination::voters;
+use coordination::voters::HostFolder;
 use state::time::Instant;
 
 const RESEND_INTERVAL_MS: u64 = 100;
@@ -382,8 +383,7 @@
         }
     }
 
-    /// Makes one membership change as an operator would: adds new hosts as learners, promotes them,
-    /// then removes the members whose disks are lost.
+    /// Makes the first membership change that the leader accepts, as the upkeep of voters does.
     fn repair_membership(&mut self) {
         let Some(leader) = self.leader() else {
             return;
@@ -391,24 +391,24 @@
         let Some(raft) = self.hosts[leader].raft.as_ref() else {
             return;
         };
-        let members = &raft.config().members;
-        let mut changes = Vec::new();
-        for (host, known) in self.hosts.iter().enumerate() {
-            match members.get(&known.disk.identity) {
-                None => changes.push(Change::Add(known.disk.identity, member(host))),
-                Some(member) if !member.votes => {
-                    changes.push(Change::Promote(known.disk.identity));
-                }
-                Some(_) => {}
+        let running = self.hosts.iter().enumerate();
+        let running = running.filter(|(_, host)| host.raft.is_some());
+        let folders = running.map(|(number, host)| {
+            let Member { address, name, .. } = member(number);
+            HostFolder {
+                address,
+                identity: host.disk.identity,
+                name,
             }
-        }
-        if changes.is_empty() {
-            let own = |id: &MemberId| self.hosts.iter().any(|host| host.disk.identity == *id);
-            let removed = members.keys().find(|id| !own(id));
-            changes.extend(removed.map(|id| Change::Remove(*id)));
-        }
-        if let Some(change) = changes.into_iter().next() {
+        });
+        let folders: Vec<HostFolder> = folders.collect();
+        let config = raft.config().clone();
+        for change in voters::changes(&config, &folders, None) {
             self.step(leader, Event::Change(Token(0), change));
+            let raft = self.hosts[leader].raft.as_ref();
+            if raft.is_none_or(|raft| *raft.config() != config) {
+                return;
+            }
         }
     }
 
--- a/crates/hibiscushoistd/src/voter_upkeep.rs
+++ b/crates/hibiscushoistd/src/voter_upkeep.rs
@@ -1,4 +1,5 @@
-//! Forms the group of voters, promotes learners and replaces voters that lost their disk.
+//! Forms the group of voters, promotes learners and replaces voters that lost their disk; see
+//! [`coordination::voters`].
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,10 +16,11 @@
 use crate::voter_call::Status;
 use coordination::quorum::Change;
 use coordination::quorum::Member;
-use coordination::quorum::MemberId;
 use coordination::view::View;
 use coordination::voters;
+use coordination::voters::HostFolder;
 use protocol::voter::DataFolder;
+use protocol::voter::Rejection;
 use transport::channel;
 use transport::event;
 use transport::event::Event;
@@ -26,6 +28,9 @@
 const ASK_LIMIT: Duration = Duration::from_millis(1_000);
 const CHANGE_LIMIT: Duration = Duration::from_secs(5);
 const PERIOD: Duration = Duration::from_millis(500);
+/// Pause between two changes, and between two attempts to promote a learner. The repair of a voter
+/// takes three changes, and another host may be lost soon.
+const REPAIR_PERIOD: Duration = Duration::from_millis(50);
 
 /// Collects what the upkeep needs.
 pub struct Upkeep {
@@ -52,24 +57,40 @@
 impl Upkeep {
     /// Keeps the group up for ever.
     pub async fn run(self) {
+        let mut pause = PERIOD;
         loop {
-            tokio::time::sleep(PERIOD).await;
+            tokio::time::sleep(pause).await;
+            pause = PERIOD;
             let status = self.status.borrow().clone();
             if !status.works {
                 continue;
             }
             if status.config.members.is_empty() {
                 self.found().await;
-            } else if status.leads
-                && let Some(change) = self.next(&status).await
-            {
-                let (reply, replied) = oneshot::channel();
-                let _ = self.calls.send(Call::Change(change, reply));
-                let _ = tokio::time::timeout(CHANGE_LIMIT, replied).await;
+            } else if status.leads {
+                let has_learner = status.config.members.values().any(|m| !m.votes);
+                if self.repair(&status).await || has_learner {
+                    pause = REPAIR_PERIOD;
+                }
             }
         }
     }
 
+    /// Makes the first change that the group accepts, and returns whether there was one.
+    async fn repair(&self, status: &Status) -> bool {
+        for change in self.changes(status).await {
+            let (reply, replied) = oneshot::channel();
+            let _ = self.calls.send(Call::Change(change, reply));
+            match tokio::time::timeout(CHANGE_LIMIT, replied).await {
+                Ok(Ok(Ok(()))) => return true,
+                // Another change may be possible, such as when a learner is behind.
+                Ok(Ok(Err(Rejection::Change))) => {}
+                Err(_) | Ok(Err(_) | Ok(Err(_))) => return false,
+            }
+        }
+        false
+    }
+
     /// Founds the group from the first listed voter, once all of them answer with an empty folder.
     async fn found(&self) {
         let first = self.voters.first().filter(|first| first.name == self.name);
@@ -89,16 +110,12 @@
         }));
     }
 
-    /// Returns the next change that brings the members closer to the folders that hosts have.
-    async fn next(&self, status: &Status) -> Option<Change> {
+    /// Returns the changes that bring the members closer to the folders that hosts have.
+    async fn changes(&self, status: &Status) -> Vec<Change> {
         let members = &status.config.members;
-        if let Some((id, _)) = members.iter().find(|(_, member)| !member.votes) {
-            return Some(Change::Promote(*id));
-        }
         let view = self.view.borrow().clone();
-        if let Some(gone) = voters::removable_voter(&status.config, &view, self.target) {
-            return Some(Change::Remove(gone));
-        }
+        let removable = voters::removable_voter(&status.config, &view, self.target)
+            .or_else(|| voters::removable_learner(&status.config, &view));
         let mut hosts: BTreeMap<String, SocketAddr> = members
             .values()
             .map(|member| (member.name.clone(), member.address))
@@ -112,41 +129,40 @@
             &view,
             self.target,
         ));
-        for (name, address) in hosts.into_iter().filter(|(name, _)| *name != self.name) {
-            let folder = self.folder(address).await.filter(|f| f.name == name);
-            let change = folder.and_then(|folder| self.fitting(status, &folder, address));
-            if change.is_some() {
-                return change;
-            }
-        }
-        None
+        hosts.remove(&self.name);
+        let folders = hosts.into_iter().map(|(name, address)| async move {
+            let folder = self.folder(address).await?;
+            self.fitting(status, name, address, &folder)
+        });
+        let folders = futures::future::join_all(folders).await;
+        let folders: Vec<HostFolder> = folders.into_iter().flatten().collect();
+        voters::changes(&status.config, &folders, removable)
     }
 
-    fn fitting(&self, status: &Status, folder: &DataFolder, address: SocketAddr) -> Option<Change> {
-        let members = &status.config.members;
+    /// Returns the folder of a host, unless it belongs to another host or another group.
+    fn fitting(
+        &self,
+        status: &Status,
+        name: String,
+        address: SocketAddr,
+        folder: &DataFolder,
+    ) -> Option<HostFolder> {
+        if folder.name != name {
+            return None;
+        }
         if folder
             .group
             .is_some_and(|group| group != status.config.group)
         {
-            let details = slog::o!("host" => folder.name.clone());
+            let details = slog::o!("host" => name);
             event::emit(&self.log, Event::VoterForeign, details);
             return None;
         }
-        if !members.contains_key(&folder.identity) {
-            let name = folder.name.clone();
-            let votes = false;
-            let member = Member {
-                address,
-                name,
-                votes,
-            };
-            return Some(Change::Add(folder.identity, member));
-        }
-        let lost = |(id, member): &(&MemberId, &Member)| {
-            member.name == folder.name && **id != folder.identity
-        };
-        let lost = members.iter().find(lost);
-        lost.map(|(id, _)| Change::Remove(*id))
+        Some(HostFolder {
+            address,
+            identity: folder.identity,
+            name,
+        })
     }
 
     async fn folder(&self, address: SocketAddr) -> Option<DataFolder> {
