Refuse orders and reads that could outlast a stopping host

Cause: the gateway asked only for streams whether a request could outlast the drain. The same fault had been mended for streams alone.

--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -35,7 +35,6 @@
 use platform::caller::RequestHead;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
-use state::routing::Kind;
 use state::routing::Route;
 use state::routing::Target;
 use state::routing::Workspace;
@@ -48,7 +47,7 @@
 /// `Retry-After` of a request that came after this host lost the leader, or whose route has no
 /// service, in milliseconds: time to try another host, and for a newer table to arrive.
 const NO_ROUTING_RETRY_AFTER_MS: u64 = 500;
-/// `Retry-After` of a stream that could outlast a draining host, in milliseconds: time to ask for
+/// `Retry-After` of a request that could outlast a draining host, in milliseconds: time to ask for
 /// the addresses of the other hosts.
 const DRAINING_RETRY_AFTER_MS: u64 = 100;
 /// Units of the retry budget per retry.
@@ -250,7 +249,7 @@
         .deadline_ms
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
-    if route.kind == Kind::Stream && !context.takes(time_limit_ms) {
+    if !context.takes(time_limit_ms) {
         return Err(retryable_failure(Reason::Draining, DRAINING_RETRY_AFTER_MS));
     }
     let deadline = arrived + time_limit_ms;
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -281,6 +281,41 @@
     assert_eq!(outcome, drain::Outcome::Clean);
 }
 
+/// Guards against orders and reads that a stopping host passes on and then cuts off without an
+/// answer, because they may take longer than its process lives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_host_refuses_orders_and_reads_that_could_outlast_it() {
+    let mut setup = Setup::with_lifetime("desk", "address_lifetime_ms = 600000\n").await;
+    setup.apply_table().await;
+    let mut daemon = setup.daemon.take().unwrap();
+    let send = async |path: &str, deadline: &'static str| {
+        let mut request = setup.request(path, "k1");
+        let headers = request.headers_mut();
+        headers.insert("x-deadline-ms", HeaderValue::from_static(deadline));
+        setup.call(request).await
+    };
+    let paths = ["/long-order/x", "/long-read/x"];
+    for path in paths {
+        assert_eq!(send(path, "3600000").await.status, 200);
+    }
+    let (force, force_requested) = oneshot::channel();
+    let drained =
+        tokio::spawn(async move { daemon.drain(async { drop(force_requested.await) }).await });
+    for path in paths {
+        setup
+            .wait_until(async || send(path, "3600000").await.status == 503)
+            .await;
+        let arrivals = setup.arrivals(path);
+        let refused = send(path, "3600000").await;
+        assert_eq!(refused.status, 503);
+        assert!(refused.headers.contains_key("retry-after"));
+        assert_eq!(setup.arrivals(path), arrivals, "it was passed on");
+        assert_eq!(send(path, "8000").await.status, 200);
+    }
+    force.send(()).unwrap();
+    assert_eq!(drained.await.unwrap(), drain::Outcome::Forced);
+}
+
 /// Long streams that begin during a drain would keep the host from ending, or be cut off.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_host_refuses_streams_that_could_outlast_it() {
--- a/crates/hibiscushoistd/tests/routed_upstream/setup.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/setup.rs
@@ -134,6 +134,8 @@
             route("/once/", "streaming", 1, "engines"),
             unresumable,
             timed_route("/endless/", "streaming", 1, "engines", 3_600_000),
+            timed_route("/long-order/", "non_idempotent", 1, "desk", 3_600_000),
+            timed_route("/long-read/", "idempotent", 2, "desk", 3_600_000),
         ],
         "services": [
             {"name": "desk", "health_path": "/health", "max_conns": 10},
