Leave the parts of a workspace behind when it becomes isolated

Cause: the salt of shared parts was the weights version alone. Isolation moved the workspace to another salt and left its parts under the old one. A request also kept the isolation that its workspace had when it was accepted, and the directory of prefixes found such parts for a fetch.

Done: requests have a cache scope, part of the salt and of the directory's key. An isolated workspace has its own; all others share one that names the set of isolated workspaces, so only workspaces outside the set ever wrote there. It follows from the newest table alone and is looked up for each attempt.

--- a/crates/coordination/src/demand.rs
+++ b/crates/coordination/src/demand.rs
@@ -44,8 +44,8 @@
     pub stores: Vec<SocketAddr>,
     /// IDs of the upstreams that have failed this request.
     pub tried: Vec<String>,
-    /// Workspace of the request, if no other workspace may use its cached prefixes.
-    pub isolated_workspace: Option<String>,
+    /// ID of the scope in which requests share cached prefixes, if those are not all requests.
+    pub cache_scope: Option<String>,
 }
 
 impl Demand {
@@ -55,12 +55,12 @@
         Some(PrefixKey { prefix_id, weights })
     }
 
-    /// Returns the ID of the shared prefix, with the isolated workspace appended if there is one.
+    /// Returns the ID of the shared prefix, with its scope appended unless all workspaces share it.
     fn cache_id(&self) -> Option<String> {
         let (prefix_id, _) = self.shared_prefix.as_ref()?;
-        Some(match &self.isolated_workspace {
+        Some(match &self.cache_scope {
             None => prefix_id.clone(),
-            Some(workspace) => format!("{prefix_id}@{workspace}"),
+            Some(scope) => format!("{prefix_id}@{scope}"),
         })
     }
 }
--- a/crates/coordination/src/prefix_index.rs
+++ b/crates/coordination/src/prefix_index.rs
@@ -32,7 +32,7 @@
 /// workspace where that is isolated.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PrefixKey {
-    /// ID of the last part of the prefix, with the isolated workspace that it belongs to, if any.
+    /// ID of the last part of the prefix, with the scope of the workspaces that share it, if those are not all.
     pub prefix_id: String,
     /// Version of the weights that computed it.
     pub weights: u64,
--- a/crates/coordination/tests/dispatch.rs
+++ b/crates/coordination/tests/dispatch.rs
@@ -481,7 +481,7 @@
     let second = host.choose(Instant(1_000), &fleet, &long("p")).unwrap();
     assert_eq!(second.save_to, None);
     let isolated = Demand {
-        isolated_workspace: Some("w".to_owned()),
+        cache_scope: Some("-w".to_owned()),
         ..long("p")
     };
     let other = host.choose(Instant(1_000), &fleet, &isolated).unwrap();
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -159,10 +159,8 @@
     choice: &Choice,
 ) -> Attempt {
     let started_at = context.clock.now();
-    let headers = caller::request_headers(
-        &routed.headers,
-        &upstream_headers(routed, choice, demand.left_ms),
-    );
+    let headers =
+        caller::request_headers(&routed.headers, &upstream_headers(routed, choice, demand));
     let Some(request) = upstream_request(routed, headers) else {
         return Attempt::Rejected;
     };
@@ -345,20 +343,17 @@
 }
 
 /// Returns the values of the headers that this host sets on the request to the upstream.
-fn upstream_headers(routed: &RoutedRequest, choice: &Choice, left_ms: u64) -> ForwardedHeaders {
+fn upstream_headers(routed: &RoutedRequest, choice: &Choice, demand: &Demand) -> ForwardedHeaders {
     let workspace = routed.workspace.as_ref();
-    let salt = choice.weights.map(|version| {
-        let isolated = workspace.filter(|workspace| workspace.isolated);
-        match isolated {
-            None => format!("w{version}"),
-            Some(workspace) => format!("w{version}-{}", workspace.name),
-        }
+    let salt = choice.weights.map(|version| match &demand.cache_scope {
+        None => format!("w{version}"),
+        Some(scope) => format!("w{version}{scope}"),
     });
     ForwardedHeaders {
         expect_upstream: choice.upstream.id.clone(),
         expect_weights: choice.weights,
         fetch_from: choice.fetch_from,
-        left_ms,
+        left_ms: demand.left_ms,
         rank: choice.rank,
         resume_after: routed.resume_after,
         salt,
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -243,11 +243,7 @@
         short_prefix,
         stores: stores(&snapshot),
         tried: progress.tried.clone(),
-        isolated_workspace: routed
-            .workspace
-            .as_ref()
-            .filter(|workspace| workspace.isolated)
-            .map(|workspace| workspace.name.clone()),
+        cache_scope: snapshot.index.cache_scope(routed.workspace.as_ref()),
     }
 }
 
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -238,6 +238,42 @@
     assert_eq!(setup.send("/read/x", "k5").await.status, 200);
 }
 
+/// Guards against prompts that go on from parts of a workspace that has become isolated.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_salt_of_shared_parts_changes_when_a_workspace_becomes_isolated() {
+    let setup = Setup::start("engines").await;
+    let table = |version: u64, isolated: bool| {
+        let mut table = configuration(version, "k1");
+        table["tenants"] = json!([
+            {"name": "w1", "api_keys": ["k1"], "isolated": isolated},
+            {"name": "w2", "api_keys": ["k2"], "isolated": false},
+        ]);
+        table
+    };
+    let salt = async |key: &str| {
+        for upstream in [&setup.first, &setup.second] {
+            upstream.clear();
+        }
+        assert_eq!(setup.send("/stream/x", key).await.status, 200);
+        let received = setup.first.received().into_iter();
+        let mut received = received.chain(setup.second.received());
+        let received = received.next().expect("an engine got the request");
+        received.headers["x-cache-salt"]
+            .to_str()
+            .unwrap()
+            .to_owned()
+    };
+    assert_eq!(setup.replace(&table(1, false)).await.status, 200);
+    setup.wait_until_ready().await;
+    let shared = salt("k1").await;
+    assert_eq!(salt("k2").await, shared);
+    assert_eq!(setup.replace(&table(2, true)).await.status, 200);
+    setup.wait_until(async || salt("k1").await != shared).await;
+    let (isolated, others) = (salt("k1").await, salt("k2").await);
+    assert_ne!(others, shared, "w2 goes on from parts of w1");
+    assert_ne!(others, isolated);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_reload_to_the_newest_weights_version() {
     let setup = Setup::start_ready("engines").await;
--- a/crates/state/src/routing_index.rs
+++ b/crates/state/src/routing_index.rs
@@ -1,5 +1,6 @@
 //! Lookup of the route of a request and of the workspace of a key in a routed table.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -8,12 +9,16 @@
 use crate::routing::Table;
 use crate::routing::Workspace;
 
+/// Bytes of the hash of the isolated workspaces that make up the ID of the shared scope.
+const SCOPE_ID_BYTES: usize = 8;
+
 /// A routed table with hash maps for lookup.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingIndex {
     keys: HashMap<[u8; 32], usize>,
     routes: HashMap<String, Vec<usize>>,
     services: HashMap<String, usize>,
+    shared_scope: Option<String>,
     table: Arc<Table>,
 }
 
@@ -36,6 +41,7 @@
             keys: keys.collect(),
             routes,
             services: services.collect(),
+            shared_scope: shared_scope(&table),
             table: table.clone(),
         }
     }
@@ -51,6 +57,24 @@
         routes.find(|route| path.as_ref().starts_with(&route.prefix))
     }
 
+    /// Returns the ID of the scope in which requests of `workspace` share cached parts of prompts,
+    /// or `None` if all requests share them.
+    ///
+    /// An isolated workspace has a scope of its own. The others share one that belongs to the set
+    /// of isolated workspaces, so that it holds nothing that one of those left before it was
+    /// isolated.
+    pub fn cache_scope(&self, workspace: Option<&Workspace>) -> Option<String> {
+        let isolated = workspace.filter(|workspace| {
+            let mut listed = self.table.workspaces.iter();
+            let listed = listed.find(|listed| listed.name == workspace.name);
+            listed.unwrap_or(workspace).isolated
+        });
+        match isolated {
+            None => self.shared_scope.clone(),
+            Some(workspace) => Some(format!("-{}", workspace.name)),
+        }
+    }
+
     /// Returns the service of that name.
     pub fn service(&self, name: impl AsRef<str>) -> Option<&Service> {
         let index = self.services.get(name.as_ref())?;
@@ -69,3 +93,21 @@
         Some(&self.table.workspaces[*index])
     }
 }
+
+/// Returns the ID of the scope of the workspaces that are not isolated, if any workspace is.
+fn shared_scope(table: &Table) -> Option<String> {
+    let isolated = table.workspaces.iter().filter(|w| w.isolated);
+    let isolated: BTreeSet<&str> = isolated.map(|w| w.name.as_str()).collect();
+    if isolated.is_empty() {
+        return None;
+    }
+    let mut hasher = blake3::Hasher::new();
+    for name in isolated {
+        hasher.update(&(name.len() as u64).to_le_bytes());
+        hasher.update(name.as_bytes());
+    }
+    let hash = hasher.finalize();
+    let bytes = hash.as_bytes()[..SCOPE_ID_BYTES].iter();
+    let id: String = bytes.map(|byte| format!("{byte:02x}")).collect();
+    Some(format!("+{id}"))
+}
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -42,6 +42,42 @@
     }
 }
 
+/// Returns the scopes in which `w1` and `w2` share cached parts, if these workspaces are isolated.
+fn scopes(isolated: &[&str]) -> [Option<String>; 2] {
+    let mut table = table(1);
+    for workspace in &mut table.workspaces {
+        workspace.isolated = isolated.contains(&workspace.name.as_str());
+    }
+    let index = RoutingIndex::new(Arc::new(table));
+    ["k1", "k2"].map(|key| index.cache_scope(index.workspace(key)))
+}
+
+/// Guards against parts that a workspace left in the engines' memory before it became isolated, and
+/// that others go on using.
+#[test]
+fn a_workspace_that_becomes_isolated_takes_its_earlier_parts_along() {
+    assert_eq!(scopes(&[]), [None, None]);
+    let [first, second] = scopes(&["w1"]);
+    assert_eq!(first.as_deref(), Some("-w1"));
+    assert!(second.is_some(), "the scope is the one before the change");
+    assert_ne!(first, second);
+    let [other_first, other_second] = scopes(&["w2"]);
+    assert_ne!(other_first, second, "parts of w1 lie in its scope");
+    assert_eq!(other_second.as_deref(), Some("-w2"));
+    assert_eq!(scopes(&["w1", "w2"]).map(Option::unwrap), ["-w1", "-w2"]);
+}
+
+/// Guards against a request that was accepted before its workspace became isolated and is sent to
+/// another engine afterwards.
+#[test]
+fn the_scope_of_a_request_follows_the_newest_table() {
+    let mut isolated = table(2);
+    isolated.workspaces[0].isolated = true;
+    let index = RoutingIndex::new(Arc::new(isolated));
+    let accepted = workspace("w1", "k1");
+    assert_eq!(index.cache_scope(Some(&accepted)).as_deref(), Some("-w1"));
+}
+
 fn table(version: u64) -> Table {
     Table {
         routes: vec![route("h.example", "/a/"), route("h.example", "/a/b/")],
