Quarantine whole requests that crash upstreams

Cause: evidence on crashes was gathered by parts of prompts, and nothing was recorded for a request without any. Besides, a crash went unnoticed if the process closed its listener a little later than its connections: the check connects at once, was accepted, and took the upstream for one that runs.

Done: a whole request is a suspect beside the shared parts of its prompt, under a digest of method, path, caller, parts and body, and goes the way of the parts to the leading host and back. Parts go first where crashes tell the same of both, and need no more crashes than before.

--- a/crates/coordination/src/part_evidence.rs
+++ b/crates/coordination/src/part_evidence.rs
@@ -1,4 +1,4 @@
-//! Exchange of evidence on prompt parts between each host and the leading host.
+//! Exchange of evidence on prompt parts and whole requests between each host and the leading host.
 //!
 //! A host sends its crashes and whole answers with its requests for routing updates, and obeys the
 //! quarantines in the answers. While no leader answers, it judges by its own evidence. A new leader
@@ -19,6 +19,7 @@
 use crate::part_quarantine::Success;
 use crate::part_quarantine::Suspect;
 use crate::part_quarantine::add_suspects;
+use crate::part_quarantine::is_request;
 use state::time::Instant;
 
 /// Time without an answer of the leader after which a host judges by its own evidence, in
@@ -187,8 +188,9 @@
         }
     }
 
-    /// Records that an engine crashed while prompts with these shared parts waited there for an
-    /// answer, or had just got its beginning.
+    /// Records that an upstream crashed while a request with these parts waited there for an
+    /// answer, or had just got its beginning. The last part is that of the request alone, or the ID
+    /// of the whole request; see [`request_id`](crate::part_quarantine::request_id).
     pub fn record_crash(
         &mut self,
         now: Instant,
@@ -196,7 +198,7 @@
         upstream: impl Into<String>,
         parts: impl IntoIterator<Item = impl Into<String>>,
     ) {
-        let suspects: Vec<Suspect> = shared_ids(parts)
+        let suspects: Vec<Suspect> = repeatable_ids(parts)
             .zip(0..)
             .map(|(part, depth)| Suspect { part, depth })
             .collect();
@@ -228,7 +230,7 @@
         }
     }
 
-    /// Records a whole answer to a prompt with these shared parts. Returns the parts whose
+    /// Records a whole answer to a request with these parts. Returns the parts whose
     /// quarantine it ends.
     pub fn record_success(
         &mut self,
@@ -236,7 +238,7 @@
         parts: impl IntoIterator<Item = impl Into<String>>,
     ) -> Vec<Change> {
         let mut changes = Vec::new();
-        for part in shared_ids(parts) {
+        for part in repeatable_ids(parts) {
             let success = Success { part, age_ms: 0 };
             changes.extend(self.quarantine.record_success(now, &success));
             self.successes.insert(success.part, now);
@@ -256,7 +258,7 @@
         self.quarantine.is_empty()
     }
 
-    /// Returns the part of a prompt that is quarantined longest, and for how many more
+    /// Returns the part of a request that is quarantined longest, and for how many more
     /// milliseconds, if one is.
     pub fn quarantined(
         &mut self,
@@ -266,7 +268,7 @@
         if self.quarantine.is_empty() {
             return None;
         }
-        let left = shared_ids(parts).filter_map(|part| {
+        let left = repeatable_ids(parts).filter_map(|part| {
             let left_ms = self.quarantine.left_ms(now, &part, self.extra_percent)?;
             Some((part, left_ms))
         });
@@ -369,12 +371,15 @@
     }
 }
 
-/// Returns the IDs of the parts that other prompts may share, which are all but the last.
-fn shared_ids(parts: impl IntoIterator<Item = impl Into<String>>) -> impl Iterator<Item = String> {
+/// Returns the IDs of what other requests may share: the parts without the last one, and the whole
+/// request if the last one is its ID.
+fn repeatable_ids(
+    parts: impl IntoIterator<Item = impl Into<String>>,
+) -> impl Iterator<Item = String> {
     let mut parts: Vec<String> = parts.into_iter().map(Into::into).collect();
-    parts.pop();
+    let request = parts.pop().filter(|last| is_request(last));
     parts.truncate(MAX_PARTS);
-    parts.into_iter().map(|mut part| {
+    parts.into_iter().chain(request).map(|mut part| {
         let end = part.floor_char_boundary(MAX_ID_BYTES.min(part.len()));
         part.truncate(end);
         part
--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -1,4 +1,7 @@
-//! Quarantine of prompt parts that crash engines.
+//! Quarantine of prompt parts and of whole requests that crash upstreams.
+//!
+//! A whole request counts as one more part of itself, which the same request shares when it comes
+//! again. What is said of parts holds for it too.
 //!
 //! A part may crash every engine that begins an answer to a prompt with it, whatever else the
 //! prompt holds. Hosts report which parts were at risk at an engine that crashed, and which parts
@@ -16,6 +19,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use state::ident::Digest;
 use state::time::Instant;
 
 /// Crashes without a whole answer in between after which a part is quarantined.
@@ -55,15 +59,17 @@
 const CRASHES_AFTER_CUT: usize = 32;
 /// Most suspects of one crash that are kept, those with the oldest whole answers.
 const MAX_SUSPECTS: usize = 128;
+/// Beginning of the ID of a whole request.
+const REQUEST_PREFIX: &str = "request:";
 /// Most quarantined parts that are kept.
 const MAX_QUARANTINED: usize = 256;
 /// Most suspected parts that hosts are told of, the most suspected first.
 const MAX_SUSPECTED: usize = 64;
 
-/// A part of a prompt whose answer was about to begin when an engine crashed.
+/// A part of a prompt whose answer was about to begin when an engine crashed, or a whole request.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Suspect {
-    /// ID of the part.
+    /// ID of the part or of the request.
     pub part: String,
     /// Number of parts before it in the prompt.
     pub depth: u32,
@@ -74,7 +80,7 @@
 pub struct Crash {
     /// ID of the upstream.
     pub upstream: String,
-    /// Parts of the host's requests there, without those that belong to one request alone.
+    /// Parts of the host's requests there that other requests may share, and the requests.
     pub suspects: Vec<Suspect>,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
@@ -464,24 +470,32 @@
         }
     }
 
-    /// Sets the crashes of rivals of the parts that had a whole answer.
+    /// Sets the crashes of rivals of the parts that had a whole answer. A whole request is a rival
+    /// of other requests alone: it was in each crash only because of its parts, or it has no more
+    /// crashes than they have and goes before them.
     fn count_rivals(&self, suspicions: &mut BTreeMap<&str, Suspicion<'_>>) {
         for crash in &self.crashes {
             if self.is_explained(crash) {
                 continue;
             }
             let parts = || crash.suspects.keys().map(String::as_str);
-            let unanswered = parts().filter(|part| !self.successes.contains_key(*part));
-            let crashes = unanswered.filter_map(|part| Some(suspicions.get(part)?.total));
-            let Some(most) = crashes.max() else {
-                continue;
-            };
+            let mut most = [0; 2];
+            for part in parts().filter(|part| !self.successes.contains_key(*part)) {
+                let total = suspicions.get(part).map_or(0, |suspicion| suspicion.total);
+                let of_kind = &mut most[usize::from(is_request(part))];
+                *of_kind = total.max(*of_kind);
+            }
+            let [of_parts, of_requests] = most;
             for part in parts().filter(|part| self.successes.contains_key(*part)) {
                 if self.has_succeeded_since(part, crash) {
                     continue;
                 }
                 if let Some(suspicion) = suspicions.get_mut(part) {
-                    suspicion.rival_crashes = suspicion.rival_crashes.max(most);
+                    let rivals = match is_request(part) {
+                        false => of_parts,
+                        true => of_parts.max(of_requests),
+                    };
+                    suspicion.rival_crashes = suspicion.rival_crashes.max(rivals);
                 }
             }
         }
@@ -500,14 +514,14 @@
     }
 
     /// Returns the order in which suspected parts are quarantined: most crashes, most of those that
-    /// the quarantine of another part accounts for, longest without a whole answer, shared by the
-    /// fewest prompts. After a wrong quarantine crashes go on without the quarantined part, and the
-    /// deadly one took part in both kinds.
+    /// the quarantine of another part accounts for, longest without a whole answer, a part rather
+    /// than a whole request, shared by the fewest prompts. After a wrong quarantine crashes go on
+    /// without the quarantined part, and the deadly one took part in both kinds.
     fn rank(
         &self,
         part: &str,
         suspicion: &Suspicion<'_>,
-    ) -> (u32, u32, Reverse<Option<Instant>>, u32) {
+    ) -> (u32, u32, Reverse<Option<Instant>>, bool, u32) {
         let succeeded = self.successes.get(part).copied();
         let Suspicion {
             crashes,
@@ -515,12 +529,24 @@
             depth,
             ..
         } = *suspicion;
-        (crashes, total, Reverse(succeeded), depth)
+        let is_part = !is_request(part);
+        (crashes, total, Reverse(succeeded), is_part, depth)
     }
 }
 
+/// Returns the ID of a whole request with the content of this digest.
+pub fn request_id(digest: Digest) -> String {
+    format!("{REQUEST_PREFIX}{digest}")
+}
+
+/// Returns whether an ID is that of a whole request.
+pub(crate) fn is_request(id: impl AsRef<str>) -> bool {
+    id.as_ref().starts_with(REQUEST_PREFIX)
+}
+
 /// Adds the suspects of one crash to those that are known, with the greatest depth of each, and
-/// returns whether that changed them.
+/// returns whether that changed them. If there are too many, whole requests are dropped first; most
+/// of those never come again.
 pub(crate) fn add_suspects(
     known: &mut BTreeMap<String, u32>,
     suspects: &[Suspect],
@@ -536,7 +562,10 @@
     }
     if known.len() > MAX_SUSPECTS {
         let mut parts: Vec<String> = known.keys().cloned().collect();
-        parts.sort_by_cached_key(|part| (successes.get(part).copied(), changed.contains(part)));
+        parts.sort_by_cached_key(|part| {
+            let succeeded = successes.get(part).copied();
+            (is_request(part), succeeded, changed.contains(part))
+        });
         for part in &parts[MAX_SUSPECTS..] {
             known.remove(part);
         }
--- a/crates/coordination/src/prefix_index.rs
+++ b/crates/coordination/src/prefix_index.rs
@@ -32,7 +32,8 @@
 /// workspace where that is isolated.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PrefixKey {
-    /// ID of the last part of the prefix, with the scope of the workspaces that share it, if those are not all.
+    /// ID of the last part of the prefix, with the scope in which it is shared, if that
+    /// is not all requests.
     pub prefix_id: String,
     /// Version of the weights that computed it.
     pub weights: u64,
--- a/crates/coordination/tests/part_quarantine.rs
+++ b/crates/coordination/tests/part_quarantine.rs
@@ -1,5 +1,8 @@
 //! Tests of the quarantine of prompt parts, and of the exchange of evidence between hosts.
 
+mod quarantine_fleet;
+
+use crate::quarantine_fleet::Fleet;
 use coordination::part_evidence::EvidenceCollector;
 use coordination::part_evidence::PartMonitor;
 use coordination::part_evidence::Verdict;
@@ -239,53 +242,6 @@
     assert!(size < 1 << 20, "{size} bytes");
 }
 
-/// Hosts of a test fleet, with the leading host that they report to.
-struct Fleet {
-    hosts: Vec<PartMonitor>,
-    leader: EvidenceCollector,
-    now: Instant,
-    term: u64,
-}
-
-impl Fleet {
-    fn new(hosts: u64) -> Self {
-        Self {
-            hosts: (0..hosts).map(|_| PartMonitor::new(0)).collect(),
-            leader: EvidenceCollector::default(),
-            now: Instant(10_000),
-            term: 1,
-        }
-    }
-
-    /// Lets every host poll the leader, ten times a second.
-    fn run(&mut self, millis: u64) -> Vec<Change> {
-        let mut changes = Vec::new();
-        for _ in 0..millis / 100 {
-            self.now = self.now + 100;
-            for (index, host) in self.hosts.iter_mut().enumerate() {
-                let evidence = host.take_evidence(self.now);
-                let name = format!("h{index}");
-                let (verdict, new) = self.leader.exchange(self.now, self.term, name, &evidence);
-                changes.extend(new);
-                host.adopt(self.now, verdict);
-            }
-        }
-        changes
-    }
-
-    fn crash(&mut self, host: usize, upstream: &str, parts: &[&str]) {
-        let parts = parts.iter().copied();
-        self.hosts[host].record_crash(self.now, format!("h{host}"), upstream, parts);
-    }
-
-    fn quarantined(&mut self, parts: &[&str]) -> Vec<bool> {
-        let now = self.now;
-        let is_quarantined =
-            |host: &mut PartMonitor| host.quarantined(now, parts.iter().copied()).is_some();
-        self.hosts.iter_mut().map(is_quarantined).collect()
-    }
-}
-
 const DEADLY: [&str; 3] = ["first", "deadly", "own"];
 const SOUND: [&str; 3] = ["first", "sound", "own"];
 
--- a/crates/hibiscushoistd/src/caller.rs
+++ b/crates/hibiscushoistd/src/caller.rs
@@ -112,7 +112,7 @@
         Reason::OutcomeUnknown => "the order may or may not have run; it will not be run again",
         Reason::Overloaded => "too much work is waiting; come back later",
         Reason::PartQuarantined => {
-            "a part of this prompt crashes engines and is quarantined; come back later"
+            "this request, or a part of it, crashes upstreams and is quarantined; come back later"
         }
         Reason::Quarantined => "this request crashed upstreams and is held back",
         Reason::QuorumAway => "the voters cannot agree at the moment; come back later",
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -35,6 +35,7 @@
 use platform::caller::RequestHead;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
+use state::ident::Digest;
 use state::routing::Route;
 use state::routing::Target;
 use state::routing::Workspace;
@@ -168,6 +169,9 @@
     pub body: Bytes,
     /// Time at which the answer is broken off.
     pub deadline: Instant,
+    /// Digest of all that makes another request the same one: method, path, caller, parts of the
+    /// prompt and body.
+    pub digest: Digest,
     /// Decoded headers.
     pub request_head: RequestHead,
     /// Headers as the caller sent them.
@@ -260,11 +264,22 @@
         .map_or(0, |entry| entry.body_limit);
     let body = request
         .read(limit, Duration::from_millis(time_limit_ms))
-        .await;
+        .await
+        .map_err(Failure::before_run)?;
+    let uri = request.uri.to_string();
+    let mut content = vec![
+        request.method.as_str().as_bytes(),
+        uri.as_bytes(),
+        workspace.as_ref().map_or(&[], |w| w.name.as_bytes()),
+        &body,
+    ];
+    content.extend(request_head.parts.iter().map(|part| part.id.as_bytes()));
+    let digest = Digest::of(&content);
     Ok(RoutedRequest {
         arrived,
-        body: body.map_err(Failure::before_run)?,
+        body,
         deadline,
+        digest,
         resume_after: request_head.resumed_after,
         request_head,
         headers: request.headers,
--- a/crates/hibiscushoistd/src/gateway_crash.rs
+++ b/crates/hibiscushoistd/src/gateway_crash.rs
@@ -1,7 +1,7 @@
-//! Detection of engines that crash under routed requests, and refusal of prompts with quarantined
-//! parts.
+//! Detection of upstreams that crash under routed requests, and refusal of requests that are
+//! quarantined or have a quarantined part.
 //!
-//! One broken answer proves no crash. An engine counts as crashed if it also refuses a new
+//! One broken answer proves no crash. An upstream counts as crashed if it also refuses a new
 //! connection, and no idle connection to it is open.
 
 use std::collections::HashMap;
@@ -23,6 +23,7 @@
 use crate::gateway::retryable_failure;
 use crate::gateway_attempt::connection_limits;
 use coordination::part_quarantine::Change;
+use coordination::part_quarantine::request_id;
 use coordination::upstream;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
@@ -32,8 +33,8 @@
 use transport::metric;
 use transport::reachability;
 
-/// Timeout of the connection that checks whether an engine still runs; a reachable host refuses
-/// within a round trip.
+/// Timeout of the connections that check whether an upstream still runs. A reachable host refuses
+/// within a round trip of the end of its process.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long the result of a check holds for other requests that break off at the same engine.
 const CHECK_LIFETIME: Duration = Duration::from_millis(300);
@@ -74,7 +75,8 @@
     }
 }
 
-/// The parts of a prompt that are at risk of being suspected if their engine crashes.
+/// The request and the parts of its prompt that are at risk of being suspected if their upstream
+/// crashes.
 #[derive(Clone, Debug)]
 pub struct Exposure {
     address: SocketAddr,
@@ -99,7 +101,7 @@
     /// Checks whether the engine crashed, after it broke off an answer that had been streaming for
     /// `streamed_ms`, and records the crash if so.
     pub async fn record_break(&self, context: &Context, gateway: &Gateway, streamed_ms: u64) {
-        if self.parts.len() < 2 || streamed_ms > SUSPECT_STREAM_MS || self.is_leaving(gateway) {
+        if streamed_ms > SUSPECT_STREAM_MS || self.is_leaving(gateway) {
             return;
         }
         let broken_at = context.clock.now();
@@ -127,9 +129,6 @@
 
     /// Records that the engine gave a whole answer.
     pub fn record_whole(&self, context: &Context, gateway: &Gateway) {
-        if self.parts.len() < 2 {
-            return;
-        }
         let now = context.clock.now();
         let changes = gateway
             .part_monitor()
@@ -146,7 +145,7 @@
     }
 }
 
-/// Checks whether a prompt has a quarantined part.
+/// Checks whether a request is quarantined or has a quarantined part.
 ///
 /// # Errors
 ///
@@ -215,8 +214,10 @@
     }
 }
 
-/// Returns the IDs of the parts of a prompt, in order.
+/// Returns the IDs of the shared parts of a prompt, in order, and then that of the whole request.
 fn part_ids(routed: &RoutedRequest) -> Vec<String> {
-    let parts = routed.request_head.parts.iter();
-    parts.map(|part| part.id.clone()).collect()
+    let parts = routed.request_head.parts.split_last();
+    let shared = parts.into_iter().flat_map(|(_, shared)| shared);
+    let shared = shared.map(|part| part.id.clone());
+    shared.chain([request_id(routed.digest)]).collect()
 }
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -115,7 +115,7 @@
                     streamed_ms: 0,
                     upstream: upstream.id,
                 };
-                detect_crash(context, gateway, &routed, &failed_attempt).await;
+                detect_crash(context, gateway, &routed, &failed_attempt);
                 record_failed_attempt(context, gateway, &routed, &mut progress, failed_attempt)?;
             }
         }
@@ -131,7 +131,7 @@
     progress: &mut Progress,
     failed_attempt: FailedAttempt,
 ) -> Option<UpstreamAnswer> {
-    detect_crash(context, gateway, routed, &failed_attempt).await;
+    detect_crash(context, gateway, routed, &failed_attempt);
     record_failed_attempt(context, gateway, routed, progress, failed_attempt).ok()?;
     let next = send_until_answered(context, gateway, routed, progress)
         .await
@@ -222,24 +222,27 @@
             streamed_ms: 0,
             upstream: choice.upstream.id,
         };
-        detect_crash(context, gateway, routed, &failed_attempt).await;
+        detect_crash(context, gateway, routed, &failed_attempt);
         record_failed_attempt(context, gateway, routed, progress, failed_attempt)?;
     }
 }
 
-/// Checks whether the upstream crashed, if an attempt ended with its connection.
-async fn detect_crash(
-    context: &Context,
-    gateway: &Gateway,
+/// Checks in the background whether the upstream crashed, if an attempt ended with its connection.
+/// The request goes on meanwhile.
+fn detect_crash(
+    context: &Arc<Context>,
+    gateway: &Arc<Gateway>,
     routed: &RoutedRequest,
     failed_attempt: &FailedAttempt,
 ) {
-    if failed_attempt.reason == retry::Reason::Cut {
-        let (upstream, address) = (&failed_attempt.upstream, failed_attempt.address);
-        Exposure::new(routed, upstream, address)
-            .record_break(context, gateway, failed_attempt.streamed_ms)
-            .await;
+    if failed_attempt.reason != retry::Reason::Cut {
+        return;
     }
+    let (upstream, address) = (&failed_attempt.upstream, failed_attempt.address);
+    let exposure = Exposure::new(routed, upstream, address);
+    let (context, gateway) = (context.clone(), gateway.clone());
+    let streamed_ms = failed_attempt.streamed_ms;
+    tokio::spawn(async move { exposure.record_break(&context, &gateway, streamed_ms).await });
 }
 
 /// Records and logs a failed attempt. Returns the failure for the caller if no other attempt is
--- a/crates/hibiscushoistd/tests/routed_upstream/mod.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/mod.rs
@@ -84,6 +84,7 @@
     crash: Arc<Notify>,
     crashes: u32,
     deadly_part: Option<String>,
+    deadly_path: Option<String>,
     has_unframed_crashes: bool,
     leaving: bool,
     mode: Mode,
@@ -101,8 +102,11 @@
         self.crash.notify_one();
     }
 
-    /// Returns whether a prompt has the deadly part.
-    fn is_deadly(&self, parts: &str) -> bool {
+    /// Returns whether a request has the deadly path or the deadly part.
+    fn is_deadly(&self, path: &str, parts: &str) -> bool {
+        if self.deadly_path.as_deref() == Some(path) {
+            return true;
+        }
         let Some(deadly) = &self.deadly_part else {
             return false;
         };
@@ -152,6 +156,12 @@
         self.shared.lock().unwrap().deadly_part = Some(part.to_owned());
     }
 
+    /// Makes the upstream crash whenever it begins to answer a request with this path, and come
+    /// back a little later.
+    pub fn set_deadly_path(&self, path: &str) {
+        self.shared.lock().unwrap().deadly_path = Some(path.to_owned());
+    }
+
     /// Makes the answer with which the upstream crashes have neither a length nor chunks, so that
     /// it looks complete when the connection ends.
     pub fn set_unframed_crashes(&self) {
@@ -353,7 +363,7 @@
             headers: head.headers.clone(),
             path,
         });
-        let is_deadly = shared.is_deadly(parts);
+        let is_deadly = shared.is_deadly(head.uri.path(), parts);
         (is_deadly, shared.leaving, shared.mode, shared.pause.clone())
     };
     let is_stream = STREAM_PREFIXES
--- a/crates/protocol/src/refusal.rs
+++ b/crates/protocol/src/refusal.rs
@@ -55,7 +55,7 @@
     OutcomeUnknown,
     /// A queue or channel is full.
     Overloaded,
-    /// A part of the prompt crashes engines and is quarantined.
+    /// The request, or a part of its prompt, crashes upstreams and is quarantined.
     PartQuarantined,
     /// The request crashed upstreams and is quarantined.
     Quarantined,
