Write on to a disk that was full in a sync or a rename

What operators saw elsewhere: disks were full for a few seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered, while all processes ran.

Cause, shown here by a test: a full disk was expected in appends and drafts only. In a sync of a file or the folder, and in a rename, it counted as a failed disk, and the voter stopped for good while its host served on.

What the failed operation left is unknown, so the next write is a new generation, under a number that no attempt used before. Drafts that fail are removed, since they take up room. Other errors end the voter as before.

--- a/crates/transport/src/disk.rs
+++ b/crates/transport/src/disk.rs
@@ -114,7 +114,8 @@
     disk.sync_folder()
 }
 
-fn draft_name(file: &str) -> String {
+/// Returns the name of the draft of a file.
+pub fn draft_name(file: &str) -> String {
     format!("{file}.draft")
 }
 
--- a/crates/transport/src/raft_store.rs
+++ b/crates/transport/src/raft_store.rs
@@ -4,7 +4,8 @@
 //! with the hard state and the entries after the snapshot. A new generation is written and synced
 //! as drafts; renaming its first log segment makes it valid, and older generations are removed
 //! afterwards. Each start writes a new generation, so that everything it read is certainly on disk,
-//! even if an earlier sync failed.
+//! even if an earlier sync failed. So does the next write after a disk was found full, because a
+//! file system may tell so as late as in a sync, and what that sync covered is unknown.
 
 use std::io;
 
@@ -50,7 +51,7 @@
         /// Name of one of these files.
         file: String,
     },
-    /// The disk is full; none of the records was written, and the write may be repeated.
+    /// The disk is full; the same records may be written again, and must be before any others.
     #[error("the disk is full")]
     Full,
     /// Another error of the operating system; nothing may be written until the next start.
@@ -89,7 +90,12 @@
     disk: D,
     generation: u64,
     identity: MemberId,
+    /// Newest generation that was begun, valid or not. A later one never reuses its files, which
+    /// may have been published in part.
+    newest_generation: u64,
     recovered: Recovered,
+    /// Whether the next write starts a new generation.
+    rewrites: bool,
     segment_len: u64,
     poisoned: bool,
     segment_number: u64,
@@ -119,7 +125,9 @@
             disk,
             generation: generation.unwrap_or(0),
             identity,
+            newest_generation: generation.unwrap_or(0),
             recovered,
+            rewrites: false,
             segment_len: 0,
             poisoned: false,
             segment_number: 0,
@@ -142,7 +150,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Full`] when the disk is full; the same records may be written again later.
+    /// Returns [`Error::Full`] when the disk is full; the same records must be written again before
+    /// others, as they may be on the disk in part.
     /// After any other error nothing is written until the next start.
     pub fn write(&mut self, records: Vec<Record>) -> Result<(), Error> {
         if self.poisoned {
@@ -150,7 +159,7 @@
         }
         let is_rewrite =
             |record: &Record| matches!(record, Record::Compact(_) | Record::Install(_));
-        let result = match records.iter().any(is_rewrite) {
+        let result = match self.rewrites || records.iter().any(is_rewrite) {
             false => self.append(&records),
             true => {
                 let mut next = self.recovered.clone();
@@ -181,27 +190,32 @@
         let file = segment_name(self.generation, self.segment_number);
         if let Err(error) = self.disk.append(&file, &frame) {
             let truncated = self.disk.truncate(&file, self.segment_len);
-            self.poisoned = !is_full(&error) || truncated.is_err();
+            self.rewrites = truncated.is_err();
+            return Err(self.write_error(error));
+        }
+        if let Err(error) = self.disk.sync(&file) {
+            self.rewrites = true;
             return Err(self.write_error(error));
         }
-        self.poisoned = true;
-        self.disk.sync(&file)?;
-        self.poisoned = false;
         self.segment_len += frame.len() as u64;
         Ok(())
     }
 
-    /// Returns [`Error::Full`] if the same records may be written again, else [`Error::Io`].
-    fn write_error(&self, error: io::Error) -> Error {
-        match is_full(&error) && !self.poisoned {
-            false => Error::Io(error),
-            true => Error::Full,
+    /// Returns [`Error::Full`], after which the same records may be written again, if the disk is
+    /// full. After any other error, which is [`Error::Io`], nothing more is written.
+    fn write_error(&mut self, error: io::Error) -> Error {
+        self.poisoned = !is_full(&error);
+        match self.poisoned {
+            false => Error::Full,
+            true => Error::Io(error),
         }
     }
 
     /// Writes a new generation with the state `next`, and removes the others.
     fn start_generation(&mut self, next: Recovered) -> Result<(), Error> {
-        let generation = self.generation + 1;
+        let generation = self.newest_generation + 1;
+        self.newest_generation = generation;
+        self.rewrites = true;
         let start = vec![
             Record::HardState(next.hard_state),
             Record::Entries(next.entries.clone()),
@@ -210,6 +224,7 @@
         let snapshot = disk_frame::encode(&*next.snapshot)?;
         self.write_generation_files(generation, &snapshot, &log)?;
         self.generation = generation;
+        self.rewrites = false;
         self.recovered = next;
         self.segment_len = log.len() as u64;
         self.segment_number = 0;
@@ -234,7 +249,7 @@
             .create(&file)
             .and_then(|()| self.disk.sync_folder());
         if let Err(error) = created {
-            self.poisoned = !is_full(&error);
+            self.rewrites = true;
             return Err(self.write_error(error));
         }
         self.segment_len = 0;
@@ -251,17 +266,17 @@
         log: &[u8],
     ) -> Result<(), Error> {
         let (snapshot, log_file) = (snapshot_name(generation), segment_name(generation, 0));
-        let drafted = disk::write_draft(&mut self.disk, &snapshot, snapshot_bytes)
-            .and_then(|()| disk::write_draft(&mut self.disk, &log_file, log));
-        if let Err(error) = drafted {
-            self.poisoned = !is_full(&error);
-            return Err(self.write_error(error));
-        }
-        self.poisoned = true;
-        disk::publish(&mut self.disk, &snapshot)?;
-        disk::publish(&mut self.disk, &log_file)?;
-        self.poisoned = false;
-        Ok(())
+        let written = disk::write_draft(&mut self.disk, &snapshot, snapshot_bytes)
+            .and_then(|()| disk::write_draft(&mut self.disk, &log_file, log))
+            .and_then(|()| disk::publish(&mut self.disk, &snapshot))
+            .and_then(|()| disk::publish(&mut self.disk, &log_file));
+        written.map_err(|error| {
+            // Drafts that stay would take up room on a full disk.
+            for file in [&snapshot, &log_file] {
+                let _ = self.disk.remove(&disk::draft_name(file));
+            }
+            self.write_error(error)
+        })
     }
 }
 
--- a/crates/transport/tests/store.rs
+++ b/crates/transport/tests/store.rs
@@ -335,6 +335,36 @@
 }
 
 /// After a failed sync the system may drop the dirty pages and report success for the next sync.
+/// Guards against voters that end for good, one after another, because their disks were full for a
+/// moment: a file system that allocates late tells so in a sync, and a full folder in a rename.
+#[test]
+fn a_disk_that_is_full_at_any_operation_is_written_to_once_it_has_room() {
+    for operation in [Operation::Append, Operation::Any, Operation::Sync] {
+        for skipped in 0..6 {
+            let disk = MemoryDisk::default();
+            let mut store = open(&disk).0;
+            let mut expected = Vec::new();
+            for (number, records) in record_batches().into_iter().enumerate() {
+                disk.fail(operation, skipped, io::ErrorKind::StorageFull);
+                let context = format!("{operation:?} after {skipped}, batch {number}");
+                for _ in 0..2 {
+                    match store.write(records.clone()) {
+                        Err(error) => assert_matches!(error, Error::Full, "{context}"),
+                        Ok(()) => break,
+                    }
+                }
+                disk.repair();
+                store.write(records.clone()).expect(&context);
+                expected.push(records);
+                disk.lose_power(0);
+                let recovered = open(&disk).0.recovered().clone();
+                assert_eq!(recovered, applied(&expected), "{context}");
+                store = open(&disk).0;
+            }
+        }
+    }
+}
+
 #[test]
 fn store_refuses_writes_after_a_failed_sync() {
     for records in record_batches() {
