Bound the memory of all buffered answers together

What operators saw elsewhere: a worker sent bytes without end in a head or a body; the machine that had called it kept them all and ran out of memory.

Cause, shown here by a test: heads, parts and single bodies were bounded already, but not all answers together, which are buffered up to 1 MiB each. And a body was kept as a list of its parts, each with the buffer that it was read into, so that one that comes byte by byte takes 32 times its length and more.

Done: the answers that a host buffers share 16 MiB beyond the first 64 KiB of each, so that usual answers never wait for room. Wherever a whole body is read, its parts are copied together: answers, reports of engines, the platform's lists.

Heads without end were bounded before (endless tests of transport and hibiscushoistd). Not covered: streams forwarded to many callers that read slowly.

--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -17,6 +17,7 @@
 use hyper::header::RETRY_AFTER;
 
 use crate::answer::Failure;
+use crate::answer_buffer::AnswerBuffer;
 use crate::caller as responses;
 use crate::context::Context;
 use crate::gateway_crash::CrashChecks;
@@ -59,6 +60,8 @@
 
 /// State that all routed requests of this host share.
 pub struct Gateway {
+    /// Buffer of the answers that are read as a whole before they are forwarded.
+    pub answer_buffer: AnswerBuffer,
     /// Choice of upstreams, with what this host observed of them.
     pub dispatcher: Mutex<Dispatcher>,
     /// Connections to upstreams.
@@ -79,6 +82,7 @@
     /// Returns a gateway without connections or observations.
     pub fn new(routing: routing_snapshot::Handle, versions: VersionHistory) -> Self {
         Self {
+            answer_buffer: AnswerBuffer::default(),
             dispatcher: Mutex::new(Dispatcher::new(rand::random())),
             connection_pool: ConnectionPool::default(),
             crash_checks: CrashChecks::default(),
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -8,8 +8,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Response;
 
 use crate::answer::Failure;
@@ -37,6 +35,7 @@
 use transport::event::Event;
 use transport::http::Body;
 use transport::metric;
+use transport::whole_body;
 
 /// Least `Retry-After` while all engines are busy, in milliseconds; a burst ends or is prefilled
 /// within seconds.
@@ -48,8 +47,6 @@
 const MAX_REJECTIONS: u32 = 3;
 /// `Retry-After` of a request that every tried upstream rejected, in milliseconds.
 const REJECTED_RETRY_AFTER_MS: u64 = 400;
-/// Size limit of an answer that is buffered before it is forwarded, in bytes.
-const BUFFERED_ANSWER_LIMIT_BYTES: usize = 1 << 20;
 
 /// Results of the attempts at one request so far.
 #[derive(Clone, Default)]
@@ -426,15 +423,14 @@
     let is_cut_if_empty = answered.is_cut_if_empty();
     let (body, connection, idle_limit, in_flight) = answered.into_stream();
     let left = Duration::from_millis(routed.left_ms(context.clock.now()));
-    let collected = Limited::new(body, BUFFERED_ANSWER_LIMIT_BYTES).collect();
+    let answer_buffer = in_flight.gateway().answer_buffer.clone();
+    let collected = answer_buffer.collect(body);
     let whole: Result<Bytes, _> = match tokio::time::timeout(left, collected).await {
         Err(_) => Err(retry::Reason::Idle),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(retry::Reason::Format),
-        Ok(Err(_)) => Err(retry::Reason::Cut),
-        Ok(Ok(whole)) => match whole.to_bytes() {
-            empty if empty.is_empty() && is_cut_if_empty => Err(retry::Reason::Cut),
-            whole => Ok(whole),
-        },
+        Ok(Err(whole_body::Error::TooLong)) => Err(retry::Reason::Format),
+        Ok(Err(whole_body::Error::Broken(_))) => Err(retry::Reason::Cut),
+        Ok(Ok(empty)) if empty.is_empty() && is_cut_if_empty => Err(retry::Reason::Cut),
+        Ok(Ok(whole)) => Ok(whole),
     };
     let whole = whole.inspect_err(|_| {
         let now = context.clock.now();
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod answer_buffer;
 pub mod assign_desk;
 pub mod attempt;
 pub mod auth;
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -13,10 +13,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -32,6 +29,7 @@
 use crate::read_limit::Allowance;
 use crate::read_limit::MAX_HEAD_BYTES;
 use crate::read_limit::ReadLimitStream;
+use crate::whole_body;
 
 /// Idle connections that are kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
@@ -192,16 +190,16 @@
         let exchange = async {
             let (response, connection) = self.send(address, request, limits).await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_WHOLE_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|source| match source.is::<LengthLimitError>() {
-                false => Error::Disconnected { address, source },
-                true => Error::TooLong {
+            let body = whole_body::collect_limited(body, MAX_WHOLE_ANSWER_BYTES).await;
+            let body = body.map_err(|error| match error {
+                whole_body::Error::Broken(source) => Error::Disconnected { address, source },
+                whole_body::Error::TooLong => Error::TooLong {
                     address,
                     limit: MAX_WHOLE_ANSWER_BYTES,
                 },
             })?;
             connection.release(limits.max_idle).await;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            Ok(Response::from_parts(head, body))
         };
         let result = timeout(limit, exchange).await;
         result.unwrap_or(Err(Error::Timeout { address, limit }))
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod service;
 pub mod sse;
 pub mod upstream;
+pub mod whole_body;
 pub mod write_timeout;
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::client::conn::http1;
@@ -28,6 +27,7 @@
 use crate::read_limit::MAX_HEAD_BYTES;
 use crate::read_limit::ReadLimitStream;
 use crate::sse;
+use crate::whole_body;
 use protocol::engine;
 use protocol::refusal::NotRun;
 use state::ident::Incarnation;
@@ -285,15 +285,17 @@
     /// Returns an error when the connection fails, or the body is too long or not complete in time.
     pub async fn read_body(&self, body: Body) -> Result<Bytes, Error> {
         let (address, limit) = (self.address, self.limits.head_timeout);
-        let read = Limited::new(body, self.limits.body_limit).collect();
+        let read = whole_body::collect_limited(body, self.limits.body_limit);
         match timeout(limit, read).await {
             Err(_) => Err(Error::InactivityTimeout { address, limit }),
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(source)) if source.is::<http_body_util::LengthLimitError>() => {
+            Ok(Err(whole_body::Error::Broken(source))) => {
+                Err(Error::Disconnected { address, source })
+            }
+            Ok(Err(whole_body::Error::TooLong)) => {
                 let limit = self.limits.body_limit;
                 Err(Error::BodyTooLong { address, limit })
             }
-            Ok(Err(source)) => Err(Error::Disconnected { address, source }),
+            Ok(Ok(body)) => Ok(body),
         }
     }
 
