Remember whole answers to requests only while they are suspected

Cause: each whole answer was remembered under the request's digest too. A host keeps 4,096 of them, so that requests that come once crowded out the parts, and a sound part looked as if it never had an answer.

Done: an answer to a whole request is kept if a crash speaks against that request.

Result: the new test quarantined a sound part in place of the deadly request before the change, and passes with it.

--- a/crates/coordination/src/part_evidence.rs
+++ b/crates/coordination/src/part_evidence.rs
@@ -230,8 +230,8 @@
         }
     }
 
-    /// Records a whole answer to a request with these parts. Returns the parts whose
-    /// quarantine it ends.
+    /// Records a whole answer to a request with these parts. Returns the parts whose quarantine it
+    /// ends.
     pub fn record_success(
         &mut self,
         now: Instant,
@@ -241,7 +241,9 @@
         for part in repeatable_ids(parts) {
             let success = Success { part, age_ms: 0 };
             changes.extend(self.quarantine.record_success(now, &success));
-            self.successes.insert(success.part, now);
+            if !is_request(&success.part) || self.is_suspected(&success.part) {
+                self.successes.insert(success.part, now);
+            }
         }
         if self.successes.len() > MAX_SUCCESSES {
             let mut times: Vec<Instant> = self.successes.values().copied().collect();
@@ -253,6 +255,14 @@
         changes
     }
 
+    /// Returns whether crashes that this host or another one saw speak against a part. Whole
+    /// answers to other requests are not remembered, since most requests never come again and would
+    /// crowd out the parts.
+    fn is_suspected(&self, part: &str) -> bool {
+        let mut crashes = self.crashes.iter();
+        self.suspected.contains(part) || crashes.any(|crash| crash.suspects.contains_key(part))
+    }
+
     /// Returns whether nothing is known of any part, as long as no engine crashes.
     pub fn is_empty(&self) -> bool {
         self.quarantine.is_empty()
--- a/crates/coordination/src/part_quarantine.rs
+++ b/crates/coordination/src/part_quarantine.rs
@@ -471,8 +471,8 @@
     }
 
     /// Sets the crashes of rivals of the parts that had a whole answer. A whole request is a rival
-    /// of other requests alone: it was in each crash only because of its parts, or it has no more
-    /// crashes than they have and goes before them.
+    /// of other requests alone. It took part in no more crashes than each of its parts, so that it
+    /// says nothing for them; one that is deadly itself has no whole answer and goes before them.
     fn count_rivals(&self, suspicions: &mut BTreeMap<&str, Suspicion<'_>>) {
         for crash in &self.crashes {
             if self.is_explained(crash) {
--- a/crates/coordination/tests/request_quarantine.rs
+++ b/crates/coordination/tests/request_quarantine.rs
@@ -60,6 +60,24 @@
     assert_eq!(fleet.quarantined(&refs(&popular)), [false; 3]);
 }
 
+/// Guards against whole answers to parts that are forgotten beside many requests that come once.
+#[test]
+fn requests_that_come_once_leave_the_whole_answers_to_parts_known() {
+    let deadly = repeated("deadly", &["first", "sound"]);
+    let mut fleet = Fleet::new(1);
+    fleet.hosts[0].record_success(fleet.now, SOUND);
+    for number in 0..10_000 {
+        fleet.now = fleet.now + 1;
+        fleet.hosts[0].record_success(fleet.now, repeated(&number.to_string(), &[]));
+    }
+    for upstream in ["u0", "u1", "u2"] {
+        fleet.crash(0, upstream, &refs(&deadly));
+        fleet.run(700);
+    }
+    assert_eq!(fleet.quarantined(&refs(&deadly)), [true]);
+    assert_eq!(fleet.quarantined(&SOUND), [false]);
+}
+
 /// Guards against the quarantine of sound shared parts in place of one deadly prompt that comes
 /// again.
 #[test]
