--- a/crates/coordination/src/voters.rs
+++ b/crates/coordination/src/voters.rs
@@ -32,39 +32,53 @@
     pub name: String,
 }
 
-/// Returns the changes that bring the members closer to the folders that hosts have, the most
-/// urgent first. `removable` is a member that [`removable_voter`] found.
+impl HostFolder {
+    /// Returns the change that makes the folder's host a learner.
+    fn addition(&self) -> Change {
+        let member = Member {
+            address: self.address,
+            name: self.name.clone(),
+            votes: false,
+        };
+        Change::Add(self.identity, member)
+    }
+}
+
+/// Returns the steps that bring the members closer to the folders that hosts have, the most urgent
+/// first. Each is a sequence of changes; those after the first one hold only if it is made.
+/// `removable` is a member that [`removable_voter`] found.
 ///
 /// A learner is promoted only if its host still has its folder.
-pub fn changes(
+pub fn steps(
     config: &Config,
     folders: &[HostFolder],
     removable: Option<MemberId>,
-) -> Vec<Change> {
+) -> Vec<Vec<Change>> {
     let members = &config.members;
-    let is_lost = |(id, member): &(&MemberId, &Member)| {
-        let mut folders = folders.iter();
-        folders.any(|folder| folder.name == member.name && folder.identity != **id)
-    };
-    let lost = members.iter().filter(is_lost);
-    let mut changes: Vec<Change> = lost.map(|(id, _)| Change::Remove(*id)).collect();
+    let is_new = |folder: &&HostFolder| !members.contains_key(&folder.identity);
+    let mut steps: Vec<Vec<Change>> = Vec::new();
+    for folder in folders {
+        let is_lost = |(id, member): &(&MemberId, &Member)| {
+            member.name == folder.name && **id != folder.identity
+        };
+        let mut lost = members.iter().filter(is_lost);
+        if let Some((id, _)) = lost.next() {
+            let successor = Some(folder).filter(is_new).map(HostFolder::addition);
+            let removal = Change::Remove(*id);
+            steps.push([removal].into_iter().chain(successor).collect());
+        }
+        steps.extend(lost.map(|(id, _)| vec![Change::Remove(*id)]));
+    }
     let learns = |folder: &&HostFolder| {
         let member = members.get(&folder.identity);
         member.is_some_and(|member| !member.votes)
     };
     let learners = folders.iter().filter(learns);
-    changes.extend(learners.map(|folder| Change::Promote(folder.identity)));
-    changes.extend(removable.map(Change::Remove));
-    let is_new = |folder: &&HostFolder| !members.contains_key(&folder.identity);
-    changes.extend(folders.iter().filter(is_new).map(|folder| {
-        let member = Member {
-            address: folder.address,
-            name: folder.name.clone(),
-            votes: false,
-        };
-        Change::Add(folder.identity, member)
-    }));
-    changes
+    steps.extend(learners.map(|folder| vec![Change::Promote(folder.identity)]));
+    steps.extend(removable.map(|id| vec![Change::Remove(id)]));
+    let new = folders.iter().filter(is_new);
+    steps.extend(new.map(|folder| vec![folder.addition()]));
+    steps
 }
 
 /// Returns a learner that can be removed: its host is dead or unknown.
--- a/crates/coordination/tests/lost_disks.rs
+++ b/crates/coordination/tests/lost_disks.rs
@@ -67,18 +67,19 @@
 /// Guards against a lost voter that counts until its successor votes.
 #[test]
 fn a_voter_whose_disk_is_lost_is_removed_before_its_successor_is_added() {
-    let changes = voters::changes(&config(None), &[folder(1, 1), folder(2, 12)], None);
+    let steps = voters::steps(&config(None), &[folder(1, 1), folder(2, 12)], None);
     let add = Change::Add(MemberId(12), member(2, false));
-    assert_eq!(changes, [Change::Remove(MemberId(2)), add]);
+    assert_eq!(steps[0], [Change::Remove(MemberId(2)), add]);
 }
 
 /// Guards against a repair that waits for ever for a learner whose disk is lost.
 #[test]
 fn a_learner_whose_disk_is_lost_is_removed_and_never_promoted() {
-    let changes = voters::changes(&config(Some(12)), &[folder(2, 22)], None);
-    let removed = [Change::Remove(MemberId(2)), Change::Remove(MemberId(12))];
-    assert_eq!(changes[..2], removed);
-    assert!(!changes.contains(&Change::Promote(MemberId(12))));
+    let steps = voters::steps(&config(Some(12)), &[folder(2, 22)], None);
+    let add = Change::Add(MemberId(22), member(2, false));
+    assert_eq!(steps[0], [Change::Remove(MemberId(2)), add]);
+    assert_eq!(steps[1], [Change::Remove(MemberId(12))]);
+    assert!(!steps.concat().contains(&Change::Promote(MemberId(12))));
 }
 
 /// Guards against a promotion of a learner whose host is down, and against one that holds up all
@@ -86,6 +87,6 @@
 #[test]
 fn a_learner_that_does_not_answer_holds_up_no_other_change() {
     let removable = Some(MemberId(2));
-    let changes = voters::changes(&config(Some(12)), &[], removable);
-    assert_eq!(changes, [Change::Remove(MemberId(2))]);
+    let steps = voters::steps(&config(Some(12)), &[], removable);
+    assert_eq!(steps, [[Change::Remove(MemberId(2))]]);
 }
--- a/crates/coordination/tests/raft_sim/mod.rs
+++ b/crates/coordination/tests/raft_sim/mod.rs
@@ -403,7 +403,8 @@
         });
         let folders: Vec<HostFolder> = folders.collect();
         let config = raft.config().clone();
-        for change in voters::changes(&config, &folders, None) {
+        for step in voters::steps(&config, &folders, None) {
+            let change = step.into_iter().next().expect("a step has a change");
             self.step(leader, Event::Change(Token(0), change));
             let raft = self.hosts[leader].raft.as_ref();
             if raft.is_none_or(|raft| *raft.config() != config) {
--- a/crates/hibiscushoistd/src/pool.rs
+++ b/crates/hibiscushoistd/src/pool.rs
@@ -48,6 +48,12 @@
         client.clone()
     }
 
+    /// Returns a client of the daemon at `address` that shares no connection with others.
+    pub fn new_client(&self, address: SocketAddr) -> Client {
+        let identity = Arc::clone(&self.identity);
+        Client::new(identity, address, None, Options::default())
+    }
+
     /// Forgets the clients of daemons that are not at one of `addresses`.
     pub fn retain(&self, addresses: &[SocketAddr]) {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/hibiscushoistd/src/voter_upkeep.rs
+++ b/crates/hibiscushoistd/src/voter_upkeep.rs
@@ -24,8 +24,13 @@
 use transport::channel;
 use transport::event;
 use transport::event::Event;
+use transport::peer::Client;
 
-const ASK_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for an answer over the connection that is kept to a host. It may be one to a process that
+/// ended without a word, which shows only later.
+const ASK_LIMIT: Duration = Duration::from_millis(250);
+/// Time for an answer over a new connection.
+const ASK_AGAIN_LIMIT: Duration = Duration::from_millis(1_000);
 const CHANGE_LIMIT: Duration = Duration::from_secs(5);
 const PERIOD: Duration = Duration::from_millis(500);
 /// Pause between two changes, and between two attempts to promote a learner. The repair of a voter
@@ -76,21 +81,35 @@
         }
     }
 
-    /// Makes the first change that the group accepts, and returns whether there was one.
+    /// Makes the first step that the group accepts, and returns whether there was one.
     async fn repair(&self, status: &Status) -> bool {
-        for change in self.changes(status).await {
-            let (reply, replied) = oneshot::channel();
-            let _ = self.calls.send(Call::Change(change, reply));
-            match tokio::time::timeout(CHANGE_LIMIT, replied).await {
-                Ok(Ok(Ok(()))) => return true,
-                // Another change may be possible, such as when a learner is behind.
-                Ok(Ok(Err(Rejection::Change))) => {}
-                Err(_) | Ok(Err(_) | Ok(Err(_))) => return false,
+        for step in self.steps(status).await {
+            let count = step.len();
+            for (index, change) in step.into_iter().enumerate() {
+                match self.change(change).await {
+                    Ok(()) => {}
+                    // Another step may be possible, such as when a learner is behind.
+                    Err(Rejection::Change) if index == 0 => break,
+                    Err(_) => return index > 0,
+                }
+                if index + 1 == count {
+                    return true;
+                }
             }
         }
         false
     }
 
+    /// Has the group make a change, and returns once it is committed.
+    async fn change(&self, change: Change) -> Result<(), Rejection> {
+        let (reply, replied) = oneshot::channel();
+        let _ = self.calls.send(Call::Change(change, reply));
+        let replied = tokio::time::timeout(CHANGE_LIMIT, replied).await;
+        replied
+            .unwrap_or(Ok(Err(Rejection::Unknown)))
+            .unwrap_or(Err(Rejection::Ended))
+    }
+
     /// Founds the group from the first listed voter, once all of them answer with an empty folder.
     async fn found(&self) {
         let first = self.voters.first().filter(|first| first.name == self.name);
@@ -110,8 +129,8 @@
         }));
     }
 
-    /// Returns the changes that bring the members closer to the folders that hosts have.
-    async fn changes(&self, status: &Status) -> Vec<Change> {
+    /// Returns the steps that bring the members closer to the folders that hosts have.
+    async fn steps(&self, status: &Status) -> Vec<Vec<Change>> {
         let members = &status.config.members;
         let view = self.view.borrow().clone();
         let removable = voters::removable_voter(&status.config, &view, self.target)
@@ -136,7 +155,7 @@
         });
         let folders = futures::future::join_all(folders).await;
         let folders: Vec<HostFolder> = folders.into_iter().flatten().collect();
-        voters::changes(&status.config, &folders, removable)
+        voters::steps(&status.config, &folders, removable)
     }
 
     /// Returns the folder of a host, unless it belongs to another host or another group.
@@ -166,10 +185,16 @@
     }
 
     async fn folder(&self, address: SocketAddr) -> Option<DataFolder> {
-        let client = self.pool.client(address, None);
-        let call = client.call(ASK_LIMIT, |peer, context| async move {
-            peer.data_folder(context).await
-        });
-        call.await.ok().flatten()
+        let ask = async |client: Client, limit| {
+            let call = client.call(limit, |peer, context| async move {
+                peer.data_folder(context).await
+            });
+            tokio::time::timeout(limit, call).await.ok()?.ok().flatten()
+        };
+        let folder = ask(self.pool.client(address, None), ASK_LIMIT).await;
+        match folder {
+            None => ask(self.pool.new_client(address), ASK_AGAIN_LIMIT).await,
+            folder => folder,
+        }
     }
 }
