Ask the new owner in the test of its takeover

It waits until one host counts itself the owner, but its entry may not know that host yet. It then places the prompt itself, which the design allows while an owner cannot be asked, on an engine that does not hold it.

Mostly the fault hid: all engines were equal and the entry's own choice fell on the engine that held the prompt.

Change: the test waits until the entry's status names the new owner for each engine. The prompt must then go to the engine that holds it and compute nothing at the first try; the loop is gone. The first prompt is placed while u0 is the only engine, so a choice made without knowing the caches always fails the test.

--- a/crates/hibiscushoistd/tests/brokers.rs
+++ b/crates/hibiscushoistd/tests/brokers.rs
@@ -3,6 +3,7 @@
 mod processes;
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +22,7 @@
 use hibiscushoistd::auth;
 
 const BLOCK: usize = 64;
+const ENGINES: usize = 3;
 const HOSTS: usize = 8;
 const POLL: Duration = Duration::from_millis(20);
 
@@ -31,9 +33,15 @@
 
 impl Bench {
     async fn start() -> Self {
+        let bench = Self::without_upstreams().await;
+        bench.add(0..ENGINES).await;
+        bench
+    }
+
+    async fn without_upstreams() -> Self {
         let fleet = Fleet::start(HOSTS).await;
         let mut engines = Vec::new();
-        for _ in 0..3 {
+        for _ in 0..ENGINES {
             let started = Engine::start(engine::Options::default()).await;
             engines.push(started.unwrap());
         }
@@ -41,13 +49,18 @@
         fleet.add("workspaces", "maps", key).await;
         let model = json!({"block_bytes": BLOCK.to_string(), "version": "v1"});
         fleet.add("models", "m", model).await;
-        for (number, engine) in engines.iter().enumerate() {
-            let address = engine.address().to_string();
+        Self { engines, fleet }
+    }
+
+    /// Adds engines to the table and waits until each host has it.
+    async fn add(&self, places: Range<usize>) {
+        for place in places {
+            let address = self.engines[place].address().to_string();
             let cells = json!({"address": address, "model": "m", "type": "engine"});
-            fleet.add("upstreams", &format!("u{number}"), cells).await;
+            let row = format!("u{place}");
+            self.fleet.add("upstreams", &row, cells).await;
         }
-        fleet.until_spread().await;
-        Self { engines, fleet }
+        self.fleet.until_spread().await;
     }
 
     /// Sends a prompt to an entry and returns the place of the engine that ran it.
@@ -90,7 +103,7 @@
                 let owned = metrics.unwrap_or_default();
                 if owned
                     .lines()
-                    .any(|line| line == "hibiscushoist_owned_upstreams 3")
+                    .any(|line| line == format!("hibiscushoist_owned_upstreams {ENGINES}"))
                 {
                     owners.push(place);
                 }
@@ -102,6 +115,23 @@
             tokio::time::sleep(POLL).await;
         }
     }
+
+    /// Waits until a host asks `owner` for places on every engine.
+    async fn until_asked_by(&self, place: usize, owner: usize) {
+        let owner = &self.fleet.hosts[owner].name;
+        let start = Instant::now();
+        loop {
+            let status = self.fleet.get(place, "/admin/status").await;
+            let upstreams = status.unwrap_or_default()["upstreams"].clone();
+            let upstreams = upstreams.as_array().cloned().unwrap_or_default();
+            let owned = upstreams.iter().filter(|u| u["owner"] == **owner);
+            if owned.count() == ENGINES {
+                return;
+            }
+            assert!(start.elapsed() < processes::LIMIT, "{upstreams:?}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
 }
 
 fn prompt(blocks: usize) -> String {
@@ -139,13 +169,15 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_serve_on_while_the_owner_is_away_and_another_takes_over() {
-    let mut bench = Bench::start().await;
+    let mut bench = Bench::without_upstreams().await;
+    // With one engine at first, a choice made without knowing the caches would fall elsewhere.
+    bench.add(0..1).await;
+    let entry = bench.fleet.hosts[0].entry;
+    assert_eq!(bench.run(entry, &prompt(8)).await, Some(0));
+    bench.add(1..ENGINES).await;
     let owner = bench.owner().await;
     let others = (0..HOSTS).filter(|place| *place != owner);
     let entries: Vec<usize> = others.take(2).collect();
-    let before = bench
-        .run(bench.fleet.hosts[entries[0]].entry, &prompt(8))
-        .await;
     bench.fleet.kill(owner);
     for place in &entries {
         let entry = bench.fleet.hosts[*place].entry;
@@ -156,16 +188,10 @@
         .map(|place| bench.fleet.log(*place))
         .collect();
     assert!(logs.contains("owner_away"), "{logs}");
-    bench.owner().await;
+    let owner = bench.owner().await;
+    bench.until_asked_by(entries[1], owner).await;
     let computed = bench.prefilled();
-    let start = Instant::now();
-    loop {
-        let entry = bench.fleet.hosts[entries[1]].entry;
-        let after = bench.run(entry, &prompt(8)).await;
-        if after == before && bench.prefilled() == computed {
-            return;
-        }
-        assert!(start.elapsed() < processes::LIMIT, "{before:?} {after:?}");
-        tokio::time::sleep(POLL).await;
-    }
+    let entry = bench.fleet.hosts[entries[1]].entry;
+    assert_eq!(bench.run(entry, &prompt(8)).await, Some(0));
+    assert_eq!(bench.prefilled(), computed, "no block is computed again");
 }
