Share the setup of two tests of request quarantine

Cause: two tests of whole requests beside parts of their prompts built the same fleet and the same crashes line by line.

Change: one function returns that fleet; what the tests assert stays as it was.

Result: the five tests of coordination/request_quarantine pass.

--- a/crates/coordination/tests/request_quarantine.rs
+++ b/crates/coordination/tests/request_quarantine.rs
@@ -20,6 +20,19 @@
     parts.iter().map(String::as_str).collect()
 }
 
+/// Returns three hosts that know a whole answer to `SOUND`, after a crash with `request` at each.
+fn fleet_after_crashes(request: &[String]) -> Fleet {
+    let mut fleet = Fleet::new(3);
+    for host in 0..3 {
+        fleet.hosts[host].record_success(fleet.now, SOUND);
+    }
+    for host in 0..3 {
+        fleet.crash(host, &format!("u{host}"), &refs(request));
+        fleet.run(700);
+    }
+    fleet
+}
+
 /// Guards against a request without a prompt that crashes upstreams for as long as it comes again.
 #[test]
 fn a_request_that_crashes_upstreams_is_quarantined_at_all_hosts() {
@@ -83,14 +96,7 @@
 #[test]
 fn a_deadly_prompt_that_comes_again_is_quarantined_rather_than_its_parts() {
     let deadly = repeated("deadly", &["first", "sound"]);
-    let mut fleet = Fleet::new(3);
-    for host in 0..3 {
-        fleet.hosts[host].record_success(fleet.now, SOUND);
-    }
-    for host in 0..3 {
-        fleet.crash(host, &format!("u{host}"), &refs(&deadly));
-        fleet.run(700);
-    }
+    let mut fleet = fleet_after_crashes(&deadly);
     assert_eq!(fleet.quarantined(&refs(&deadly)), [true; 3]);
     assert_eq!(fleet.quarantined(&SOUND), [false; 3]);
 }
@@ -99,14 +105,7 @@
 #[test]
 fn a_deadly_part_is_quarantined_rather_than_a_request_with_it() {
     let deadly = repeated("any", &["first", "deadly"]);
-    let mut fleet = Fleet::new(3);
-    for host in 0..3 {
-        fleet.hosts[host].record_success(fleet.now, SOUND);
-    }
-    for host in 0..3 {
-        fleet.crash(host, &format!("u{host}"), &refs(&deadly));
-        fleet.run(700);
-    }
+    let mut fleet = fleet_after_crashes(&deadly);
     assert_eq!(fleet.quarantined(&DEADLY), [true; 3]);
     assert_eq!(fleet.quarantined(&SOUND), [false; 3]);
 }
