Print the times of cut requests where a caller saw a host break twice

Cause: the test a_killed_host_costs_only_its_own_streams failed once and told only how many requests were cut, so that neither the kill nor the start that follows it could be ruled out.

Change: the failed assertion prints when each cut request began and ended, and when the host was started again. What it asserts stays as it was.

--- a/crates/hibiscushoistd/tests/fleet.rs
+++ b/crates/hibiscushoistd/tests/fleet.rs
@@ -131,7 +131,23 @@
     );
     let cuts = records.iter().filter(|r| r.outcome == Outcome::Cut);
     let cut: BTreeSet<usize> = cuts.clone().map(|r| r.caller).collect();
-    assert_eq!(cuts.count(), cut.len(), "a caller saw the host break twice");
+    let times: Vec<String> = cuts.map(|cut| cut_times(cut, killed)).collect();
+    let restart = started.duration_since(killed);
+    assert_eq!(
+        times.len(),
+        cut.len(),
+        "a caller saw the host break twice; it was started again after {restart:?}: {times:#?}"
+    );
+}
+
+/// Tells when a cut request began and ended, in seconds after the kill.
+fn cut_times(cut: &Record, killed: Instant) -> String {
+    let after = |at: Instant| {
+        let before = killed.saturating_duration_since(at).as_secs_f64();
+        at.saturating_duration_since(killed).as_secs_f64() - before
+    };
+    let [began, ended] = [cut.started, cut.ended].map(after);
+    format!("caller {}: {began:+.3} s to {ended:+.3} s", cut.caller)
 }
 
 #[tokio::test(flavor = "multi_thread")]
