Add the messages of allotments, told loads and waiting requests

Cause: requests over a workspace's allotment, uneven upstreams and waiting requests need state that hosts share, and their parts are built side by side. Change: the types of these messages, empty fields for them in the routing update, and a method `draw` of the peer service; version 8 of the protocol. Nothing fills the fields yet.

--- /dev/null
+++ b/crates/coordination/src/load.rs
@@ -0,0 +1,3 @@
+//! Load and speed of single upstreams, where they differ from each other.
+
+pub mod told;
--- /dev/null
+++ b/crates/coordination/src/load/told.rs
@@ -0,0 +1,17 @@
+//! Load that upstreams tell with their answers.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Load of an upstream, as it told it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Told {
+    /// Time that work takes there at that moment, in percent of the usual; 0 if it did not say.
+    pub pace_percent: u32,
+    /// Number of requests that run.
+    pub running: u32,
+    /// Number of requests that can run at once.
+    pub slots: u32,
+    /// Number of requests that wait.
+    pub waiting: u32,
+}
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -12,9 +12,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::allotment::message;
 use crate::engine_model::Models;
 use crate::engine_model::Sample;
 use crate::fleet_log::FleetUpdate;
+use crate::load::told::Told;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::Verdict;
 use crate::prefix_index::CachedPrefix;
@@ -29,6 +31,8 @@
 /// A request for the changes that a host lacks; it also reports the state of the host.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Request {
+    /// Use of allotments by the host.
+    pub allotment_report: message::Report,
     /// Edition of the fleet that the host has.
     pub edition: Edition,
     /// IDs of the assignments that `loads` includes for the first time.
@@ -49,11 +53,15 @@
     pub samples: Vec<Sample>,
     /// Version of the routed table that the host has.
     pub table_version: u64,
+    /// Load that upstreams have told the host since its last request, by their IDs.
+    pub told: BTreeMap<String, Told>,
 }
 
 /// The changes that a host lacks.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RoutingUpdate {
+    /// Units of allotments that the host may use in addition.
+    pub allotment_batch: message::Batch,
     /// What the host lacks of the newest edition of the upstreams.
     pub fleet: Option<FleetUpdate>,
     /// Cached prefixes that other hosts have recorded.
@@ -66,6 +74,9 @@
     pub models: Arc<Models>,
     /// What is known of prompt parts that crash engines, if the host lacks this version of it.
     pub part_verdict: Option<Verdict>,
+    /// Time that work takes at each upstream, in percent of what it takes at the others of its
+    /// service, in the order of the upstreams of the edition in `loads`.
+    pub paces: Arc<Vec<u16>>,
     /// Position of the last entry of the prefix log.
     pub prefix_position: Position,
     /// The routed table, if the host lacks this version of it.
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -23,6 +23,7 @@
 use crate::voter_reads::Reads;
 use coordination::admission::Reason;
 use coordination::admission::Refusal;
+use coordination::allotment::message;
 use coordination::assignment;
 use coordination::broker;
 use coordination::broker::Grant;
@@ -197,12 +198,14 @@
         versions.record_namings(now, time, &reading.namings);
         versions.record(now, &reading.routed.weights_versions);
         Ok(RoutingUpdate {
+            allotment_batch: Default::default(),
             fleet: fleet_log.update_after(ask.edition),
             cached_prefixes,
             loads,
             loads_included,
             models,
             part_verdict,
+            paces: Arc::default(),
             prefix_position,
             table: (table.version > ask.table_version).then(|| table.clone()),
             version_ages: versions.ages(now),
@@ -222,6 +225,10 @@
     ) -> Result<Result<Choice, choice::Refusal>, Rejection> {
         self.desk.assign(ask).await
     }
+
+    async fn draw(self, _: Context, _draw: message::Draw) -> Result<message::Drawn, Rejection> {
+        Ok(message::Drawn::Charged)
+    }
 }
 
 /// Answers the calls of other daemons until the task is dropped.
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -203,6 +203,7 @@
         });
         let loads_number = progress.own_reports.record(loads.clone());
         let request = Request {
+            allotment_report: Default::default(),
             edition: match progress.wants_whole_fleet {
                 false => snapshot.fleet.edition,
                 true => Edition::default(),
@@ -216,6 +217,7 @@
             cached_prefixes,
             samples,
             table_version: snapshot.index.table().version,
+            told: BTreeMap::new(),
         };
         let client = pool.client(target, None);
         let call = client.call(POLL_TIMEOUT, |peer, call| async move {
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -10,6 +10,7 @@
 use crate::voter::TableUpdate;
 use crate::voter::VoterChange;
 use coordination::admission::Refusal;
+use coordination::allotment::message;
 use coordination::assignment;
 use coordination::broker;
 use coordination::broker::Grant;
@@ -25,7 +26,7 @@
 use coordination::state_machine::Command;
 
 /// Version of the message formats; both ends of a connection need the same one.
-pub const VERSION: u32 = 7;
+pub const VERSION: u32 = 8;
 
 /// Service for the other daemons of the fleet.
 ///
@@ -67,4 +68,6 @@
     async fn assign(
         request: assignment::Request,
     ) -> Result<Result<Choice, choice::Refusal>, Rejection>;
+    /// Charges work to the allotment of its workspace; only the leading voter's host can.
+    async fn draw(draw: message::Draw) -> Result<message::Drawn, Rejection>;
 }
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -95,9 +95,35 @@
     pub domain: String,
 }
 
+/// Unit in which an allotment counts.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum Unit {
+    /// Each request counts as one.
+    #[default]
+    Requests,
+    /// A request counts as the tokens of its prompt and of its longest answer.
+    Tokens,
+}
+
+/// How much a workspace may use over all hosts together.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Allotment {
+    /// Units that may be used at once after a pause.
+    pub burst: u64,
+    /// Units that a request counts as which states no tokens.
+    pub plain_cost: u64,
+    /// Units a second.
+    pub rate: u64,
+    /// The unit.
+    pub unit: Unit,
+}
+
 /// A workspace: the callers who share keys.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Workspace {
+    /// How much the workspace may use; without a limit if absent.
+    pub allotment: Option<Allotment>,
     /// Whether cached prompts must not be shared with other workspaces.
     pub isolated: bool,
     /// BLAKE3 hashes of the keys.
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -35,6 +35,7 @@
 
 fn workspace(name: &str, key: &str) -> Workspace {
     Workspace {
+        allotment: None,
         isolated: false,
         keys: vec![*blake3::hash(key.as_bytes()).as_bytes()],
         name: name.to_owned(),
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use coordination::admission;
+use coordination::allotment::message;
 use coordination::assignment;
 use coordination::broker;
 use coordination::broker::Grant;
@@ -135,6 +136,10 @@
     ) -> Result<Result<Choice, choice::Refusal>, Rejection> {
         Err(Rejection::Ended)
     }
+
+    async fn draw(self, _: Context, _: message::Draw) -> Result<message::Drawn, Rejection> {
+        Err(Rejection::Ended)
+    }
 }
 
 fn message() -> Message {
