--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod routing_update;
 pub mod shard;
 pub mod state_machine;
+pub mod stored_command;
 pub mod stream;
 pub mod unresponsive;
 pub mod upstream;
--- a/crates/coordination/src/state_machine.rs
+++ b/crates/coordination/src/state_machine.rs
@@ -14,6 +14,8 @@
 
 use crate::lease;
 use crate::lease::Leases;
+use crate::stored_command;
+use crate::stored_command::StoredCommand;
 use state::edit::Edit;
 use state::edit::Receipt;
 use state::history::History;
@@ -85,7 +87,7 @@
     ///
     /// Returns an error when the bytes do not decode.
     pub fn decode(bytes: impl AsRef<[u8]>) -> Result<Self, Error> {
-        Ok(postcard::from_bytes(bytes.as_ref())?)
+        Ok(postcard::from_bytes::<StoredCommand>(bytes.as_ref())?.into())
     }
 
     /// Encodes a command as the bytes of a log entry.
@@ -94,7 +96,10 @@
     ///
     /// Returns an error when the command does not encode.
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
-        Ok(postcard::to_stdvec(self)?)
+        match stored_command::stored(self) {
+            None => Ok(postcard::to_stdvec(self)?),
+            Some(stored) => Ok(postcard::to_stdvec(&stored)?),
+        }
     }
 
     /// Encodes a command that the leader took at `unix_ms`, the time of day in Unix milliseconds.
@@ -113,12 +118,12 @@
     ///
     /// Returns an error when the bytes do not decode.
     pub fn decode_stamped(bytes: impl AsRef<[u8]>) -> Result<(Self, u64), Error> {
-        let (command, rest) = postcard::take_from_bytes(bytes.as_ref())?;
+        let (command, rest) = postcard::take_from_bytes::<StoredCommand>(bytes.as_ref())?;
         let unix_ms = match rest.is_empty() {
             false => postcard::from_bytes(rest)?,
             true => 0,
         };
-        Ok((command, unix_ms))
+        Ok((command.into(), unix_ms))
     }
 }
 
@@ -218,8 +223,14 @@
     /// Returns an error when the bytes do not decode.
     pub fn restore(bytes: impl AsRef<[u8]>) -> Result<Self, Error> {
         let (mut machine, rest): (Self, _) = postcard::take_from_bytes(bytes.as_ref())?;
+        if rest.is_empty() {
+            return Ok(machine);
+        }
+        let (namings, rest) = postcard::take_from_bytes(rest)?;
+        machine.namings = Arc::new(namings);
         if !rest.is_empty() {
-            machine.namings = Arc::new(postcard::from_bytes(rest)?);
+            let allotments = postcard::from_bytes(rest)?;
+            Arc::make_mut(&mut machine.routed).set_allotments(&allotments);
         }
         Ok(machine)
     }
@@ -235,10 +246,12 @@
     ///
     /// Returns an error when the state does not encode.
     pub fn snapshot(&self) -> Result<Vec<u8>, Error> {
-        Ok(postcard::to_extend(
-            &*self.namings,
-            postcard::to_stdvec(self)?,
-        )?)
+        let whole = postcard::to_extend(&*self.namings, postcard::to_stdvec(self)?)?;
+        let allotments = self.routed.table.allotments();
+        match allotments.is_empty() {
+            false => Ok(postcard::to_extend(&allotments, whole)?),
+            true => Ok(whole),
+        }
     }
 
     /// Returns the configuration table.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod rank;
 pub mod routing;
 pub mod routing_index;
+pub mod routing_layout;
 pub mod row;
 pub mod sheet;
 pub mod table;
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -107,6 +107,9 @@
 }
 
 /// How much a workspace may use over all hosts together.
+///
+/// In any window, the requests that are sent to upstreams cost at most the rate times the window
+/// and the burst.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Allotment {
     /// Units that may be used at once after a pause.
@@ -119,6 +122,18 @@
     pub unit: Unit,
 }
 
+impl Allotment {
+    /// Returns the units that a request counts as whose prompt and longest answer have `tokens`
+    /// tokens together; 0 if it states none.
+    pub fn cost(&self, tokens: u64) -> u64 {
+        match (self.unit, tokens) {
+            (Unit::Requests, _) => 1,
+            (Unit::Tokens, 0) => self.plain_cost,
+            (Unit::Tokens, tokens) => tokens,
+        }
+    }
+}
+
 /// A workspace: the callers who share keys.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Workspace {
@@ -161,6 +176,12 @@
         /// Name of the service.
         service: String,
     },
+    /// The allotment of a workspace has a rate of zero, so that it would never recover.
+    #[error("the allotment of workspace `{workspace}` has a rate of 0")]
+    ZeroRate {
+        /// Name of the workspace.
+        workspace: String,
+    },
     /// A route has a timeout of zero, so that every request would fail.
     #[error("route `{prefix}` has a timeout of 0 ms")]
     ZeroTimeout {
@@ -190,6 +211,27 @@
 }
 
 impl Table {
+    /// Returns the allotments of the workspaces that have one, by name.
+    pub fn allotments(&self) -> BTreeMap<String, Allotment> {
+        let workspaces = self.workspaces.iter();
+        workspaces
+            .filter_map(|workspace| Some((workspace.name.clone(), workspace.allotment?)))
+            .collect()
+    }
+
+    /// Returns the allotment of a workspace, if it has one.
+    pub fn allotment(&self, workspace: &str) -> Option<Allotment> {
+        let mut workspaces = self.workspaces.iter();
+        workspaces.find(|w| w.name == workspace)?.allotment
+    }
+
+    /// Replaces the allotments of all workspaces; those that are not named get none.
+    pub fn set_allotments(&mut self, allotments: &BTreeMap<String, Allotment>) {
+        for workspace in &mut self.workspaces {
+            workspace.allotment = allotments.get(&workspace.name).copied();
+        }
+    }
+
     /// Checks that the table is valid.
     ///
     /// # Errors
@@ -209,6 +251,7 @@
         }
         let mut holders: BTreeMap<&[u8; 32], &str> = BTreeMap::new();
         for workspace in &self.workspaces {
+            workspace.check()?;
             for key in &workspace.keys {
                 let previous = holders.insert(key, &workspace.name);
                 if let Some(first) = previous.filter(|first| *first != workspace.name) {
@@ -223,6 +266,17 @@
     }
 }
 
+impl Workspace {
+    fn check(&self) -> Result<(), TableError> {
+        match self.allotment {
+            Some(allotment) if allotment.rate == 0 => Err(TableError::ZeroRate {
+                workspace: self.name.clone(),
+            }),
+            Some(_) | None => Ok(()),
+        }
+    }
+}
+
 impl Route {
     fn check(&self, services: &BTreeSet<&str>) -> Result<(), TableError> {
         let prefix = self.prefix.clone();
@@ -251,6 +305,7 @@
     /// The table as the operator sent it, for operators who read it back.
     pub source: Arc<String>,
     /// The table in force.
+    #[serde(with = "crate::routing_layout")]
     pub table: Arc<Table>,
     /// The newest weights version of each model.
     pub weights_versions: BTreeMap<String, u64>,
@@ -267,6 +322,11 @@
         newer
     }
 
+    /// Replaces the allotments of the table in force.
+    pub fn set_allotments(&mut self, allotments: &BTreeMap<String, Allotment>) {
+        Arc::make_mut(&mut self.table).set_allotments(allotments);
+    }
+
     /// Raises the weights version that engines of `model` should serve; a lower one changes
     /// nothing.
     pub fn raise_weights_version(&mut self, model: impl Into<String>, version: u64) {
