Lend allotments to hosts from one bucket for each workspace

Nothing decided how much of a workspace's allotment which host may spend.

Hosts report what they hold and what callers asked for, get leases sized by their demand for small requests and draw for what a lease does not cover.

--- a/crates/coordination/src/allotment/message.rs
+++ b/crates/coordination/src/allotment/message.rs
@@ -7,23 +7,35 @@
 
 use crate::allotment::kind::Kind;
 
-/// Use of one workspace's allotment by one host since its last report.
+/// Work that callers have asked for.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// Number of requests.
+    pub requests: u64,
+    /// Units that they cost.
+    pub units: u64,
+}
+
+/// Use of one workspace's allotment by one host.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Use {
-    /// Units of leases that the host still holds.
+    /// Units of leases of the report's term that the host holds.
     pub held: u64,
-    /// Units that the host has given back, for requests that did not run.
+    /// Units that the host has given back since its last report: for requests that did not run, and
+    /// those that the holder has called in.
     pub returned: u64,
-    /// Units that the host has spent.
-    pub spent: u64,
-    /// Units that callers have asked for, by kind, refused requests included.
-    pub wanted: BTreeMap<Kind, u64>,
+    /// What callers have asked for since the last report, refused requests included.
+    pub wanted: BTreeMap<Kind, Demand>,
 }
 
 /// Report of a host to the holder, sent with each request for a routing update.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
-    /// Number of the last lease batch that the host has received in this term.
+    /// Random number of the host's process.
+    pub incarnation: u64,
+    /// Number of the report within the process, from 1.
+    pub number: u64,
+    /// Number of the last batch that the host has received in this term.
     pub received: u64,
     /// Term of the holder that lent what the host holds.
     pub term: u64,
@@ -31,32 +43,40 @@
     pub uses: BTreeMap<String, Use>,
 }
 
-/// Units that the holder lends to a host.
+/// How much of the work of a kind is taken while an allotment is scarce.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Share {
+    /// Requests that are taken, in thousandths.
+    pub per_mille: u16,
+    /// Time after which the callers of the other requests may come back, in milliseconds.
+    pub retry_after_ms: u32,
+}
+
+/// Changes of what a host may spend of a workspace's allotment.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Lease {
-    /// Kinds that are refused until the next lease, with the time after which their callers may
-    /// come back, in milliseconds.
-    pub closed: BTreeMap<Kind, u64>,
-    /// Units lent in addition to what the host holds.
+    /// Units that the host may keep of those that it holds; the others go back.
+    pub keep: Option<u64>,
+    /// Shares of the kinds of which not all requests are taken, until the next batch.
+    pub shares: BTreeMap<Kind, Share>,
+    /// Units lent in addition.
     pub units: u64,
 }
 
 /// Leases for one host, sent with each routing update.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Batch {
-    /// Leases by workspace; a workspace that gets none is left out.
+    /// Leases by workspace; a workspace whose lease does not change is left out.
     pub leases: BTreeMap<String, Lease>,
     /// Number of the batch within the term.
     pub number: u64,
-    /// Term of the holder.
+    /// Term of the holder; 0 if this host does not hold the allotments.
     pub term: u64,
 }
 
 /// A request of a host for units that it needs at once.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Draw {
-    /// Name of the host.
-    pub host: String,
     /// Kind of the work.
     pub kind: Kind,
     /// Units that the work costs.
