Charge routed requests to the allotments of their workspaces

Hosts sent whatever callers asked for, so workspaces passed their allotments as a sum over all hosts.

A request whose workspace has an allotment is refused with 429 at arrival if its kind's share says so, and charged when it is about to be sent: from the leases of the host, or else by a call to the leading host, which answers only after a confirmed read of the replicated state. What no upstream ran is carried to the next attempt, or given back. Leases come with each routing update.

New: the reason `allotment_spent`, the events `allotment_scarce`, `allotment_sufficient` and `allotment_refused` (340 to 342), and eight metrics.

--- a/crates/hibiscushoistd/src/caller.rs
+++ b/crates/hibiscushoistd/src/caller.rs
@@ -97,6 +97,7 @@
 /// Says in words what a reason means for the caller.
 pub fn message(reason: Reason) -> &'static str {
     match reason {
+        Reason::AllotmentSpent => "the workspace has used up its allotment for now",
         Reason::AnswerCut => "the answer broke off and could not be resumed; ask again",
         Reason::BadRequest => "the request is malformed",
         Reason::BodyTooLarge => "the body is longer than this daemon reads",
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -19,9 +19,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::allotment_desk;
 use crate::assign_desk::Desk;
 use crate::broker;
 use crate::budget::Budget;
+use crate::charger::Charger;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::controller;
@@ -136,7 +138,8 @@
         let weights_limit = settings.gateway.as_ref().map(|g| g.weights_limit);
         let versions =
             VersionHistory::new(weights_limit.map_or(u64::MAX, |l| l.as_millis() as u64));
-        let gateway = Gateway::new(routing, versions.clone());
+        let charger = Charger::new(clock, log.clone(), links.pool.clone(), routing.clone());
+        let gateway = Gateway::new(routing, versions.clone(), charger);
         let gateway = bound.callers.map(|_| Arc::new(gateway));
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone(), voter.table());
         let context = Arc::new(Context {
@@ -192,7 +195,9 @@
                 versions.clone(),
             ));
         }
+        let reads = Reads::start(voter.clone());
         let service = peer::Service {
+            allotments: allotment_desk::Desk::new(clock, log.clone(), reads.clone()),
             broker,
             bulletin: Arc::default(),
             clock,
@@ -207,7 +212,7 @@
             fleet,
             log: log.clone(),
             member,
-            reads: Reads::start(voter.clone()),
+            reads,
             suspects,
             tally,
             versions,
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -19,12 +19,16 @@
 use crate::answer::Failure;
 use crate::answer_buffer::AnswerBuffer;
 use crate::caller as responses;
+use crate::charger;
+use crate::charger::Charger;
+use crate::charger::Cost;
 use crate::context::Context;
 use crate::gateway_crash::CrashChecks;
 use crate::gateway_retry;
 use crate::request::Request;
 use crate::routing_snapshot;
 use crate::routing_snapshot::Snapshot;
+use coordination::allotment::kind::Kind;
 use coordination::dispatch::Dispatcher;
 use coordination::host::Role;
 use coordination::outage::Outage;
@@ -62,6 +66,8 @@
 pub struct Gateway {
     /// Buffer of the answers that are read as a whole before they are forwarded.
     pub answer_buffer: AnswerBuffer,
+    /// Charges requests to the allotments of their workspaces.
+    pub charger: Charger,
     /// Choice of upstreams, with what this host observed of them.
     pub dispatcher: Mutex<Dispatcher>,
     /// Connections to upstreams.
@@ -80,9 +86,14 @@
 
 impl Gateway {
     /// Returns a gateway without connections or observations.
-    pub fn new(routing: routing_snapshot::Handle, versions: VersionHistory) -> Self {
+    pub fn new(
+        routing: routing_snapshot::Handle,
+        versions: VersionHistory,
+        charger: Charger,
+    ) -> Self {
         Self {
             answer_buffer: AnswerBuffer::default(),
+            charger,
             dispatcher: Mutex::new(Dispatcher::new(rand::random())),
             connection_pool: ConnectionPool::default(),
             crash_checks: CrashChecks::default(),
@@ -171,6 +182,8 @@
     pub arrived: Instant,
     /// Whole body.
     pub body: Bytes,
+    /// What each run costs, if the workspace has an allotment.
+    pub cost: Option<Cost>,
     /// Time at which the answer is broken off.
     pub deadline: Instant,
     /// Digest of all that makes another request the same one: method, path, caller, parts of the
@@ -260,6 +273,11 @@
     if !context.takes(time_limit_ms) {
         return Err(retryable_failure(Reason::Draining, DRAINING_RETRY_AFTER_MS));
     }
+    let cost = cost(&request_head, &route, workspace.as_ref());
+    if let Some(cost) = &cost {
+        let admitted = gateway.charger.admit(cost);
+        admitted.map_err(uncharged_failure)?;
+    }
     let deadline = arrived + time_limit_ms;
     let limit = context
         .settings
@@ -282,6 +300,7 @@
     Ok(RoutedRequest {
         arrived,
         body,
+        cost,
         deadline,
         digest,
         resume_after: request_head.resumed_after,
@@ -312,6 +331,19 @@
     }
 }
 
+/// Returns what a run of a request costs, if its workspace has an allotment.
+fn cost(request_head: &RequestHead, route: &Route, workspace: Option<&Workspace>) -> Option<Cost> {
+    let workspace = workspace?;
+    let allotment = workspace.allotment?;
+    let tokens = request_head.prompt_tokens + request_head.answer_tokens;
+    Some(Cost {
+        kind: Kind::of(route.rank, tokens),
+        request: request_head.request_id.clone(),
+        units: allotment.cost(tokens),
+        workspace: workspace.name.clone(),
+    })
+}
+
 /// Picks a service at random, in proportion to the weights.
 fn pick_service(targets: &[Target], random: u64) -> Option<&str> {
     let sum: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
@@ -335,6 +367,18 @@
     }
 }
 
+/// Returns the failure of a request that is not charged and did not run.
+pub fn uncharged_failure(refusal: charger::Refusal) -> Failure {
+    match refusal {
+        charger::Refusal::Spent { retry_after_ms } => {
+            retryable_failure(Reason::AllotmentSpent, retry_after_ms)
+        }
+        charger::Refusal::Unanswered => {
+            retryable_failure(Reason::QuorumAway, NO_ROUTING_RETRY_AFTER_MS)
+        }
+    }
+}
+
 /// Returns the response for a failure, with a `Retry-After` header if the failure has a delay.
 fn failure_response(id: &str, failure: Failure) -> Response<Body> {
     let mut response = responses::fail(id, failure);
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -15,6 +15,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::RoutedRequest;
 use crate::gateway::retryable_failure;
+use crate::gateway::uncharged_failure;
 use crate::gateway_answer_log::AnswerLog;
 use crate::gateway_answer_log::Outcome;
 use crate::gateway_attempt::Attempt;
@@ -55,6 +56,8 @@
     attempts: u32,
     /// Weights version that must generate the rest of a resumed answer.
     pub exact_weights: Option<u64>,
+    /// Whether a charge to the allotment is not used yet.
+    is_charged: bool,
     may_have_run: bool,
     /// Attempts that an upstream rejected without running the request.
     rejections: u32,
@@ -170,12 +173,51 @@
     pub upstream: String,
 }
 
-/// Sends a request to one upstream after another until the head of an answer arrives.
+/// Sends a request to one upstream after another until the head of an answer arrives, and gives
+/// back a charge for which nothing ran.
 async fn send_until_answered(
     context: &Arc<Context>,
     gateway: &Arc<Gateway>,
     routed: &RoutedRequest,
     progress: &mut Progress,
+) -> Result<UpstreamAnswer, Failure> {
+    let answered = try_upstreams(context, gateway, routed, progress).await;
+    if std::mem::take(&mut progress.is_charged)
+        && let Some(cost) = &routed.cost
+    {
+        gateway.charger.give_back(cost);
+    }
+    answered
+}
+
+/// Charges the next run to the allotment of the workspace, unless an earlier charge is still unused
+/// because no upstream ran the request.
+async fn charge(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    progress: &mut Progress,
+) -> Result<(), Failure> {
+    let Some(cost) = routed.cost.as_ref().filter(|_| !progress.is_charged) else {
+        return Ok(());
+    };
+    let charged = gateway.charger.charge(cost).await;
+    progress.is_charged = charged.is_ok();
+    charged.map_err(|refusal| match progress.may_have_run {
+        false => uncharged_failure(refusal),
+        true => Failure {
+            not_run: NotRun::Unknown,
+            reason: Reason::OutcomeUnknown,
+            retry_after_ms: None,
+        },
+    })
+}
+
+/// Sends a request to one upstream after another until the head of an answer arrives.
+async fn try_upstreams(
+    context: &Arc<Context>,
+    gateway: &Arc<Gateway>,
+    routed: &RoutedRequest,
+    progress: &mut Progress,
 ) -> Result<UpstreamAnswer, Failure> {
     loop {
         gateway_crash::admit(context, gateway, routed, progress.may_have_run)?;
@@ -189,9 +231,11 @@
         };
         // A part may have been quarantined while the request waited for a free engine.
         gateway_crash::admit(context, gateway, routed, progress.may_have_run)?;
+        charge(gateway, routed, progress).await?;
         let (may_have_run, reason) =
             match attempt(context, gateway, routed, progress, &demand, &choice).await {
                 Attempt::Answered(answered) => {
+                    progress.is_charged = false;
                     if answered.status().is_server_error() {
                         let handle = &answered.in_flight.handle;
                         gateway
@@ -206,7 +250,10 @@
                 Attempt::Failed {
                     may_have_run,
                     reason,
-                } => (may_have_run, reason),
+                } => {
+                    progress.is_charged &= !may_have_run;
+                    (may_have_run, reason)
+                }
                 Attempt::Rejected => {
                     progress.rejections += 1;
                     (false, retry::Reason::Refused)
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -1,6 +1,7 @@
 //! The hibiscushoist daemon: settings, duties and the edges towards callers and operators.
 
 pub mod admin;
+pub mod allotment_desk;
 pub mod answer;
 pub mod answer_buffer;
 pub mod assign_desk;
@@ -9,6 +10,7 @@
 pub mod broker;
 pub mod budget;
 pub mod caller;
+pub mod charger;
 pub mod completions;
 pub mod context;
 pub mod controller;
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::allotment_desk;
 use crate::assign_desk::Desk;
 use crate::broker::Error;
 use crate::broker::Handle;
@@ -65,6 +66,8 @@
 /// Hands the calls of other daemons to the duties of this one.
 #[derive(Clone)]
 pub struct Service {
+    /// Lends the allotments of workspaces while this host leads.
+    pub allotments: allotment_desk::Desk,
     /// Reaches the broker of the upstreams that this host owns.
     pub broker: Handle,
     /// Passes what hosts have seen on to the others while this one leads.
@@ -168,6 +171,9 @@
         self.desk
             .record_report(now, &ask.assignment_ids, &ask.cached_prefixes);
         let models = self.desk.record_samples(now, ask.samples);
+        let allotment_batch = self
+            .allotments
+            .exchange(&reading, &ask.host, &ask.allotment_report);
         let mut bulletin = self.bulletin.lock().unwrap_or_else(PoisonError::into_inner);
         let (cached_prefixes, prefix_position) = bulletin.exchange(
             reading.term,
@@ -198,7 +204,7 @@
         versions.record_namings(now, time, &reading.namings);
         versions.record(now, &reading.routed.weights_versions);
         Ok(RoutingUpdate {
-            allotment_batch: Default::default(),
+            allotment_batch,
             fleet: fleet_log.update_after(ask.edition),
             cached_prefixes,
             loads,
@@ -226,8 +232,8 @@
         self.desk.assign(ask).await
     }
 
-    async fn draw(self, _: Context, _draw: message::Draw) -> Result<message::Drawn, Rejection> {
-        Ok(message::Drawn::Charged)
+    async fn draw(self, _: Context, draw: message::Draw) -> Result<message::Drawn, Rejection> {
+        self.allotments.draw(draw).await
     }
 }
 
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -201,9 +201,10 @@
             let mut monitor = gateway.part_monitor();
             monitor.take_evidence(polled_at)
         });
+        let allotment_report = gateway.map(|gateway| gateway.charger.purse().report(polled_at));
         let loads_number = progress.own_reports.record(loads.clone());
         let request = Request {
-            allotment_report: Default::default(),
+            allotment_report: allotment_report.unwrap_or_default(),
             edition: match progress.wants_whole_fleet {
                 false => snapshot.fleet.edition,
                 true => Edition::default(),
@@ -237,6 +238,8 @@
         let fleet = self.apply_fleet(context, &snapshot, progress, update.fleet.take())?;
         if let Some(gateway) = &context.gateway {
             let now = context.clock.now();
+            let batch = std::mem::take(&mut update.allotment_batch);
+            gateway.charger.apply(polled_at, batch);
             let mut versions = gateway.versions();
             versions.merge(polled_at, &update.version_ages);
             versions.record(polled_at, &update.weights);
--- a/crates/protocol/src/refusal.rs
+++ b/crates/protocol/src/refusal.rs
@@ -27,6 +27,8 @@
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum Reason {
+    /// The workspace has used up its allotment.
+    AllotmentSpent,
     /// The answer was interrupted and could not be resumed.
     AnswerCut,
     /// The request is malformed.
@@ -86,7 +88,11 @@
             Self::AnswerCut | Self::OutcomeUnknown | Self::UpstreamFailed => 502,
             Self::BadRequest | Self::KeyMissing => 400,
             Self::BodyTooLarge => 413,
-            Self::CallerLimit | Self::KindLimit | Self::RateLimit | Self::WorkspaceLimit => 429,
+            Self::AllotmentSpent
+            | Self::CallerLimit
+            | Self::KindLimit
+            | Self::RateLimit
+            | Self::WorkspaceLimit => 429,
             Self::Deadline => 504,
             Self::Draining
             | Self::NoUpstream
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -152,13 +152,20 @@
     FleetMisfit = 335,
     /// The leading host has learned how fast the engines of a service are, or that it has changed.
     EnginesLearned = 336,
+    /// Callers of a workspace ask for more than its allotment.
+    AllotmentScarce = 340,
+    /// The allotment of a workspace covers again what callers ask for.
+    AllotmentSufficient = 341,
+    /// A request was refused because the allotment of its workspace does not cover it.
+    AllotmentRefused = 342,
 }
 
 impl Event {
     /// Returns the log level of the event.
     pub fn level(self) -> Level {
         match self {
-            Self::AttemptFailed
+            Self::AllotmentRefused
+            | Self::AttemptFailed
             | Self::ConnectionFailed
             | Self::FleetChanged
             | Self::HostLoaded
@@ -196,7 +203,9 @@
             | Self::RolloutStuck
             | Self::SettingsRefused
             | Self::TableNotSaved => Level::Warning,
-            Self::DrainBegun
+            Self::AllotmentScarce
+            | Self::AllotmentSufficient
+            | Self::DrainBegun
             | Self::EditRefused
             | Self::EnginesLearned
             | Self::HostCleared
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -85,6 +85,23 @@
 /// Counter of commands that were sent to the voters again, by reason.
 pub const VOTER_RETRIES: &str = "hibiscushoist_voter_retries_total";
 
+/// Counter of requests that had to be charged by the holder of the allotments, by outcome.
+pub const ALLOTMENT_DRAWS: &str = "hibiscushoist_allotment_draws_total";
+/// Gauge of the time since the leases of this host were renewed, in milliseconds.
+pub const ALLOTMENT_LEASE_AGE_MS: &str = "hibiscushoist_allotment_lease_age_ms";
+/// Gauge of the units that are lent to hosts and not known to be spent, by workspace.
+pub const ALLOTMENT_LENT: &str = "hibiscushoist_allotment_lent_units";
+/// Gauge of the units that are left in the bucket, by workspace.
+pub const ALLOTMENT_LEVEL: &str = "hibiscushoist_allotment_level_units";
+/// Gauge of the units that a workspace may use in a second.
+pub const ALLOTMENT_RATE: &str = "hibiscushoist_allotment_rate_units";
+/// Counter of the units of requests that were refused by an allotment, by workspace.
+pub const ALLOTMENT_REFUSED: &str = "hibiscushoist_allotment_refused_units_total";
+/// Counter of the units that were given back for requests that did not run, by workspace.
+pub const ALLOTMENT_RETURNED: &str = "hibiscushoist_allotment_returned_units_total";
+/// Counter of the units that were charged, by workspace.
+pub const ALLOTMENT_USED: &str = "hibiscushoist_allotment_used_units_total";
+
 /// Handle of the recorder, which can be installed only once in a process.
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
 
