Wrap the comments of allotments at 100 columns

The style check found lines over 100 columns and an import outside of its group.

Comments are wrapped and the test draws from the generator that the other tests use.

--- a/crates/coordination/src/allotment/bucket.rs
+++ b/crates/coordination/src/allotment/bucket.rs
@@ -1,7 +1,7 @@
 //! Token bucket of one workspace, with the leases that are lent from it.
 //!
-//! The units in the bucket and those that are lent and not known to be spent are never more than the
-//! burst together. What is spent in a window is therefore at most the burst and what flows in.
+//! The units in the bucket and those that are lent and not known to be spent are never more than
+//! the burst together. What is spent in a window is therefore at most the burst and what flows in.
 
 use std::collections::BTreeMap;
 
@@ -14,8 +14,8 @@
 use state::routing::Allotment;
 use state::time::Instant;
 
-/// Length of a window over which demand is summed, in milliseconds: each host reports at least twice
-/// in it.
+/// Length of a window over which demand is summed, in milliseconds: each host reports at least
+/// twice in it.
 const WINDOW_MS: u64 = 250;
 /// Time within which what is in the bucket may be spent on top of the rate, in milliseconds.
 const SPEND_MS: u64 = 500;
@@ -26,7 +26,8 @@
 const LEAST_DEMAND: u64 = 1;
 /// Time without refusals after which an allotment counts as no longer scarce, in milliseconds.
 const RELIEF_MS: u64 = 2_000;
-/// Bounds of the time after which the caller of an uncovered request may come back, in milliseconds.
+/// Bounds of the time after which the caller of an uncovered request may come back, in
+/// milliseconds.
 const RETRY_AFTER_MS: (u64, u64) = (200, 8_000);
 const MILLI: i64 = 1_000;
 
@@ -97,8 +98,8 @@
         }
     }
 
-    /// Adds what has flown in since the last call. Up to `excluded` units of the burst may be held by
-    /// hosts under earlier terms.
+    /// Adds what has flown in since the last call. Up to `excluded` units of the burst may be held
+    /// by hosts under earlier terms.
     pub fn refill(&mut self, now: Instant, allotment: Allotment, excluded: u64) {
         self.allotment = allotment;
         let inflow = now.since(self.refilled_at).saturating_mul(allotment.rate);
--- a/crates/coordination/src/allotment/holder.rs
+++ b/crates/coordination/src/allotment/holder.rs
@@ -84,8 +84,8 @@
 }
 
 impl Holder {
-    /// Takes the report of a host and lends it what it needs. The leadership in `term` and the table
-    /// have to be confirmed since the report arrived.
+    /// Takes the report of a host and lends it what it needs. The leadership in `term` and the
+    /// table have to be confirmed since the report arrived.
     pub fn exchange(
         &mut self,
         now: Instant,
@@ -304,8 +304,8 @@
         self.small_per_s = (self.small_per_s * 3 + per_s) / 4;
     }
 
-    /// Returns the units that the host should hold: its part of the demand for small requests. Large
-    /// ones draw, because leases that cover them would lie idle at all hosts.
+    /// Returns the units that the host should hold: its part of the demand for small requests.
+    /// Large ones draw, because leases that cover them would lie idle at all hosts.
     fn target(&self, bucket: &Bucket, limit: u64) -> u64 {
         let all = bucket.small_demand();
         let cover_ms = match bucket.shares().is_empty() {
--- a/crates/coordination/src/allotment/purse.rs
+++ b/crates/coordination/src/allotment/purse.rs
@@ -80,8 +80,8 @@
         }
     }
 
-    /// Records that a caller asks for work, and decides whether it is taken as far as the shares of a
-    /// scarce allotment go. `random` is any number.
+    /// Records that a caller asks for work, and decides whether it is taken as far as the shares of
+    /// a scarce allotment go. `random` is any number.
     ///
     /// # Errors
     ///
--- a/crates/coordination/src/allotment/share.rs
+++ b/crates/coordination/src/allotment/share.rs
@@ -41,8 +41,8 @@
         .collect()
 }
 
-/// Returns the share of a kind that gets `part` of its demand. Those who are refused within a second
-/// come back over the time that serving them takes.
+/// Returns the share of a kind that gets `part` of its demand. Those who are refused within a
+/// second come back over the time that serving them takes.
 fn share(part: u64, demand: u64) -> Share {
     let backlog_ms = (demand - part) * MILLIS_PER_SECOND / part.max(1);
     let (least, most) = RETRY_AFTER_MS;
--- a/crates/coordination/tests/allotment.rs
+++ b/crates/coordination/tests/allotment.rs
@@ -1,7 +1,13 @@
-//! Allotments under load and under failure: a holder and the purses of many hosts, without a network.
+//! Allotments under load and under failure: a holder and the purses of many hosts, without a
+//! network.
 
 use std::collections::BTreeSet;
 
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use coordination::allotment::LEASE_MS;
 use coordination::allotment::holder::Holder;
 use coordination::allotment::kind::Kind;
@@ -10,10 +16,6 @@
 use coordination::allotment::message::Drawn;
 use coordination::allotment::purse::Charge;
 use coordination::allotment::purse::Purse;
-use rand::Rng;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use state::routing::Allotment;
 use state::routing::Table;
 use state::routing::Unit;
@@ -45,7 +47,7 @@
     loss_percent: u64,
     now: Instant,
     purses: Vec<Purse>,
-    random: StdRng,
+    random: ChaCha8Rng,
     refused: u64,
     runs: Vec<(String, Run)>,
     table: Table,
@@ -85,7 +87,7 @@
             loss_percent: 0,
             now: Instant(1),
             purses: (0..HOSTS as u64).map(Purse::new).collect(),
-            random: StdRng::seed_from_u64(seed),
+            random: ChaCha8Rng::seed_from_u64(seed),
             refused: 0,
             runs: Vec::new(),
             table,
@@ -180,7 +182,7 @@
         millis: u64,
         workspace: &str,
         units_per_s: u64,
-        mut pick: impl FnMut(&mut StdRng) -> usize,
+        mut pick: impl FnMut(&mut ChaCha8Rng) -> usize,
     ) {
         let mut due = 0;
         for _ in 0..millis / STEP_MS {
@@ -219,12 +221,12 @@
     }
 }
 
-fn any(random: &mut StdRng) -> usize {
+fn any(random: &mut ChaCha8Rng) -> usize {
     random.random_range(0..HOSTS)
 }
 
 /// Most callers come to a few hosts.
-fn few(random: &mut StdRng) -> usize {
+fn few(random: &mut ChaCha8Rng) -> usize {
     match random.random_range(0..10) {
         0 => random.random_range(0..HOSTS),
         _ => random.random_range(0..4),
--- a/crates/hibiscushoistd/src/allotment_desk.rs
+++ b/crates/hibiscushoistd/src/allotment_desk.rs
@@ -51,8 +51,8 @@
         }
     }
 
-    /// Takes the report of a host and lends it what it needs. `reading` has to be confirmed since the
-    /// report arrived.
+    /// Takes the report of a host and lends it what it needs. `reading` has to be confirmed since
+    /// the report arrived.
     pub fn exchange(&self, reading: &Reading, host: &str, report: &Report) -> Batch {
         let now = self.clock.now();
         let mut state = self.lock();
