--- a/crates/coordination/examples/assign_slope.rs
+++ b/crates/coordination/examples/assign_slope.rs
@@ -110,9 +110,6 @@
 fn cached_prefix(number: u64, engine: String) -> CachedPrefix {
     CachedPrefix {
         location: CacheLocation::Engine(engine),
-        prefix: PrefixKey {
-            prefix_id: format!("part-{}", number % PROMPTS),
-            weights: 7,
-        },
+        prefix: PrefixKey::new(format!("part-{}", number % PROMPTS), 7),
     }
 }
--- a/crates/coordination/src/demand.rs
+++ b/crates/coordination/src/demand.rs
@@ -51,8 +51,7 @@
 impl Demand {
     /// Returns the key under which engines with this weights version cache the shared prefix.
     pub fn prefix_key(&self, weights: u64) -> Option<PrefixKey> {
-        let prefix_id = self.cache_id()?;
-        Some(PrefixKey { prefix_id, weights })
+        Some(PrefixKey::new(self.cache_id()?, weights))
     }
 
     /// Returns the ID of the shared prefix, with its scope appended unless all workspaces share it.
--- a/crates/coordination/src/fleet_log.rs
+++ b/crates/coordination/src/fleet_log.rs
@@ -7,7 +7,6 @@
 //! not at all.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -17,6 +16,7 @@
 
 use crate::upstream::Edition;
 use crate::upstream::Fleet;
+use crate::upstream::Standing;
 use crate::upstream::Upstream;
 
 /// Number of editions whose changes are kept: some seconds of a fleet that changes all the time.
@@ -52,12 +52,52 @@
     Whole(Arc<Fleet>),
 }
 
+/// A change of nothing but standing and weights; each reload of an upstream brings several.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Patch {
+    /// Position of the upstream in the new edition.
+    pub index: u32,
+    /// Its standing.
+    pub standing: Standing,
+    /// Weights versions of its models, in the order of their names.
+    pub weights: Vec<u64>,
+}
+
+/// How an upstream differs from the one with this ID in the edition before.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Change {
+    /// In nothing but its standing and the versions of its weights.
+    Patched,
+    /// In something else, or it is new or gone.
+    Replaced,
+}
+
+impl Change {
+    /// Returns the change from `old` to `new`, if there is one.
+    fn between(old: &Upstream, new: &Upstream) -> Option<Self> {
+        if old == new {
+            return None;
+        }
+        let is_patch = old.weights.keys().eq(new.weights.keys())
+            && *new
+                == Upstream {
+                    standing: new.standing,
+                    weights: new.weights.clone(),
+                    ..old.clone()
+                };
+        Some(match is_patch {
+            false => Self::Replaced,
+            true => Self::Patched,
+        })
+    }
+}
+
 /// The difference between two editions of one term.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Difference {
     /// Edition that the difference was made for.
     pub base: Edition,
-    /// The upstreams that are new or have changed.
+    /// The upstreams that are new or have changed otherwise than by a patch.
     pub changed: Vec<Upstream>,
     /// Number of upstreams of the new edition.
     pub count: usize,
@@ -65,6 +105,8 @@
     pub edition: Edition,
     /// Oldest weights version of each model that may still serve requests.
     pub min_weights: BTreeMap<String, u64>,
+    /// What has changed of the upstreams that are otherwise the same.
+    pub patches: Vec<Patch>,
     /// IDs of the upstreams that are gone.
     pub removed: Vec<String>,
 }
@@ -102,16 +144,27 @@
         for upstream in &self.changed {
             upstreams.insert(&upstream.id, upstream);
         }
+        let mut upstreams: Vec<Upstream> = upstreams.into_values().cloned().collect();
+        let misfit = Error::Count {
+            expected: self.count,
+            upstreams: upstreams.len(),
+        };
         if upstreams.len() != self.count {
-            return Err(Error::Count {
-                expected: self.count,
-                upstreams: upstreams.len(),
-            });
+            return Err(misfit);
+        }
+        for patch in self.patches {
+            let Some(upstream) = upstreams.get_mut(patch.index as usize) else {
+                return Err(misfit);
+            };
+            upstream.standing = patch.standing;
+            for (version, new) in upstream.weights.values_mut().zip(patch.weights) {
+                *version = new;
+            }
         }
         Ok(Fleet {
             edition: self.edition,
-            min_weights: self.min_weights.clone(),
-            upstreams: upstreams.into_values().cloned().collect(),
+            min_weights: self.min_weights,
+            upstreams,
         })
     }
 }
@@ -119,8 +172,8 @@
 /// The newest edition, with what changed in the editions before it.
 #[derive(Clone, Debug, Default)]
 pub struct FleetLog {
-    /// IDs of the upstreams that changed, by the number of the edition, in order.
-    changes: VecDeque<(u64, Vec<String>)>,
+    /// The upstreams that changed, by the number of the edition, in order.
+    changes: VecDeque<(u64, Vec<(String, Change)>)>,
     fleet: Arc<Fleet>,
 }
 
@@ -151,7 +204,7 @@
             false => VecDeque::new(),
             true => {
                 let mut changes = self.changes.clone();
-                changes.push_back((number, changed_ids(&old.upstreams, &upstreams)));
+                changes.push_back((number, changes_between(&old.upstreams, &upstreams)));
                 changes
             }
         };
@@ -184,13 +237,22 @@
         }
         let later = self.changes.iter();
         let later = later.filter(|(number, _)| *number > edition.number);
-        let ids: BTreeSet<&String> = later.flat_map(|(_, ids)| ids).collect();
-        let (mut changed, mut removed) = (Vec::new(), Vec::new());
+        let mut greatest: BTreeMap<&String, Change> = BTreeMap::new();
+        for (id, change) in later.flat_map(|(_, changes)| changes) {
+            let known = greatest.entry(id).or_insert(*change);
+            *known = (*known).max(*change);
+        }
+        let (mut changed, mut patches, mut removed) = (Vec::new(), Vec::new(), Vec::new());
         let upstreams = &self.fleet.upstreams;
-        for id in ids {
-            match upstreams.binary_search_by(|upstream| upstream.id.cmp(id)) {
-                Err(_) => removed.push(id.clone()),
-                Ok(index) => changed.push(upstreams[index].clone()),
+        for (id, change) in greatest {
+            match (upstreams.binary_search_by(|u| u.id.cmp(id)), change) {
+                (Err(_), _) => removed.push(id.clone()),
+                (Ok(index), Change::Patched) => patches.push(Patch {
+                    index: u32::try_from(index).unwrap_or(u32::MAX),
+                    standing: upstreams[index].standing,
+                    weights: upstreams[index].weights.values().copied().collect(),
+                }),
+                (Ok(index), Change::Replaced) => changed.push(upstreams[index].clone()),
             }
         }
         Some(FleetUpdate::Difference(Difference {
@@ -199,22 +261,27 @@
             count: upstreams.len(),
             edition: newest,
             min_weights: self.fleet.min_weights.clone(),
+            patches,
             removed,
         }))
     }
 }
 
 /// Returns the IDs of the upstreams that are not the same in both lists, which are in order.
-fn changed_ids(old: &[Upstream], new: &[Upstream]) -> Vec<String> {
-    let by_id = |upstreams: &[Upstream]| -> BTreeMap<String, Upstream> {
-        let upstreams = upstreams.iter();
-        upstreams.map(|u| (u.id.clone(), u.clone())).collect()
-    };
+fn changes_between(old: &[Upstream], new: &[Upstream]) -> Vec<(String, Change)> {
+    fn by_id(upstreams: &[Upstream]) -> BTreeMap<&String, &Upstream> {
+        upstreams.iter().map(|u| (&u.id, u)).collect()
+    }
     let (old, new) = (by_id(old), by_id(new));
-    let changed = new
-        .iter()
-        .filter(|(id, upstream)| old.get(*id) != Some(*upstream));
-    let changed = changed.map(|(id, _)| id.clone());
-    let removed = old.keys().filter(|id| !new.contains_key(*id)).cloned();
+    let change = |(id, upstream): (&&String, &&Upstream)| {
+        let change = match old.get(id) {
+            None => Some(Change::Replaced),
+            Some(old) => Change::between(old, upstream),
+        };
+        Some(((*id).clone(), change?))
+    };
+    let changed = new.iter().filter_map(change);
+    let removed = old.keys().filter(|id| !new.contains_key(*id));
+    let removed = removed.map(|id| ((*id).clone(), Change::Replaced));
     changed.chain(removed).collect()
 }
--- a/crates/coordination/src/prefix_index.rs
+++ b/crates/coordination/src/prefix_index.rs
@@ -24,21 +24,35 @@
 /// Time for which an entry that this host observes again is not sent again, in milliseconds: the
 /// other hosts keep it three times as long.
 const ANNOUNCE_INTERVAL_MS: u64 = 3_000;
+/// Least time between two removals of expired entries, in milliseconds: each visits all entries,
+/// and reports of hosts arrive a thousand times a second.
+const EXPIRY_INTERVAL_MS: u64 = 1_000;
 /// Largest number of entries that wait to be sent to the other hosts; a host sends fewer long
 /// prompts to engines between two updates.
 const UNSENT_LIMIT: usize = 256;
 
 /// Identity of a shared prefix as engines cache it: for one weights version, and within one
 /// workspace where that is isolated.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+///
+/// Hosts tell each other of thousands of prefixes a second, so a hash stands for the ID. Two IDs
+/// with one hash cost a fetch that finds nothing.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct PrefixKey {
-    /// ID of the last part of the prefix, with the scope in which it is shared, if that
-    /// is not all requests.
-    pub prefix_id: String,
+    id_hash: [u8; 8],
     /// Version of the weights that computed it.
     pub weights: u64,
 }
 
+impl PrefixKey {
+    /// Returns the key of a prefix by the ID of its last part, with the scope in which it is shared
+    /// if that is not all requests.
+    pub fn new(prefix_id: impl AsRef<[u8]>, weights: u64) -> Self {
+        let mut id_hash = [0; 8];
+        id_hash.copy_from_slice(&blake3::hash(prefix_id.as_ref()).as_bytes()[..8]);
+        Self { id_hash, weights }
+    }
+}
+
 /// Where a prefix is cached.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum CacheLocation {
@@ -60,8 +74,7 @@
 /// Returns the store that keeps a prefix. Rendezvous hashing gives the same store on every host, so
 /// that each prefix is kept once and prefixes spread over all stores.
 pub fn store_for(stores: &[SocketAddr], prefix: &PrefixKey) -> Option<SocketAddr> {
-    let score =
-        |store: &&SocketAddr| rendezvous::score(prefix.prefix_id.as_bytes(), &store.to_string());
+    let score = |store: &&SocketAddr| rendezvous::score(&prefix.id_hash, &store.to_string());
     stores.iter().max_by_key(score).copied()
 }
 
@@ -77,6 +90,7 @@
 /// Records which locations have which prefixes cached.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixIndex {
+    expired_at: Instant,
     locations: BTreeMap<PrefixKey, BTreeMap<CacheLocation, Observation>>,
     sent: VecDeque<(Instant, CachedPrefix)>,
     unsent: Vec<CachedPrefix>,
@@ -87,7 +101,7 @@
     /// were told of it lately.
     pub fn record_local(&mut self, now: Instant, cached_prefix: CachedPrefix) {
         let CachedPrefix { location, prefix } = &cached_prefix;
-        let locations = self.locations.entry(prefix.clone()).or_default();
+        let locations = self.locations.entry(*prefix).or_default();
         if let Some(known) = locations.get_mut(location)
             && now.since(known.announced) < ANNOUNCE_INTERVAL_MS
         {
@@ -158,15 +172,19 @@
                 now,
                 CachedPrefix {
                     location: CacheLocation::Store,
-                    prefix: prefix.clone(),
+                    prefix: *prefix,
                 },
             );
         }
         due
     }
 
-    /// Removes expired entries.
+    /// Removes expired entries, if none were removed lately. They decide nothing meanwhile.
     pub fn expire(&mut self, now: Instant) {
+        if now.since(self.expired_at) < EXPIRY_INTERVAL_MS {
+            return;
+        }
+        self.expired_at = now;
         let longest_ms = CACHED_MS.max(SAVE_INTERVAL_MS);
         self.locations.retain(|_, locations| {
             locations.retain(|_, seen| now.since(seen.at) <= longest_ms);
--- a/crates/coordination/src/prefix_log.rs
+++ b/crates/coordination/src/prefix_log.rs
@@ -9,7 +9,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::prefix_index::CacheLocation;
 use crate::prefix_index::CachedPrefix;
+use crate::prefix_index::PrefixKey;
+use crate::upstream::Edition;
+use crate::upstream::Fleet;
 
 /// Largest number of entries that are kept: enough for some seconds at a hundred long prompts a
 /// second.
@@ -26,6 +30,59 @@
     pub number: u64,
 }
 
+/// A cached prefix, as it is passed on to hosts.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Announcement {
+    /// Position of the engine in the edition of the fleet that is sent along; `None` for the store.
+    pub engine: Option<u32>,
+    /// The cached prefix.
+    pub prefix: PrefixKey,
+}
+
+/// Returns the announcements of entries; those of engines that `fleet` does not list are left out.
+pub fn announce(
+    fleet: &Fleet,
+    cached_prefixes: impl IntoIterator<Item = CachedPrefix>,
+) -> Vec<Announcement> {
+    let announcement = |CachedPrefix { location, prefix }| {
+        let engine = match location {
+            CacheLocation::Engine(id) => {
+                let index = fleet.upstreams.binary_search_by(|u| u.id.cmp(&id));
+                Some(u32::try_from(index.ok()?).ok()?)
+            }
+            CacheLocation::Store => None,
+        };
+        Some(Announcement { engine, prefix })
+    };
+    cached_prefixes
+        .into_iter()
+        .filter_map(announcement)
+        .collect()
+}
+
+/// Returns the entries that were announced with `edition`; none if `fleet` is another one, in which
+/// the positions name other engines.
+pub fn entries(
+    fleet: &Fleet,
+    edition: Edition,
+    announcements: impl IntoIterator<Item = Announcement>,
+) -> Vec<CachedPrefix> {
+    let entry = |Announcement { engine, prefix }| {
+        let location = match engine {
+            None => CacheLocation::Store,
+            Some(index) => {
+                let upstream = fleet.upstreams.get(index as usize)?;
+                CacheLocation::Engine(upstream.id.clone())
+            }
+        };
+        Some(CachedPrefix { location, prefix })
+    };
+    match fleet.edition == edition {
+        false => Vec::new(),
+        true => announcements.into_iter().filter_map(entry).collect(),
+    }
+}
+
 /// The newest entries, as the leading host keeps them.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixLog {
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -20,6 +20,7 @@
 use crate::part_evidence::Evidence;
 use crate::part_evidence::Verdict;
 use crate::prefix_index::CachedPrefix;
+use crate::prefix_log::Announcement;
 use crate::prefix_log::Position;
 use crate::upstream::Edition;
 use crate::upstream_load::LoadSums;
@@ -64,8 +65,8 @@
     pub allotment_batch: message::Batch,
     /// What the host lacks of the newest edition of the upstreams.
     pub fleet: Option<FleetUpdate>,
-    /// Cached prefixes that other hosts have recorded.
-    pub cached_prefixes: Vec<CachedPrefix>,
+    /// Cached prefixes that other hosts have recorded, for the newest edition of the upstreams.
+    pub announcements: Vec<Announcement>,
     /// Load that all hosts cause at each upstream.
     pub loads: LoadSums,
     /// Number of the report of this host that `loads` includes; 0 if none.
--- a/crates/coordination/src/upstream_load.rs
+++ b/crates/coordination/src/upstream_load.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::load::packed;
 use crate::upstream::Edition;
 use crate::upstream::Fleet;
 use state::time::Instant;
@@ -74,7 +75,8 @@
 pub struct LoadSums {
     /// Edition of the fleet whose upstreams the loads belong to.
     pub edition: Edition,
-    /// Loads in the order of the upstreams of that edition.
+    /// Loads in the order of the upstreams of that edition, rounded on the wire.
+    #[serde(with = "packed")]
     pub loads: Arc<Vec<UpstreamLoad>>,
 }
 
--- a/crates/coordination/tests/fleet_log.rs
+++ b/crates/coordination/tests/fleet_log.rs
@@ -111,6 +111,33 @@
     assert!(size(&whole) > 40_000, "{} bytes", size(&whole));
 }
 
+/// Each reload of an engine sent its whole row twice to every host.
+#[test]
+fn a_reload_costs_a_few_bytes_and_a_new_process_its_row() {
+    let names: Vec<String> = (0..1_500).map(|index| format!("engine-{index}")).collect();
+    let engines: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let mut listed = fleet(&engines).upstreams;
+    let log = FleetLog::default();
+    let log = log.publish(1, listed.clone(), min_weights(1)).unwrap();
+    let base = log.fleet().clone();
+    let empty = log.publish(1, listed.clone(), min_weights(2)).unwrap();
+    let size = |log: &FleetLog| {
+        let update = log.update_after(base.edition).unwrap();
+        assert_eq!(update.clone().apply(&base).unwrap(), *log.fleet());
+        postcard::to_stdvec(&update).unwrap().len()
+    };
+    for upstream in &mut listed[400..500] {
+        upstream.weights.insert("m".to_owned(), 2);
+        upstream.standing = Standing::Loading;
+    }
+    let reloads = log.publish(1, listed.clone(), min_weights(1)).unwrap();
+    let per_reload = (size(&reloads) - size(&empty)) / 100;
+    assert!(per_reload <= 6, "{per_reload} bytes");
+    listed[450].started += 1;
+    let restarted = log.publish(1, listed, min_weights(1)).unwrap();
+    assert!(size(&restarted) > size(&reloads) + 20);
+}
+
 #[test]
 fn a_host_of_another_term_or_of_long_ago_gets_the_whole_fleet() {
     let mut log = FleetLog::default();
--- a/crates/coordination/tests/prefix_index.rs
+++ b/crates/coordination/tests/prefix_index.rs
@@ -1,22 +1,24 @@
 //! Tests of the index of cached prefixes, and of the log that distributes its entries.
 
+mod upstream_fixtures;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use crate::upstream_fixtures::fleet;
 use coordination::prefix_index;
 use coordination::prefix_index::CacheLocation;
 use coordination::prefix_index::CachedPrefix;
 use coordination::prefix_index::PrefixIndex;
 use coordination::prefix_index::PrefixKey;
+use coordination::prefix_log;
 use coordination::prefix_log::Position;
 use coordination::prefix_log::PrefixLog;
+use coordination::upstream::Edition;
 use state::time::Instant;
 
 fn prefix(prefix_id: &str, weights: u64) -> PrefixKey {
-    PrefixKey {
-        prefix_id: prefix_id.to_owned(),
-        weights,
-    }
+    PrefixKey::new(prefix_id, weights)
 }
 
 fn at(engine: &str, prefix_id: &str) -> CachedPrefix {
@@ -141,6 +143,39 @@
     assert_eq!(position.number, 2_000);
 }
 
+/// A position of another edition would name another engine, which then is asked for a prefix that
+/// it never had.
+#[test]
+fn announcements_name_engines_of_their_edition_only() {
+    let fleet = fleet(&[("a", 1), ("b", 1), ("c", 1)]);
+    let store = CachedPrefix {
+        location: CacheLocation::Store,
+        prefix: prefix("p", 1),
+    };
+    let known = vec![at("c", "p"), store, at("a", "q")];
+    let gone = at("gone", "p");
+    let sent = prefix_log::announce(&fleet, known.iter().cloned().chain([gone]));
+    let received = prefix_log::entries(&fleet, fleet.edition, sent.clone());
+    assert_eq!(received, known);
+    let other = Edition {
+        term: fleet.edition.term,
+        number: fleet.edition.number + 1,
+    };
+    assert_eq!(prefix_log::entries(&fleet, other, sent), []);
+}
+
+/// Some hundred entries a second went to some hundred hosts, at forty bytes each.
+#[test]
+fn an_announcement_takes_at_most_twelve_bytes() {
+    let ids: Vec<String> = (0..1_500).map(|number| format!("e{number:04}")).collect();
+    let engines: Vec<(&str, u64)> = ids.iter().map(|id| (id.as_str(), 1)).collect();
+    let fleet = fleet(&engines);
+    let sent = prefix_log::announce(&fleet, [at("e1499", "p@+0123456789abcdef")]);
+    assert_eq!(sent.len(), 1);
+    let size = postcard::to_stdvec(&sent[0]).unwrap().len();
+    assert!(size <= 12, "{size} bytes");
+}
+
 #[test]
 fn each_prefix_has_one_store_and_prefixes_spread_over_all_stores() {
     let stores: Vec<SocketAddr> = (1..=3).map(|n| ([10, 0, 0, n], 1).into()).collect();
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -34,6 +34,7 @@
 use coordination::fleet_log::FleetLog;
 use coordination::gossip::Message;
 use coordination::part_evidence::EvidenceCollector;
+use coordination::prefix_log;
 use coordination::prefix_log::PrefixLog;
 use coordination::quarantine;
 use coordination::routing_update;
@@ -200,7 +201,7 @@
         Ok(RoutingUpdate {
             allotment_batch: Default::default(),
             fleet: fleet_log.update_after(ask.edition),
-            cached_prefixes,
+            announcements: prefix_log::announce(fleet_log.fleet(), cached_prefixes),
             loads,
             loads_included,
             models,
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -13,6 +13,7 @@
 use crate::context::Context;
 use coordination::fleet_log::FleetUpdate;
 use coordination::host::Role;
+use coordination::prefix_log;
 use coordination::prefix_log::Position;
 use coordination::routing_update::Freshness;
 use coordination::routing_update::Request;
@@ -245,7 +246,8 @@
             gateway.part_monitor().adopt(now, verdict);
             let (sums, included) = (&update.loads, update.loads_included);
             let other_loads = progress.own_reports.others(&fleet, sums, included);
-            let cached_prefixes = std::mem::take(&mut update.cached_prefixes);
+            let announcements = std::mem::take(&mut update.announcements);
+            let cached_prefixes = prefix_log::entries(&fleet, update.loads.edition, announcements);
             let mut dispatcher = gateway.dispatcher();
             if let Some(other_loads) = other_loads {
                 dispatcher.set_other_loads(now, other_loads);
