Let leases cover the demand of their hosts for longer

Leases covered 0.3 s of demand, so that a change of the leader would have refused requests of all workspaces with an allotment after that time, and a host with few callers drew for each of them.

Leases cover as much of the time until they end as the lent part of the burst permits, and only 0.15 s while the allotment is scarce. Less is lent where large requests need most of the burst. A host's demand falls slowly. A request that lacks units which flow in within 0.25 s waits for them once.

--- a/crates/coordination/src/allotment/bucket.rs
+++ b/crates/coordination/src/allotment/bucket.rs
@@ -22,6 +22,8 @@
 /// Time for which hosts hand their leases back, so that a request can be covered which needs almost
 /// the whole burst, in milliseconds.
 const RECALL_MS: u64 = 500;
+/// Time for which the largest request that drew counts as usual, in milliseconds.
+const LARGEST_MS: u64 = 10_000;
 /// Demand below which a kind is forgotten, in units a second.
 const LEAST_DEMAND: u64 = 1;
 /// Time without refusals after which an allotment counts as no longer scarce, in milliseconds.
@@ -70,6 +72,8 @@
     allotment: Allotment,
     flows: BTreeMap<Kind, Flow>,
     is_scarce: bool,
+    /// Largest request that drew of late, and when it did.
+    largest: (u64, Instant),
     last_short_at: Instant,
     lent: u64,
     level_milli: i64,
@@ -77,6 +81,9 @@
     refilled_at: Instant,
     reserve: Reserve,
     shares: BTreeMap<Kind, Share>,
+    /// Units of small requests that callers ask all hosts for in a second, as the hosts are
+    /// counted.
+    small_per_s: u64,
     window_began: Instant,
 }
 
@@ -87,6 +94,7 @@
             allotment,
             flows: BTreeMap::new(),
             is_scarce: false,
+            largest: (0, now),
             last_short_at: now,
             lent: 0,
             level_milli: 0,
@@ -94,6 +102,7 @@
             refilled_at: emptied_at,
             reserve: Reserve::default(),
             shares: BTreeMap::new(),
+            small_per_s: 0,
             window_began: now,
         }
     }
@@ -147,6 +156,24 @@
         self.lent += units;
     }
 
+    /// Returns the most units that may be lent at a time if that is `eighths` of the burst: not so
+    /// many that a large request of the usual size finds too few.
+    pub fn lend_limit(&self, eighths: u64) -> u64 {
+        let burst = self.allotment.burst;
+        let part = burst.saturating_mul(eighths) / 8;
+        part.min(burst.saturating_sub(self.largest.0))
+    }
+
+    /// Replaces the demand for small requests that one host is counted with.
+    pub fn record_small(&mut self, before: u64, after: u64) {
+        self.small_per_s = (self.small_per_s + after).saturating_sub(before);
+    }
+
+    /// Returns the units of small requests that callers ask all hosts for in a second.
+    pub fn small_per_s(&self) -> u64 {
+        self.small_per_s
+    }
+
     /// Replaces the units that a host was known to hold by those that it holds. The difference is
     /// spent or given back.
     pub fn record_held(&mut self, known: u64, held: u64) {
@@ -212,6 +239,9 @@
     ///
     /// A request that costs more than the burst is taken from a full bucket, as a debt.
     pub fn draw(&mut self, now: Instant, size: Size, units: u64, excluded: u64) -> Drawn {
+        if size == Size::Large {
+            self.record_large(now, units);
+        }
         let needed = milli(units);
         let is_full = self.lent == 0 && self.level_milli >= self.room_milli(excluded);
         let is_over = units > self.allotment.burst && excluded == 0;
@@ -239,14 +269,21 @@
         Drawn::Refused { retry_after_ms }
     }
 
-    /// Returns the part of small requests that is taken of all that callers ask for, and their mean
-    /// cost: what a lease is sized by.
-    pub fn small_demand(&self) -> Demand {
+    /// Returns the mean cost of small requests.
+    pub fn small_cost(&self) -> u64 {
         let small = self.flows.iter().filter(|(k, _)| k.size == Size::Small);
-        small.fold(Demand::default(), |sum, (_, flow)| Demand {
-            requests: sum.requests + flow.per_second.requests,
-            units: sum.units + flow.per_second.units,
-        })
+        let (requests, units) = small.fold((0, 0), |(requests, units), (_, flow)| {
+            let per_second = flow.per_second;
+            (requests + per_second.requests, units + per_second.units)
+        });
+        units / requests.max(1)
+    }
+
+    fn record_large(&mut self, now: Instant, units: u64) {
+        let (largest, at) = self.largest;
+        if units >= largest || now.since(at) > LARGEST_MS {
+            self.largest = (units, now);
+        }
     }
 
     fn room_milli(&self, excluded: u64) -> i64 {
--- a/crates/coordination/src/allotment/holder.rs
+++ b/crates/coordination/src/allotment/holder.rs
@@ -29,13 +29,16 @@
 const LENT_EIGHTHS: u64 = 3;
 /// Part of the burst that a holder lends at most while it excludes another part, in eighths.
 const NEW_LENT_EIGHTHS: u64 = 1;
-/// Time for which a lease covers the demand of a host, in milliseconds: three routing updates, so
-/// that a lost one is no cause to draw.
-const COVER_MS: u64 = 300;
+/// Time for which a lease covers the demand of a host, in milliseconds: as long as it lasts, so
+/// that a change of the leader interrupts as little as the burst permits.
+const COVER_MS: u64 = LEASE_MS;
 /// The same while the allotment is scarce: unspent leases are missing elsewhere.
 const SCARCE_COVER_MS: u64 = 150;
 /// Least time between two reports that a rate is taken from, in milliseconds.
 const MIN_ELAPSED_MS: u64 = 50;
+/// Reciprocals of the weights of a new rate that is greater or less than the known one.
+const RISE_DIVISOR: u64 = 4;
+const FALL_DIVISOR: u64 = 32;
 /// Time between two searches for hosts whose leases have ended, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 100;
 
@@ -189,6 +192,7 @@
             for (workspace, account) in host.accounts {
                 if let Some(bucket) = self.buckets.get_mut(&workspace) {
                     bucket.record_held(account.held, 0);
+                    bucket.record_small(account.small_per_s, 0);
                 }
             }
         }
@@ -248,7 +252,9 @@
             bucket.record_demand(&used.wanted);
             account.held = held;
             account.lent_last = 0;
+            let before = account.small_per_s;
             account.record_demand(&used.wanted, elapsed_ms);
+            bucket.record_small(before, account.small_per_s);
         }
         host.accounts.retain(|_, account| account.is_active());
         host.incarnation = report.incarnation;
@@ -272,7 +278,7 @@
                 false => LENT_EIGHTHS,
                 true => NEW_LENT_EIGHTHS,
             };
-            let limit = bucket.allotment().burst * eighths / 8;
+            let limit = bucket.lend_limit(eighths);
             let target = match bucket.is_recalled(now) {
                 false => account.target(bucket, limit),
                 true => 0,
@@ -296,27 +302,31 @@
         self.held > 0 || self.small_per_s > 0
     }
 
-    /// Records what callers asked the host for since its last report.
+    /// Records what callers asked the host for since its last report. The rate falls slowly, so
+    /// that a host with few callers keeps a lease between them.
     fn record_demand(&mut self, wanted: &BTreeMap<Kind, Demand>, elapsed_ms: u64) {
         let small = wanted.iter().filter(|(kind, _)| kind.size == Size::Small);
         let units: u64 = small.map(|(_, demand)| demand.units).sum();
         let per_s = units.saturating_mul(1_000) / elapsed_ms.max(MIN_ELAPSED_MS);
-        self.small_per_s = (self.small_per_s * 3 + per_s) / 4;
+        let weight = match per_s > self.small_per_s {
+            false => FALL_DIVISOR,
+            true => RISE_DIVISOR,
+        };
+        self.small_per_s = (self.small_per_s * (weight - 1) + per_s) / weight;
     }
 
     /// Returns the units that the host should hold: its part of the demand for small requests.
     /// Large ones draw, because leases that cover them would lie idle at all hosts.
     fn target(&self, bucket: &Bucket, limit: u64) -> u64 {
-        let all = bucket.small_demand();
         let cover_ms = match bucket.shares().is_empty() {
             false => SCARCE_COVER_MS,
             true => COVER_MS,
         };
         let covering = self.small_per_s.saturating_mul(cover_ms) / 1_000;
         let part = u128::from(limit) * u128::from(self.small_per_s)
-            / u128::from(all.units.max(self.small_per_s).max(1));
+            / u128::from(bucket.small_per_s().max(self.small_per_s).max(1));
         let target = covering.min(part as u64);
-        let two = all.units / all.requests.max(1) * 2;
+        let two = bucket.small_cost() * 2;
         let is_plentiful = bucket.level() * 2 > bucket.allotment().burst as i64;
         match target < two {
             false => target,
--- a/crates/hibiscushoistd/src/charger.rs
+++ b/crates/hibiscushoistd/src/charger.rs
@@ -28,6 +28,10 @@
 /// Number of times for which a leader is asked.
 const DRAW_ATTEMPTS: u32 = 3;
 
+/// Longest wait for units that a request lacks, in milliseconds; its caller would need longer to
+/// come back.
+const MAX_WAIT_MS: u64 = 250;
+
 /// Why a request is not charged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -130,6 +134,11 @@
                     count(metric::ALLOTMENT_USED, cost);
                     return Ok(());
                 }
+                Some(Drawn::Refused { retry_after_ms })
+                    if attempt == 1 && retry_after_ms <= MAX_WAIT_MS =>
+                {
+                    tokio::time::sleep(Duration::from_millis(retry_after_ms)).await;
+                }
                 Some(Drawn::Refused { retry_after_ms }) => {
                     self.log_refusal(cost, "bucket", retry_after_ms);
                     let jitter_ms = rand::random_range(0..=retry_after_ms / 2);
