--- a/crates/coordination/tests/load_packed.rs
+++ b/crates/coordination/tests/load_packed.rs
@@ -37,7 +37,8 @@
         };
         let sent = sent(load);
         prop_assert!(sent.running == running);
-        prop_assert!((long_prompt_tokens..long_prompt_tokens + 256).contains(&sent.long_prompt_tokens));
+        let long_prompt = long_prompt_tokens..long_prompt_tokens + 256;
+        prop_assert!(long_prompt.contains(&sent.long_prompt_tokens));
         prop_assert!(sent.pending_prefill_tokens.abs_diff(pending_prefill_tokens) <= 128);
         prop_assert!(sent.last_byte_age_ms.is_some() == age_ms.is_some());
         if let Some((sent, age_ms)) = sent.last_byte_age_ms.zip(age_ms) {
