Bound the buffers of all bodies until their requests are answered

The share of a routed request's body was given back when the body was whole, while the body waited for its upstream, so whole bodies together passed bodies_limit_bytes. It also counted the bytes that had arrived and not the buffer, which doubles as it grows. Bodies that stopped short held all bytes until the time limit of their route, up to an hour, and everyone else got 503. An operator's body without room got 400, which ends a call for good.

The share is the buffer's capacity and stays with the request; a body of known length gets no larger buffer, and one over the limit is refused before it is read. When the bytes run out, bodies that grew by less than 4 KiB in a second yield with 503, not run, if that makes enough room. body_timeout_ms holds for routed bodies too. The control port refuses with the reason.

--- /dev/null
+++ b/crates/coordination/src/door.rs
@@ -0,0 +1,3 @@
+//! What callers may make a host hold, and who yields when that runs out.
+
+pub mod arrivals;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod dispatch;
 mod dispatch_cost;
 pub mod dissemination;
+pub mod door;
 pub mod drain;
 pub mod engine_load;
 pub mod engine_model;
--- a/crates/hibiscushoistd/src/budget.rs
+++ b/crates/hibiscushoistd/src/budget.rs
@@ -1,9 +1,11 @@
 //! A common bound on the bytes of request bodies that a daemon holds at once.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
 /// Hands out bytes until all are taken.
 #[derive(Clone, Debug)]
@@ -41,10 +43,27 @@
         let Ok(permit) = semaphore.try_acquire_many_owned(count) else {
             return false;
         };
+        self.hold(permit);
+        true
+    }
+
+    /// Takes `bytes` more once there are as many, and returns whether that happened in time.
+    pub async fn wait(&mut self, bytes: usize, limit: Duration) -> bool {
+        let Ok(count) = u32::try_from(bytes) else {
+            return false;
+        };
+        let freed = Arc::clone(&self.budget.0).acquire_many_owned(count);
+        let Ok(Ok(permit)) = timeout(limit, freed).await else {
+            return false;
+        };
+        self.hold(permit);
+        true
+    }
+
+    fn hold(&mut self, permit: OwnedSemaphorePermit) {
         match &mut self.held {
             None => self.held = Some(permit),
             Some(held) => held.merge(permit),
         }
-        true
     }
 }
--- a/crates/hibiscushoistd/src/context.rs
+++ b/crates/hibiscushoistd/src/context.rs
@@ -12,8 +12,8 @@
 use slog::Logger;
 use tokio::sync::watch;
 
+use crate::bodies::Bodies;
 use crate::broker;
-use crate::budget::Budget;
 use crate::budget::Share;
 use crate::gateway::Gateway;
 use crate::health::Health;
@@ -41,7 +41,7 @@
     /// Holds the address that callers are told.
     pub address: SocketAddr,
     /// Bounds the bytes of request bodies held at once.
-    pub bodies: Budget,
+    pub bodies: Bodies,
     /// Places requests on upstreams.
     pub broker: broker::Handle,
     /// Reads the clock.
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -20,8 +20,8 @@
 use tokio::task::JoinHandle;
 
 use crate::assign_desk::Desk;
+use crate::bodies::Bodies;
 use crate::broker;
-use crate::budget::Budget;
 use crate::context::Context;
 use crate::context::Shared;
 use crate::controller;
@@ -141,7 +141,7 @@
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone(), voter.table());
         let context = Arc::new(Context {
             address,
-            bodies: Budget::new(settings.entry.as_ref().map_or(0, |e| e.bodies_limit)),
+            bodies: Bodies::new(settings.entry.as_ref().map_or(0, |e| e.bodies_limit), clock),
             broker: broker.clone(),
             clock,
             drain_began: OnceLock::new(),
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -18,6 +18,7 @@
 
 use crate::answer::Failure;
 use crate::answer_buffer::AnswerBuffer;
+use crate::budget::Share;
 use crate::caller as responses;
 use crate::context::Context;
 use crate::gateway_crash::CrashChecks;
@@ -188,6 +189,8 @@
     pub route: Route,
     /// Service whose upstreams may run the request, one of the route's targets.
     pub service: String,
+    /// Bytes of the body within what this host may hold.
+    pub share: Share,
     /// Path and query.
     pub uri: Uri,
     /// Workspace of the caller's key, unless the table has no workspaces or the route is public.
@@ -261,13 +264,12 @@
         return Err(retryable_failure(Reason::Draining, DRAINING_RETRY_AFTER_MS));
     }
     let deadline = arrived + time_limit_ms;
-    let limit = context
-        .settings
-        .entry
-        .as_ref()
-        .map_or(0, |entry| entry.body_limit);
+    let entry = context.settings.entry.as_ref();
+    let limit = entry.map_or(0, |entry| entry.body_limit);
+    let time_limit = Duration::from_millis(time_limit_ms);
+    let time_limit = entry.map_or(time_limit, |entry| entry.body_timeout.min(time_limit));
     let body = request
-        .read(limit, Duration::from_millis(time_limit_ms))
+        .read(limit, time_limit)
         .await
         .map_err(Failure::before_run)?;
     let uri = request.uri.to_string();
@@ -290,6 +292,7 @@
         method: request.method,
         route,
         service,
+        share: request.share,
         uri: request.uri,
         workspace,
     })
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod assign_desk;
 pub mod attempt;
 pub mod auth;
+pub mod bodies;
 pub mod broker;
 pub mod budget;
 pub mod caller;
--- a/crates/hibiscushoistd/src/platform_api.rs
+++ b/crates/hibiscushoistd/src/platform_api.rs
@@ -95,8 +95,9 @@
 
 /// Replaces the routed table, unless the table in force has the same or a higher version.
 async fn replace_table(context: &Context, mut request: Request) -> Response<Body> {
-    let Some(bytes) = read_body(context, &mut request).await else {
-        return caller::refuse(&request.id, Reason::BadRequest);
+    let bytes = match read_body(context, &mut request).await {
+        Err(reason) => return caller::refuse(&request.id, reason),
+        Ok(bytes) => bytes,
     };
     let table = match configuration::decode(&bytes) {
         Err(error) => {
@@ -126,8 +127,11 @@
 
 /// Sets the newest weights version of a model.
 async fn name_weights(context: &Context, mut request: Request) -> Response<Body> {
-    let bytes = read_body(context, &mut request).await;
-    let Some(Ok((model, version))) = bytes.map(weights::decode) else {
+    let bytes = match read_body(context, &mut request).await {
+        Err(reason) => return caller::refuse(&request.id, reason),
+        Ok(bytes) => bytes,
+    };
+    let Ok((model, version)) = weights::decode(bytes) else {
         return caller::refuse(&request.id, Reason::BadRequest);
     };
     match context.voter.name_weights(model.clone(), version).await {
@@ -141,8 +145,8 @@
 }
 
 /// Reads the body of a request within the limits of the section `[entry]`.
-async fn read_body(context: &Context, request: &mut Request) -> Option<bytes::Bytes> {
-    let entry = context.settings.entry.as_ref()?;
-    let read = request.read(entry.body_limit, entry.body_timeout).await;
-    read.ok()
+async fn read_body(context: &Context, request: &mut Request) -> Result<bytes::Bytes, Reason> {
+    let entry = context.settings.entry.as_ref();
+    let entry = entry.ok_or(Reason::UnknownPath)?;
+    request.read(entry.body_limit, entry.body_timeout).await
 }
--- a/crates/hibiscushoistd/src/request.rs
+++ b/crates/hibiscushoistd/src/request.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use gotham::state::FromState;
 use gotham::state::State;
 use http_body_util::BodyExt;
@@ -11,7 +10,10 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Uri;
+use hyper::body::Body as _;
 
+use crate::bodies::Arriving;
+use crate::bodies::Bodies;
 use crate::budget::Share;
 use crate::context::Shared;
 use protocol::refusal::Reason;
@@ -19,6 +21,8 @@
 
 /// Holds the parts of a request; the body is read later.
 pub struct Request {
+    /// Bounds the bytes of all bodies.
+    pub bodies: Bodies,
     /// Holds the unread body.
     pub body: Body,
     /// Holds the headers.
@@ -37,13 +41,14 @@
     /// Takes the request out of gotham's state and gives it an identifier.
     pub fn take(state: &mut State) -> Self {
         let Shared(context) = Shared::borrow_from(state);
-        let share = context.bodies.share();
+        let bodies = context.bodies.clone();
         Self {
+            share: bodies.share(),
+            bodies,
             body: Body::try_take_from(state).unwrap_or_default(),
             headers: HeaderMap::take_from(state),
             id: format!("{:016x}", rand::random::<u64>()),
             method: Method::borrow_from(state).clone(),
-            share,
             uri: Uri::borrow_from(state).clone(),
         }
     }
@@ -79,29 +84,62 @@
     /// bodies, and `BadRequest` for a body that breaks off or is late.
     pub async fn read(&mut self, limit: usize, timeout: Duration) -> Result<Bytes, Reason> {
         let body = std::mem::take(&mut self.body);
-        let reading = self.collect(Limited::new(body, limit));
-        let read = tokio::time::timeout(timeout, reading).await;
-        read.unwrap_or(Err(Reason::BadRequest))
+        if body.size_hint().lower() > limit as u64 {
+            return Err(Reason::BodyTooLarge);
+        }
+        let mut arriving = self.bodies.arriving();
+        let yields = arriving.yields();
+        let reading = collect(body, limit, &mut arriving, &mut self.share);
+        tokio::select! {
+            read = tokio::time::timeout(timeout, reading) => {
+                read.unwrap_or(Err(Reason::BadRequest))
+            }
+            () = yields.notified() => Err(Reason::Overloaded),
+        }
     }
+}
 
-    async fn collect(&mut self, mut body: Limited<Body>) -> Result<Bytes, Reason> {
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame =
-                frame.map_err(
-                    |error| match error.is::<http_body_util::LengthLimitError>() {
-                        false => Reason::BadRequest,
-                        true => Reason::BodyTooLarge,
-                    },
-                )?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if !self.share.grow(data.len()) {
-                return Err(Reason::Overloaded);
-            }
-            bytes.extend_from_slice(&data);
+/// Reads a body, whose memory is taken from `share` as it grows.
+async fn collect(
+    body: Body,
+    limit: usize,
+    arriving: &mut Arriving,
+    share: &mut Share,
+) -> Result<Bytes, Reason> {
+    let most = body
+        .size_hint()
+        .exact()
+        .map_or(limit, |length| length as usize);
+    let mut body = Limited::new(body, limit);
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(
+                |error| match error.is::<http_body_util::LengthLimitError>() {
+                    false => Reason::BadRequest,
+                    true => Reason::BodyTooLarge,
+                },
+            )?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let more = added_capacity(&bytes, data.len(), most);
+        if more > 0 && !arriving.grow(share, more).await {
+            return Err(Reason::Overloaded);
         }
-        Ok(bytes.freeze())
+        bytes.reserve_exact(bytes.capacity() + more - bytes.len());
+        bytes.extend_from_slice(&data);
+        arriving.record(data.len());
+    }
+    Ok(bytes.into())
+}
+
+/// Returns by how much the capacity of `bytes` grows for `count` more: to twice as much, but not
+/// beyond `most` bytes unless needed.
+fn added_capacity(bytes: &Vec<u8>, count: usize, most: usize) -> usize {
+    let needed = bytes.len() + count;
+    match needed <= bytes.capacity() {
+        false => needed.max(most.min(2 * bytes.capacity())) - bytes.capacity(),
+        true => 0,
     }
 }
--- a/crates/hibiscushoistd/tests/door/mod.rs
+++ b/crates/hibiscushoistd/tests/door/mod.rs
@@ -236,8 +236,8 @@
         }
     }
 
-    /// Returns what is wrong while a crowd is still at `door`: the process ended, left its bounds or
-    /// does not serve ordinary requests there or of routed callers.
+    /// Returns what is wrong while a crowd is still at `door`: the process ended, left its bounds
+    /// or does not serve ordinary requests there or of routed callers.
     pub async fn faults(&mut self, door: &Door) -> Vec<String> {
         if let Some(status) = self.child.try_wait().expect("the daemon can be watched") {
             return vec![format!("{}: the process ended: {status}", door.name)];
