Take a status below 200 or above 599 for no answer

An upstream's answer with status 101 went to the caller as it was, as did any three digits from 600 to 999. Status 000 and 099 never did: the HTTP library refuses them, and the caller gets 502.

Such an answer is now a failed attempt that may have run. The new test sends 000, 099, 101, 199, 600, 700 and 999 on each path of an answer: buffered, resumable and forwarded; before the change it failed at the first status that the library lets through (101 on a buffered answer).

The other case, an answer without a length that is reset while a long upload is still being written, was looked for with five uploads of 12 MiB on each of the same paths, to an upstream that answers without reading them: no part of an answer looked complete, before and after this change. The test stays.

--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -199,6 +199,13 @@
         Ok(sent) => sent,
     };
     let answer_head = AnswerHead::decode(response.status(), response.headers());
+    if !is_final(response.status()) {
+        gateway.dispatcher().record_failure(now, &in_flight.handle);
+        return Attempt::Failed {
+            may_have_run: true,
+            reason: retry::Reason::Format,
+        };
+    }
     record_hold(context, choice, &answer_head, &in_flight);
     // An upstream may write an earlier answer once more on a kept connection.
     let is_unnamed = answer_head.request_id.is_none() && connection.is_reused();
@@ -362,6 +369,12 @@
     }
 }
 
+/// Returns whether HTTP knows the status as that of a final answer. A switch of protocols that
+/// nobody asked for is none.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns how long the connection may stay open idle after the answer, if at all.
 fn idle_limit(answer_head: &AnswerHead) -> Option<Duration> {
     let stated = answer_head.keep_alive_s.map(Duration::from_secs);
--- a/crates/hibiscushoistd/tests/routed_upstream/raw.rs
+++ b/crates/hibiscushoistd/tests/routed_upstream/raw.rs
@@ -75,6 +75,8 @@
     closed: Vec<usize>,
     /// Answer to orders and requests for a report, in place of the usual report.
     control_script: Option<Script>,
+    /// Whether requests are answered before their bodies are read.
+    is_early: bool,
     /// Paths of the requests, without requests for a report.
     received: Vec<String>,
     script: Option<Script>,
@@ -119,6 +121,11 @@
         self.shared.lock().unwrap().control_script = Some(script);
     }
 
+    /// Makes the upstream answer requests from now on without reading their bodies.
+    pub fn answer_early(&self) {
+        self.shared.lock().unwrap().is_early = true;
+    }
+
     fn control_script(&self) -> Script {
         let script = self.shared.lock().unwrap().control_script.clone();
         script.unwrap_or_else(|| Script::without_length(report(), End::Close))
@@ -143,7 +150,8 @@
 
     /// Answers one request and ends the connection.
     async fn serve(&self, mut stream: TcpStream) -> Option<()> {
-        let head = read_request(&mut stream).await?;
+        let is_early = self.shared.lock().unwrap().is_early;
+        let head = read_request(&mut stream, is_early).await?;
         let path = head.split(' ').nth(1)?.to_owned();
         let script = match path.as_str() {
             path if path.starts_with("/hibiscushoist/") => self.control_script(),
@@ -191,8 +199,8 @@
     }
 }
 
-/// Reads a request with a `Content-Length`, and returns its head in lower case.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// Reads a request with a `Content-Length`, or only its head, and returns the head in lower case.
+async fn read_request(stream: &mut TcpStream, is_head_only: bool) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
@@ -201,6 +209,9 @@
     let length = head
         .lines()
         .find_map(|line| line.strip_prefix("content-length: "));
+    if is_head_only {
+        return Some(head);
+    }
     let mut body = vec![0; length.unwrap_or("0").parse().ok()?];
     stream.read_exact(&mut body).await.ok()?;
     Some(head)
