Let patient long prompts wait in one line with a forecast

Cause: long prompts that the table ranks behind quick ones went before them in the engines, were refused once their goal for the first byte had passed, and waited for a time that nobody had forecast. Change: a request with a long prompt is patient if the table ranks another route of its service before it. Engines are told to serve it last. It waits for three times its goal in a line of its service at the leading host (coordination::queue), which replaces assign_queue: the newest on time first and, where one would begin too late for its caller, by turns with the one whose caller leaves first. What would not begin is rejected (prompt_rejected) with a Retry-After of its own, and served first when it comes back. A workspace far over its share comes after the others. A request larger than the memory of an engine is refused at once. Where long prompts come first, all stays as it was.

--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -18,9 +18,17 @@
 use crate::engine_model::Models;
 use crate::engine_model::Sample;
 use crate::local_state::InFlight;
+use crate::prefill;
+use crate::prefill::Availability;
 use crate::prefix_index::CachedPrefix;
+use crate::queue::line::Urgency;
+use crate::queue::pace::Engines;
+use crate::queue::patience::Patience;
+use crate::queue::returning::Digest;
+use crate::queue::ticket::Ticket;
 use crate::upstream::Edition;
 use crate::upstream::Fleet;
+use crate::upstream::Standing;
 use crate::upstream_load::UpstreamLoads;
 use state::time::Instant;
 
@@ -34,19 +42,59 @@
 /// A request to assign an engine to a long prompt.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Request {
+    /// Digest of the request, by which it is known again when its caller comes back.
+    pub digest: Digest,
+    /// Whether the leading host was asked before for the same request of the same caller.
+    pub is_repeat: bool,
     /// Longest time for which the request waits at the leading host until an engine has room for
     /// it, in milliseconds.
     pub max_wait_ms: u64,
+    /// How long the request may wait in all.
+    pub patience: Patience,
+    /// ID of the request, for the log.
+    pub request_id: String,
     /// Rank of the request; 0 is the most urgent.
     pub rank: u32,
     /// Time that the request has waited before, in milliseconds.
     pub waited_ms: u64,
     /// IDs of the engines that the requesting host does not use for now.
     pub unusable: Vec<String>,
+    /// Name of the workspace, if the request belongs to one.
+    pub workspace: Option<String>,
     /// Needs of the request.
     pub demand: Demand,
 }
 
+impl Request {
+    /// Sets within which time an engine has to begin the answer to a patient request, which has
+    /// waited for `waited_ms` by now.
+    pub fn set_urgency(&mut self, waited_ms: u64, work_ms: u64, urgency: Urgency) {
+        if self.patience.is_patient {
+            let left_ms = self
+                .patience
+                .first_byte_left_ms(waited_ms, work_ms, urgency);
+            self.demand.first_byte_left_ms = left_ms;
+        }
+    }
+
+    /// Returns the ticket with which the request waits, if an engine would spend `work_ms` on it.
+    pub fn ticket(&self, now: Instant, work_ms: u64, is_returning: bool) -> Ticket {
+        let arrived = now.before(self.waited_ms);
+        Ticket {
+            arrived,
+            is_patient: self.patience.is_patient,
+            is_repeat: self.is_repeat,
+            is_returning: is_returning && self.patience.is_patient,
+            goal_ms: self.patience.goal_ms,
+            late_at: arrived + self.patience.goal_ms.saturating_sub(work_ms),
+            rank: self.rank,
+            until: now + self.patience.wait_left_ms(self.waited_ms),
+            work_ms,
+            workspace: self.workspace.clone(),
+        }
+    }
+}
+
 /// An assignment that no report includes yet.
 #[derive(Debug)]
 struct PendingAssignment {
@@ -119,6 +167,27 @@
         Ok(choice)
     }
 
+    /// Returns the time that an engine is expected to spend on a long prompt whose shared prefix it
+    /// fetches, in milliseconds.
+    pub fn work_ms(&self, demand: &Demand) -> u64 {
+        let tokens = prefill::tokens(demand, Availability::Elsewhere);
+        self.dispatcher.model(&demand.service).prefill_ms(tokens)
+    }
+
+    /// Returns the engines of a service that are ready, and their work in flight.
+    pub fn engines(&self, now: Instant, fleet: &Fleet, service: &str) -> Engines {
+        let model = self.dispatcher.model(service);
+        let ready = fleet.upstreams.iter();
+        let ready = ready.filter(|u| u.service == service && u.standing == Standing::Ready);
+        let mut engines = Engines::default();
+        for upstream in ready {
+            let load = self.dispatcher.load(now, &upstream.id);
+            engines.backlog_ms += model.prefill_ms(load.pending_prefill_tokens);
+            engines.count += 1;
+        }
+        engines
+    }
+
     /// Records samples of a host. Returns how fast the engines of each service are, and which of
     /// these models are news for the log.
     pub fn record_samples(&mut self, now: Instant, samples: Vec<Sample>) -> (Arc<Models>, Models) {
--- a/crates/coordination/src/choice.rs
+++ b/crates/coordination/src/choice.rs
@@ -34,9 +34,9 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Rank {
-    /// Before others: a long prompt that can still begin in time.
+    /// Before others: a long prompt that can still begin in time and is not patient.
     First,
-    /// After others: a long prompt that is late in any case.
+    /// After others: a long prompt that is late in any case or patient.
     Last,
     /// In order of arrival.
     #[default]
@@ -49,11 +49,18 @@
 pub enum Refusal {
     /// Every engine has too long a backlog; the request should wait and try again.
     Busy,
+    /// The request would not begin before its caller leaves.
+    Crowded {
+        /// Time after which the caller should come back, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// No upstream of the service takes requests.
     #[strum(serialize = "none")]
     NoUpstream,
     /// Every upstream of the service that takes requests has asked for a pause.
     Paused,
+    /// No engine has the memory for the request, not even an idle one.
+    TooLarge,
     /// Every backlog is longer than the time left to the caller.
     TooLate,
 }
--- a/crates/coordination/src/demand.rs
+++ b/crates/coordination/src/demand.rs
@@ -10,6 +10,8 @@
 /// Requirements of a request, as the choice of its upstream takes them into account.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Demand {
+    /// Maximum number of tokens of the answer.
+    pub answer_tokens: u64,
     /// Addresses to which the requesting host keeps idle connections.
     pub connected: Vec<SocketAddr>,
     /// Failure domain of the requesting host.
@@ -18,8 +20,12 @@
     pub random: u64,
     /// Weights version that must serve the request, if it resumes an answer.
     pub exact_weights: Option<u64>,
-    /// Time left until the answer should begin, in milliseconds.
+    /// Time left until the answer should begin, in milliseconds; for a patient request, see
+    /// [`crate::queue::patience`].
     pub first_byte_left_ms: u64,
+    /// Whether the request has a long prompt and the table ranks other requests of its service
+    /// before it: it may be late, and those must not wait for it.
+    pub is_patient: bool,
     /// Time left until the deadline of the request, in milliseconds.
     pub left_ms: u64,
     /// Tokens that fit into the memory of one engine, if known.
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -149,14 +149,7 @@
             backlog_ms: expected.backlog_ms,
             fetch_from,
             assignment_id: None,
-            rank: match (
-                &demand.shared_prefix,
-                demand.first_byte_left_ms > self.model(&demand.service).first_byte_ms,
-            ) {
-                (None, _) => Rank::Normal,
-                (Some(_), true) => Rank::First,
-                (Some(_), false) => Rank::Last,
-            },
+            rank: self.rank(demand),
             prefill_ms: expected.prefill_ms,
             save_to: store.filter(|_| saves),
             upstream,
@@ -164,6 +157,17 @@
         })
     }
 
+    /// Returns the rank of a request in the queue of its engine.
+    fn rank(&self, demand: &Demand) -> Rank {
+        let may_begin_in_time =
+            demand.first_byte_left_ms > self.model(&demand.service).first_byte_ms;
+        match (&demand.shared_prefix, may_begin_in_time) {
+            (None, _) => Rank::Normal,
+            (Some(_), true) if !demand.is_patient => Rank::First,
+            (Some(_), _) => Rank::Last,
+        }
+    }
+
     /// Records that a request was sent, and returns the handle for its further events.
     pub fn record_sent(&mut self, now: Instant, choice: &Choice, demand: &Demand) -> InFlight {
         self.assignment_ids.extend(choice.assignment_id);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod admission;
 pub mod affinity;
 pub mod allotment;
-pub mod assign_queue;
 pub mod assignment;
 pub mod breaker;
 pub mod broker;
--- a/crates/coordination/src/prefill.rs
+++ b/crates/coordination/src/prefill.rs
@@ -48,6 +48,12 @@
             .is_none_or(|memory| in_flight_tokens + demand.prompt_tokens <= limit(memory))
 }
 
+/// Returns whether no engine of the service can hold a request, whatever else runs there.
+pub fn is_too_large(demand: &Demand) -> bool {
+    let tokens = demand.prompt_tokens + demand.answer_tokens;
+    demand.memory_tokens.is_some_and(|memory| tokens > memory)
+}
+
 /// Returns whether the answer of a candidate is expected to begin in time.
 pub fn begins_in_time(candidate: &Candidate, demand: &Demand, model: &EngineModel) -> bool {
     candidate.backlog_ms + candidate.prefill_ms + model.first_byte_ms <= demand.first_byte_left_ms
--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -1,6 +1,7 @@
 //! Assigns engines to the long prompts of all hosts while this host leads. A prompt for which no
 //! engine has room waits here for a while, so that its host need not ask again and again.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,7 +13,6 @@
 use tokio::sync::watch;
 
 use crate::voter;
-use coordination::assign_queue::AssignQueue;
 use coordination::assignment::Assigner;
 use coordination::assignment::Request;
 use coordination::choice::Choice;
@@ -21,6 +21,10 @@
 use coordination::engine_model::Sample;
 use coordination::fleet_log::FleetLog;
 use coordination::prefix_index::CachedPrefix;
+use coordination::queue::line::Line;
+use coordination::queue::line::Urgency;
+use coordination::queue::returning::Returns;
+use coordination::queue::ticket::Ticket;
 use coordination::upstream::Fleet;
 use coordination::upstream_load::LoadAggregator;
 use protocol::voter::Rejection;
@@ -37,14 +41,23 @@
 
 /// A prompt that waits, and the call that it came with.
 struct Waiter {
-    request: Request,
     reply: oneshot::Sender<Result<Choice, Refusal>>,
+    request: Request,
+    ticket: Ticket,
 }
 
+/// The prompts that wait, by service.
 #[derive(Default)]
 struct Queue {
     is_served: bool,
-    waiting: AssignQueue<Waiter>,
+    lines: BTreeMap<String, Line<Waiter>>,
+    returns: Returns,
+}
+
+impl Queue {
+    fn len(&self) -> usize {
+        self.lines.values().map(Line::len).sum()
+    }
 }
 
 /// Assigns engines to long prompts.
@@ -107,28 +120,43 @@
     pub async fn assign(&self, request: Request) -> Result<Result<Choice, Refusal>, Rejection> {
         let fleet = self.fleet()?;
         let now = self.clock.now();
-        let until = now + request.max_wait_ms;
-        let arrived = now.before(request.waited_ms);
+        let held_until = now + request.max_wait_ms;
         let (reply, replied) = oneshot::channel();
         {
             let mut queue = lock(&self.queue);
-            let is_behind = queue.waiting.is_behind(request.rank, arrived);
-            let assigned = match (&fleet, is_behind) {
+            let Queue { lines, returns, .. } = &mut *queue;
+            let line = lines.entry(request.demand.service.clone()).or_default();
+            let work_ms = lock(&self.assigner).work_ms(&request.demand);
+            let is_returning = returns.is_returning(now, request.digest);
+            let ticket = request.ticket(now, work_ms, is_returning);
+            let assigned = match (&fleet, line.is_behind(now, &ticket)) {
                 // Until this host has read the list in its term, it only has one that it published
                 // before.
                 (None, _) => Err(Refusal::NoUpstream),
                 (Some(_), true) => Err(Refusal::Busy),
-                (Some(fleet), false) => self.try_assign(now, fleet, &request),
+                (Some(fleet), false) => {
+                    let urgency = line.urgency(&ticket);
+                    self.try_assign(now, fleet, &request, &ticket, urgency)
+                }
             };
+            if assigned.is_ok() {
+                line.record_taken(now, &ticket);
+            }
             if assigned != Err(Refusal::Busy) || request.max_wait_ms == 0 {
                 return Ok(assigned);
             }
-            let rank = request.rank;
-            let waiter = Waiter { request, reply };
-            if queue.waiting.push(rank, arrived, until, waiter).is_err() {
+            let waiter = Waiter {
+                reply,
+                request,
+                ticket: ticket.clone(),
+            };
+            if line.push(ticket, held_until, waiter).is_err() {
                 return Ok(assigned);
             }
-            metrics::gauge!(metric::ASSIGNMENTS_WAITING).set(queue.waiting.len() as f64);
+            if let Some(fleet) = &fleet {
+                self.reject(now, fleet, &mut queue);
+            }
+            metrics::gauge!(metric::ASSIGNMENTS_WAITING).set(queue.len() as f64);
             if !std::mem::replace(&mut queue.is_served, true) {
                 tokio::spawn(self.clone().serve());
             }
@@ -143,30 +171,76 @@
             let fleet = self.fleet();
             let now = self.clock.now();
             let mut queue = lock(&self.queue);
-            let (served, ended) = match &fleet {
-                Ok(Some(fleet)) => {
-                    let served = queue.waiting.serve(MAX_FAILURES, |waiter| {
-                        let assigned = self.try_assign(now, fleet, &waiter.request);
-                        (assigned != Err(Refusal::Busy)).then_some(assigned)
-                    });
-                    (served, queue.waiting.expire(now))
+            for (service, line) in &mut queue.lines {
+                let (served, ended) = match &fleet {
+                    Ok(Some(fleet)) => {
+                        (self.serve_line(now, fleet, service, line), line.expire(now))
+                    }
+                    Ok(None) | Err(_) => (Vec::new(), line.drain()),
+                };
+                for (waiter, assigned) in served {
+                    let _ = waiter.reply.send(assigned);
+                }
+                for waiter in ended {
+                    let _ = waiter.reply.send(Err(Refusal::Busy));
                 }
-                Ok(None) | Err(_) => (Vec::new(), queue.waiting.drain()),
-            };
-            for (waiter, assigned) in served {
-                let _ = waiter.reply.send(assigned);
             }
-            for waiter in ended {
-                let _ = waiter.reply.send(Err(Refusal::Busy));
+            if let Ok(Some(fleet)) = &fleet {
+                self.reject(now, fleet, &mut queue);
             }
-            metrics::gauge!(metric::ASSIGNMENTS_WAITING).set(queue.waiting.len() as f64);
-            if queue.waiting.is_empty() {
+            queue.lines.retain(|_, line| !line.is_idle(now));
+            let waiting = queue.len();
+            metrics::gauge!(metric::ASSIGNMENTS_WAITING).set(waiting as f64);
+            if waiting == 0 {
                 queue.is_served = false;
                 return;
             }
         }
     }
 
+    /// Returns the prompts of a line for which there is room now, or no upstream at all.
+    fn serve_line(
+        &self,
+        now: Instant,
+        fleet: &Fleet,
+        service: &str,
+        line: &mut Line<Waiter>,
+    ) -> Vec<(Waiter, Result<Choice, Refusal>)> {
+        let engines = lock(&self.assigner).engines(now, fleet, service);
+        line.serve(now, engines, MAX_FAILURES, |waiter, urgency| {
+            let (request, ticket) = (&waiter.request, &waiter.ticket);
+            let assigned = self.try_assign(now, fleet, request, ticket, urgency);
+            (assigned != Err(Refusal::Busy)).then_some(assigned)
+        })
+    }
+
+    /// Answers the prompts that would not begin before their callers leave.
+    fn reject(&self, now: Instant, fleet: &Fleet, queue: &mut Queue) {
+        for (service, line) in &mut queue.lines {
+            let engines = lock(&self.assigner).engines(now, fleet, service);
+            for waiter in line.reject(now, engines) {
+                let digest = waiter.request.digest;
+                let work_ms = waiter.ticket.work_ms;
+                let returns = &mut queue.returns;
+                let retry_after_ms = returns.refuse(now, digest, work_ms, engines.count);
+                let details = slog::o!(
+                    "request" => waiter.request.request_id.clone(),
+                    "service" => service.clone(),
+                    "waited_ms" => now.since(waiter.ticket.arrived),
+                    "returning" => waiter.ticket.is_returning,
+                    "waiting" => line.len(),
+                    "oldest_ms" => line.oldest_ms(now),
+                    "engines" => engines.count,
+                    "backlog_ms" => engines.backlog_ms,
+                    "work_ms" => work_ms,
+                    "retry_after_ms" => retry_after_ms,
+                );
+                event::emit(&self.log, Event::PromptRejected, details);
+                let _ = waiter.reply.send(Err(Refusal::Crowded { retry_after_ms }));
+            }
+        }
+    }
+
     /// Returns the fleet that this host published in its term, if it has published one.
     fn fleet(&self) -> Result<Option<Arc<Fleet>>, Rejection> {
         let status = self.voter.status().ok_or(Rejection::Ended)?;
@@ -182,9 +256,13 @@
         now: Instant,
         fleet: &Fleet,
         request: &Request,
+        ticket: &Ticket,
+        urgency: Urgency,
     ) -> Result<Choice, Refusal> {
+        let mut request = request.clone();
+        request.set_urgency(now.since(ticket.arrived), ticket.work_ms, urgency);
         let loads = lock(&self.loads);
-        lock(&self.assigner).assign(now, fleet, loads.total(), request.clone())
+        lock(&self.assigner).assign(now, fleet, loads.total(), request)
     }
 }
 
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -13,6 +13,9 @@
 use coordination::choice::Choice;
 use coordination::choice::Refusal;
 use coordination::demand::Demand;
+use coordination::prefill;
+use coordination::queue::line::Urgency;
+use coordination::queue::patience::Patience;
 use transport::event;
 use transport::event::Event;
 use transport::metric;
@@ -26,9 +29,6 @@
 /// Pause between two placement attempts while all engines are busy and no leader keeps the request;
 /// the prefill of one chunk takes about twice as long.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
-/// Longest wait for a free engine, as a multiple of the route's time-to-first-byte goal. Callers
-/// disconnect at four times the goal, and prefill takes about one.
-const MAX_WAIT_GOALS: u64 = 1;
 /// Random addition to a `Retry-After` at the end of a pause, at most, as a divisor of the pause.
 const PAUSE_JITTER_DIVISOR: u64 = 4;
 /// Upper limit of that addition, in milliseconds; callers have waited long enough by then.
@@ -52,19 +52,25 @@
     routed: &RoutedRequest,
     progress: &Progress,
 ) -> Result<(Demand, Choice), Refusal> {
+    let mut is_repeat = false;
     loop {
         let demand = demand(context, gateway, routed, progress);
+        if prefill::is_too_large(&demand) {
+            return Err(Refusal::TooLarge);
+        }
         let asked_at = context.clock.now();
-        let chosen = match ask_leader(context, gateway, routed, &demand).await {
+        let asked = ask_leader(context, gateway, routed, &demand, is_repeat).await;
+        is_repeat |= asked.is_some();
+        let chosen = match asked {
             // The engine may have asked for no requests while the leader chose it.
             Some(Ok(choice)) if !is_held(context, gateway, &choice) => Ok(choice),
-            Some(Err(refusal @ (Refusal::Busy | Refusal::TooLate))) => Err(refusal),
             Some(Ok(_) | Err(Refusal::NoUpstream | Refusal::Paused)) | None => {
                 choose_locally(context, gateway, &demand)
             }
+            Some(Err(refusal)) => Err(refusal),
         };
         match chosen {
-            Err(Refusal::Busy) if may_wait(context, routed, 0) => {
+            Err(Refusal::Busy) if may_wait(context, routed, &demand, 0) => {
                 let asked_ms = context.clock.now().since(asked_at);
                 let pause = BUSY_PAUSE.saturating_sub(Duration::from_millis(asked_ms));
                 tokio::time::sleep(pause).await;
@@ -85,6 +91,7 @@
     gateway: &Gateway,
     routed: &RoutedRequest,
     demand: &Demand,
+    is_repeat: bool,
 ) -> Option<Result<Choice, Refusal>> {
     demand.shared_prefix.as_ref()?;
     let leader = gateway.routing.leader()?;
@@ -92,16 +99,24 @@
     let snapshot = gateway.routing.latest();
     let now = context.clock.now();
     let waited_ms = now.since(routed.arrived);
-    let left_ms = (routed.route.first_byte_goal_ms * MAX_WAIT_GOALS).saturating_sub(waited_ms);
-    let max_wait_ms = left_ms.min(MAX_HOLD_MS);
+    let patience = patience(routed, demand.is_patient);
+    let max_wait_ms = patience.wait_left_ms(waited_ms).min(MAX_HOLD_MS);
     let timeout = ASSIGN_TIMEOUT + Duration::from_millis(max_wait_ms);
     let request = Request {
+        digest: routed.digest.short(),
+        is_repeat,
         max_wait_ms,
+        patience,
+        request_id: routed.request_head.request_id.clone(),
         rank: rank(routed),
         waited_ms,
         unusable: gateway
             .dispatcher()
             .unusable(now, &snapshot.fleet, &demand.service),
+        workspace: routed
+            .workspace
+            .as_ref()
+            .map(|workspace| workspace.name.clone()),
         demand: demand.clone(),
     };
     let client = pool.client(leader, None);
@@ -148,9 +163,17 @@
 }
 
 /// Returns whether a request may wait longer for a free engine, for `wait_ms` or more.
-fn may_wait(context: &Context, routed: &RoutedRequest, wait_ms: u64) -> bool {
-    let waited = context.clock.now().since(routed.arrived);
-    waited.saturating_add(wait_ms) < routed.route.first_byte_goal_ms * MAX_WAIT_GOALS
+fn may_wait(context: &Context, routed: &RoutedRequest, demand: &Demand, wait_ms: u64) -> bool {
+    let waited_ms = context.clock.now().since(routed.arrived);
+    wait_ms < patience(routed, demand.is_patient).wait_left_ms(waited_ms)
+}
+
+/// Returns how long a request may wait.
+fn patience(routed: &RoutedRequest, is_patient: bool) -> Patience {
+    Patience {
+        goal_ms: routed.route.first_byte_goal_ms,
+        is_patient,
+    }
 }
 
 /// Returns whether an upstream may take the request again while the caller can still use the
@@ -166,7 +189,9 @@
     let left_ms = gateway
         .dispatcher()
         .pause_left_ms(now, &snapshot.fleet, demand);
-    left_ms.is_some_and(|left_ms| left_ms < demand.left_ms && may_wait(context, routed, left_ms))
+    left_ms.is_some_and(|left_ms| {
+        left_ms < demand.left_ms && may_wait(context, routed, demand, left_ms)
+    })
 }
 
 /// Returns whether the chosen upstream has asked for no requests.
@@ -215,11 +240,13 @@
     let min_weights = versions.min_versions(now, versions.begin_margin_ms());
     drop(versions);
     let min_weights = model.as_ref().and_then(|model| min_weights.get(model));
-    let waited = now.since(routed.arrived);
+    let waited_ms = now.since(routed.arrived);
     let prefix = shared_prefix(routed).filter(|_| progress.exact_weights.is_none());
     let is_long = |(_, tokens): &(String, u64)| *tokens >= MIN_SHARED_PREFIX_TOKENS;
     let short_prefix = prefix.clone().filter(|prefix| !is_long(prefix));
     let shared_prefix = prefix.filter(is_long);
+    let is_patient =
+        shared_prefix.is_some() && snapshot.index.is_patient(&routed.route, &routed.service);
     let connected = match shared_prefix {
         None => gateway
             .connection_pool
@@ -227,11 +254,17 @@
         Some(_) => Vec::new(),
     };
     Demand {
+        answer_tokens: routed.request_head.answer_tokens,
         connected,
         domain: context.settings.failure_domain.clone(),
         exact_weights: progress.exact_weights,
         random: rand::random(),
-        first_byte_left_ms: routed.route.first_byte_goal_ms.saturating_sub(waited),
+        first_byte_left_ms: patience(routed, is_patient).first_byte_left_ms(
+            waited_ms,
+            0,
+            Urgency::Calm,
+        ),
+        is_patient,
         left_ms: routed.left_ms(now),
         memory_tokens: service.and_then(|service| service.memory_tokens),
         min_weights: min_weights.copied().unwrap_or_default(),
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -43,6 +43,9 @@
 /// Random addition to [`BUSY_RETRY_AFTER_MS`] that spreads the retries of callers, at most, in
 /// milliseconds.
 const BUSY_RETRY_JITTER_MS: u64 = 1_500;
+/// `Retry-After` of a request that no engine can hold, in milliseconds: the time in which engines
+/// may be replaced by larger ones.
+const TOO_LARGE_RETRY_AFTER_MS: u64 = 60_000;
 /// Number of upstreams that may reject a request without running it before it is refused.
 const MAX_REJECTIONS: u32 = 3;
 /// `Retry-After` of a request that every tried upstream rejected, in milliseconds.
@@ -366,6 +369,10 @@
     match refusal {
         Refusal::NoUpstream => rejected_failure(context, gateway, routed, Reason::NoUpstream),
         Refusal::Paused => rejected_failure(context, gateway, routed, Reason::Overloaded),
+        Refusal::Crowded { retry_after_ms } => {
+            retryable_failure(Reason::Overloaded, retry_after_ms)
+        }
+        Refusal::TooLarge => retryable_failure(Reason::Overloaded, TOO_LARGE_RETRY_AFTER_MS),
         Refusal::Busy | Refusal::TooLate => {
             let jitter_ms = rand::random_range(0..=BUSY_RETRY_JITTER_MS);
             retryable_failure(Reason::Overloaded, BUSY_RETRY_AFTER_MS + jitter_ms)
--- a/crates/state/src/ident.rs
+++ b/crates/state/src/ident.rs
@@ -92,6 +92,12 @@
         }
         Self(*hasher.finalize().as_bytes())
     }
+
+    /// Returns the first bytes as a number, for maps in which a rare collision does no harm.
+    pub fn short(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_be_bytes([a, b, c, d, e, f, g, h])
+    }
 }
 
 impl fmt::Debug for Digest {
--- a/crates/state/src/routing_index.rs
+++ b/crates/state/src/routing_index.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RoutingIndex {
     keys: HashMap<[u8; 32], usize>,
+    /// Rank of the most urgent route of each service.
+    most_urgent: HashMap<String, u32>,
     routes: HashMap<String, Vec<usize>>,
     services: HashMap<String, usize>,
     shared_scope: Option<String>,
@@ -33,12 +35,22 @@
         for indices in routes.values_mut() {
             indices.sort_by_key(|index| std::cmp::Reverse(table.routes[*index].prefix.len()));
         }
+        let mut most_urgent: HashMap<String, u32> = HashMap::new();
+        for route in &table.routes {
+            for target in &route.targets {
+                let rank = most_urgent
+                    .entry(target.service.clone())
+                    .or_insert(u32::MAX);
+                *rank = route.rank.min(*rank);
+            }
+        }
         let workspaces = table.workspaces.iter().enumerate();
         let keys = workspaces.flat_map(|(index, w)| w.keys.iter().map(move |key| (*key, index)));
         let services = table.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.name.clone(), index));
         Self {
             keys: keys.collect(),
+            most_urgent,
             routes,
             services: services.collect(),
             shared_scope: shared_scope(&table),
@@ -75,6 +87,13 @@
         }
     }
 
+    /// Returns whether a route is patient at one of its services: whether the table ranks another
+    /// route of that service before it.
+    pub fn is_patient(&self, route: &Route, service: impl AsRef<str>) -> bool {
+        let most_urgent = self.most_urgent.get(service.as_ref());
+        most_urgent.is_some_and(|rank| *rank < route.rank)
+    }
+
     /// Returns the service of that name.
     pub fn service(&self, name: impl AsRef<str>) -> Option<&Service> {
         let index = self.services.get(name.as_ref())?;
--- a/crates/state/tests/routing.rs
+++ b/crates/state/tests/routing.rs
@@ -134,6 +134,27 @@
     assert_eq!(prefix("other.example", "/a/x"), None);
 }
 
+/// Which requests may be late follows from the order in which a table ranks those of one service.
+#[test]
+fn a_route_is_patient_where_another_route_of_its_service_is_more_urgent() {
+    let ranked = |prefix: &str, rank: u32, service: &str| {
+        let mut route = route("h", prefix);
+        route.rank = rank;
+        route.targets[0].service = service.to_owned();
+        route
+    };
+    let (quick, slow) = (ranked("/q/", 0, "engines"), ranked("/s/", 2, "engines"));
+    let other = ranked("/o/", 2, "desk");
+    let index = RoutingIndex::new(Arc::new(Table {
+        routes: vec![quick.clone(), slow.clone(), other.clone()],
+        ..table(1)
+    }));
+    assert!(index.is_patient(&slow, "engines"));
+    assert!(!index.is_patient(&quick, "engines"));
+    assert!(!index.is_patient(&other, "desk"), "no route is before it");
+    assert!(!index.is_patient(&slow, "unknown"));
+}
+
 #[test]
 fn a_key_belongs_to_one_workspace() {
     let index = RoutingIndex::new(Arc::new(table(1)));
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -152,6 +152,8 @@
     FleetMisfit = 335,
     /// The leading host has learned how fast the engines of a service are, or that it has changed.
     EnginesLearned = 336,
+    /// A long prompt would not begin before its caller leaves, so it was rejected.
+    PromptRejected = 340,
 }
 
 impl Event {
@@ -164,6 +166,7 @@
             | Self::HostLoaded
             | Self::OutlookStale
             | Self::PartRefused
+            | Self::PromptRejected
             | Self::RequestAnswered
             | Self::RequestRefused
             | Self::RoutedRefused
