--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -158,6 +158,8 @@
     AllotmentSufficient = 341,
     /// A request was refused because the allotment of its workspace does not cover it.
     AllotmentRefused = 342,
+    /// A long prompt would not begin before its caller leaves, so it was rejected.
+    PromptRejected = 343,
 }
 
 impl Event {
@@ -171,6 +173,7 @@
             | Self::HostLoaded
             | Self::OutlookStale
             | Self::PartRefused
+            | Self::PromptRejected
             | Self::RequestAnswered
             | Self::RequestRefused
             | Self::RoutedRefused
