--- a/crates/coordination/src/allotment/bucket.rs
+++ b/crates/coordination/src/allotment/bucket.rs
@@ -14,8 +14,8 @@
 use state::routing::Allotment;
 use state::time::Instant;
 
-/// Length of a window over which demand is summed, in milliseconds: each host reports at least
-/// twice in it.
+/// Length of a window over which demand is summed, in milliseconds. In a large fleet some hosts
+/// report only in every second one; the rate is smoothed over several.
 const WINDOW_MS: u64 = 250;
 /// Time within which what is in the bucket may be spent on top of the rate, in milliseconds.
 const SPEND_MS: u64 = 500;
