Read the allotments of a table once

The holder copied the allotments of all workspaces with each report of each host.

It keeps those of the table that it read last, which only a higher version replaces.

Measured: the 12 tests of allotment pass; the test gives a replaced table a higher version, as the replicated state does. Processor time not measured.

--- a/crates/coordination/src/allotment/holder.rs
+++ b/crates/coordination/src/allotment/holder.rs
@@ -66,12 +66,15 @@
 /// Lends the allotments of all workspaces during one term.
 #[derive(Debug, Default)]
 pub struct Holder {
+    /// Allotments of the table of `table_version`.
+    allotments: BTreeMap<String, Allotment>,
     began_at: Instant,
     buckets: BTreeMap<String, Bucket>,
     changes: Vec<(String, Change)>,
     hosts: BTreeMap<String, Host>,
     last_batch: u64,
     swept_at: Instant,
+    table_version: u64,
     term: u64,
 }
 
@@ -99,13 +102,30 @@
     ) -> Batch {
         self.begin(now, term);
         self.sweep(now);
-        let allotments = table.allotments();
-        if allotments.is_empty() && self.hosts.is_empty() {
+        if self.table_version != table.version {
+            self.table_version = table.version;
+            self.allotments = table.allotments();
+        }
+        if self.allotments.is_empty() && self.hosts.is_empty() {
             return Batch::default();
         }
+        let allotments = std::mem::take(&mut self.allotments);
         for (workspace, allotment) in &allotments {
             self.refill(now, workspace, *allotment);
         }
+        let batch = self.answer(now, &allotments, host, report);
+        self.allotments = allotments;
+        batch
+    }
+
+    /// Takes the report of a host and lends it what it needs, after all buckets were refilled.
+    fn answer(
+        &mut self,
+        now: Instant,
+        allotments: &BTreeMap<String, Allotment>,
+        host: &str,
+        report: &Report,
+    ) -> Batch {
         if !self.record(now, host, report) {
             return Batch::default();
         }
@@ -126,7 +146,7 @@
         Batch {
             leases,
             number: self.last_batch,
-            term,
+            term: self.term,
         }
     }
 
--- a/crates/coordination/tests/allotment.rs
+++ b/crates/coordination/tests/allotment.rs
@@ -128,6 +128,14 @@
         }
     }
 
+    fn replace(&mut self, workspaces: &[(&str, Allotment)]) {
+        let version = self.table.version + 1;
+        self.table = Table {
+            version,
+            ..table(workspaces)
+        };
+    }
+
     fn is_lost(&mut self) -> bool {
         self.random.random_range(0..100) < self.loss_percent
     }
@@ -330,7 +338,7 @@
     world.load(1_000, "w", 550_000, few);
     world.cut_off.insert(0);
     let lowered = allotment(100_000, 100_000);
-    world.table = table(&[("w", lowered)]);
+    world.replace(&[("w", lowered)]);
     world.load(LEASE_MS, "w", 550_000, few);
     let bound_at = world.now;
     world.load(4_000, "w", 550_000, few);
@@ -344,7 +352,7 @@
     let mut world = World::new(6, table(&[("w", allotment(100_000, 100_000))]));
     world.load(3_000, "w", 400_000, any);
     let raised = allotment(500_000, 500_000);
-    world.table = table(&[("w", raised)]);
+    world.replace(&[("w", raised)]);
     world.load(1_000, "w", 400_000, any);
     let refused = world.refused;
     world.load(2_000, "w", 400_000, any);
