Let a long prompt that is due begin on any engine that can

Cause: the time within which a prompt that is due must begin was derived from its work with the shared prefix fetched. A prompt whose prefix no engine has could then find no engine and hold up its line. Number 340 of prompt_rejected is taken by another event. Change: the time is that of an idle engine without the prefix, and half a goal; prompt_rejected has number 350. Measured: the tests queue_*, assignment and routed of coordination, routing of state, and pages, proofs, imports and routed of hibiscushoistd pass.

--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -67,12 +67,12 @@
 
 impl Request {
     /// Sets within which time an engine has to begin the answer to a patient request, which has
-    /// waited for `waited_ms` by now.
-    pub fn set_urgency(&mut self, waited_ms: u64, work_ms: u64, urgency: Urgency) {
+    /// waited for `waited_ms` by now and which an idle engine begins in `idle_ms`.
+    pub fn set_urgency(&mut self, waited_ms: u64, idle_ms: u64, urgency: Urgency) {
         if self.patience.is_patient {
             let left_ms = self
                 .patience
-                .first_byte_left_ms(waited_ms, work_ms, urgency);
+                .first_byte_left_ms(waited_ms, idle_ms, urgency);
             self.demand.first_byte_left_ms = left_ms;
         }
     }
@@ -174,6 +174,14 @@
         self.dispatcher.model(&demand.service).prefill_ms(tokens)
     }
 
+    /// Returns the time until an idle engine without the shared prefix begins the answer to a long
+    /// prompt, in milliseconds.
+    pub fn first_byte_ms(&self, demand: &Demand) -> u64 {
+        let model = self.dispatcher.model(&demand.service);
+        let tokens = prefill::tokens(demand, Availability::Nowhere);
+        model.prefill_ms(tokens) + model.first_byte_ms
+    }
+
     /// Returns the engines of a service that are ready, and their work in flight.
     pub fn engines(&self, now: Instant, fleet: &Fleet, service: &str) -> Engines {
         let model = self.dispatcher.model(service);
--- a/crates/coordination/src/queue/patience.rs
+++ b/crates/coordination/src/queue/patience.rs
@@ -38,16 +38,16 @@
         (self.goal_ms * goals).saturating_sub(waited_ms)
     }
 
-    /// Returns the time within which an engine that spends `work_ms` on the prompt has to begin the
-    /// answer, in milliseconds. A late patient answer leaves time for a newer prompt, unless it is
-    /// due.
-    pub fn first_byte_left_ms(&self, waited_ms: u64, work_ms: u64, urgency: Urgency) -> u64 {
+    /// Returns the time within which an engine has to begin the answer, in milliseconds, where an
+    /// idle one begins it in `idle_ms`. A late patient answer leaves time for a newer prompt,
+    /// unless it is due.
+    pub fn first_byte_left_ms(&self, waited_ms: u64, idle_ms: u64, urgency: Urgency) -> u64 {
         let on_time_ms = self.goal_ms.saturating_sub(waited_ms);
         match (self.is_patient, urgency) {
             (false, _) => on_time_ms,
             (true, Urgency::Yielding) => self.goal_ms / LATE_DIVISOR,
             (true, Urgency::Calm) => on_time_ms.max(self.goal_ms / LATE_DIVISOR),
-            (true, Urgency::Due) => self.goal_ms.max(self.goal_ms / LATE_DIVISOR + work_ms),
+            (true, Urgency::Due) => self.goal_ms.max(self.goal_ms / LATE_DIVISOR + idle_ms),
         }
     }
 }
--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -259,10 +259,12 @@
         ticket: &Ticket,
         urgency: Urgency,
     ) -> Result<Choice, Refusal> {
-        let mut request = request.clone();
-        request.set_urgency(now.since(ticket.arrived), ticket.work_ms, urgency);
         let loads = lock(&self.loads);
-        lock(&self.assigner).assign(now, fleet, loads.total(), request)
+        let mut assigner = lock(&self.assigner);
+        let mut request = request.clone();
+        let idle_ms = assigner.first_byte_ms(&request.demand);
+        request.set_urgency(now.since(ticket.arrived), idle_ms, urgency);
+        assigner.assign(now, fleet, loads.total(), request)
     }
 }
 
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -153,7 +153,7 @@
     /// The leading host has learned how fast the engines of a service are, or that it has changed.
     EnginesLearned = 336,
     /// A long prompt would not begin before its caller leaves, so it was rejected.
-    PromptRejected = 340,
+    PromptRejected = 350,
 }
 
 impl Event {
