Learn the paces of upstreams from the loads that they tell

Cause: machines differ by a factor of three and slow down within a second, and no part knew the speed of a single upstream: platform parsed three figures of the told load and nothing used them. No choice uses them yet.

--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -5,6 +5,7 @@
 //! assignments at once: it counts an assigned prompt as load until the report of the requesting
 //! host includes it. A host that gets no answer chooses by itself.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -17,6 +18,9 @@
 use crate::engine_model::ModelFitter;
 use crate::engine_model::Models;
 use crate::engine_model::Sample;
+use crate::load::pace::Learner;
+use crate::load::pace::Pace;
+use crate::load::told::Told;
 use crate::local_state::InFlight;
 use crate::prefix_index::CachedPrefix;
 use crate::upstream::Edition;
@@ -61,6 +65,7 @@
     dispatcher: Dispatcher,
     edition: Edition,
     last_id: u64,
+    learner: Learner,
     fitter: ModelFitter,
     pending: Vec<PendingAssignment>,
     loads_taken_at: Option<Instant>,
@@ -74,6 +79,7 @@
             dispatcher: Dispatcher::new(seed),
             edition: Edition::default(),
             last_id: seed >> 1,
+            learner: Learner::default(),
             fitter: ModelFitter::default(),
             pending: Vec::new(),
             loads_taken_at: None,
@@ -122,12 +128,28 @@
     /// Records samples of a host. Returns how fast the engines of each service are, and which of
     /// these models are news for the log.
     pub fn record_samples(&mut self, now: Instant, samples: Vec<Sample>) -> (Arc<Models>, Models) {
+        self.learner
+            .record_samples(&self.fitter.models(now), &samples);
         self.fitter.record(samples);
         let models = self.fitter.models(now);
         self.dispatcher.set_models(models.clone());
         (models, self.fitter.take_news())
     }
 
+    /// Records the loads that upstreams have told a host, and returns the paces of the upstreams
+    /// of `fleet` in their order.
+    pub fn record_told(
+        &mut self,
+        now: Instant,
+        fleet: &Fleet,
+        told: &BTreeMap<String, Told>,
+    ) -> Arc<Vec<Pace>> {
+        self.learner.record_told(now, told);
+        let paces = self.learner.paces(now, fleet);
+        self.dispatcher.set_paces(now, fleet, &paces);
+        paces
+    }
+
     /// Records which assignments the report of a host includes, and the prefixes that it saw
     /// cached.
     pub fn record_report(
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -21,6 +21,9 @@
 use crate::engine_model::Sample;
 use crate::hold;
 use crate::hold::Holds;
+use crate::load::pace::Pace;
+use crate::load::paces::Paces;
+use crate::load::told::Told;
 use crate::local_state::InFlight;
 use crate::local_state::LocalState;
 use crate::prefill;
@@ -55,6 +58,8 @@
 const CONNECTED_SLACK_DIVISOR: u64 = 20;
 /// Largest number of samples that wait to be sent to the leading host.
 const UNSENT_SAMPLES_LIMIT: usize = 32;
+/// Largest number of told loads that wait to be sent to the leading host.
+const UNSENT_TOLD_LIMIT: usize = 64;
 /// Number of engines that are considered for a long prompt, the first in its rendezvous order, so
 /// that a choice costs no more in a larger fleet; as many as a shard has.
 const LONG_PROMPT_CANDIDATES: usize = shard::UPSTREAMS_PER_SHARD;
@@ -81,7 +86,9 @@
     pub(crate) other_loads: (Instant, UpstreamLoads),
     pub(crate) local: BTreeMap<String, LocalState>,
     pub(crate) models: Arc<Models>,
+    pub(crate) paces: Paces,
     pub(crate) samples: Vec<Sample>,
+    told: BTreeMap<String, Told>,
     pub(crate) unresponsive: UnresponsiveDetector,
 }
 
@@ -96,7 +103,9 @@
             other_loads: Default::default(),
             local: BTreeMap::new(),
             models: Arc::default(),
+            paces: Paces::default(),
             samples: Vec::new(),
+            told: BTreeMap::new(),
             unresponsive: UnresponsiveDetector::default(),
         }
     }
@@ -238,6 +247,24 @@
         std::mem::take(&mut self.samples)
     }
 
+    /// Records the load that an upstream told with an answer.
+    pub fn record_told(&mut self, in_flight: &InFlight, told: Told) {
+        let is_known = self.told.contains_key(&in_flight.upstream_id);
+        if is_known || self.told.len() < UNSENT_TOLD_LIMIT {
+            self.told.insert(in_flight.upstream_id.clone(), told);
+        }
+    }
+
+    /// Takes the loads that upstreams have told and that were not sent to the leading host yet.
+    pub fn take_told(&mut self) -> BTreeMap<String, Told> {
+        std::mem::take(&mut self.told)
+    }
+
+    /// Replaces the paces of the upstreams of `fleet`, which are in their order.
+    pub fn set_paces(&mut self, now: Instant, fleet: &Fleet, paces: &[Pace]) {
+        self.paces.set(now, fleet, paces);
+    }
+
     /// Replaces the loads that other hosts cause at upstreams.
     pub fn set_other_loads(&mut self, now: Instant, other_loads: UpstreamLoads) {
         for (id, load) in &other_loads {
@@ -284,6 +311,7 @@
                 first_byte_ms: now.since(in_flight.sent_at),
                 service: in_flight.service.clone(),
                 tokens,
+                upstream: in_flight.upstream_id.clone(),
             });
         }
         if let Some(prefix) = in_flight.prefix.take() {
--- a/crates/coordination/src/engine_model.rs
+++ b/crates/coordination/src/engine_model.rs
@@ -73,6 +73,8 @@
     pub service: String,
     /// Tokens that the engine had to prefill before, those of other requests included.
     pub tokens: u64,
+    /// ID of the engine.
+    pub upstream: String,
 }
 
 /// Fits models to samples.
--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -1,3 +1,5 @@
 //! Load and speed of single upstreams, where they differ from each other.
 
+pub mod pace;
+pub mod paces;
 pub mod told;
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -16,6 +16,7 @@
 use crate::engine_model::Models;
 use crate::engine_model::Sample;
 use crate::fleet_log::FleetUpdate;
+use crate::load::pace::Pace;
 use crate::load::told::Told;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::Verdict;
@@ -74,9 +75,9 @@
     pub models: Arc<Models>,
     /// What is known of prompt parts that crash engines, if the host lacks this version of it.
     pub part_verdict: Option<Verdict>,
-    /// Time that work takes at each upstream, in percent of what it takes at the others of its
-    /// service, in the order of the upstreams of the edition in `loads`.
-    pub paces: Arc<Vec<u16>>,
+    /// Time that work takes at each upstream against the others of its service, in the order of
+    /// the upstreams of the edition in `loads`; none if all are even.
+    pub paces: Arc<Vec<Pace>>,
     /// Position of the last entry of the prefix log.
     pub prefix_position: Position,
     /// The routed table, if the host lacks this version of it.
--- a/crates/coordination/tests/engine_model.rs
+++ b/crates/coordination/tests/engine_model.rs
@@ -40,6 +40,7 @@
             first_byte_ms: (first_ms * noise + tokens as f64 / rate) as u64,
             service: SERVICE.to_owned(),
             tokens,
+            upstream: "e0".to_owned(),
         }
     };
     (0..count).map(|_| sample()).collect()
@@ -181,6 +182,7 @@
         first_byte_ms: 300,
         service: SERVICE.to_owned(),
         tokens: 6_600,
+        upstream: choice.upstream.id.clone(),
     };
     assert_eq!(host.take_samples(), [expected]);
     assert_eq!(host.take_samples(), []);
--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -1,6 +1,7 @@
 //! Assigns engines to the long prompts of all hosts while this host leads. A prompt for which no
 //! engine has room waits here for a while, so that its host need not ask again and again.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -20,6 +21,8 @@
 use coordination::engine_model::Models;
 use coordination::engine_model::Sample;
 use coordination::fleet_log::FleetLog;
+use coordination::load::pace::Pace;
+use coordination::load::told::Told;
 use coordination::prefix_index::CachedPrefix;
 use coordination::upstream::Fleet;
 use coordination::upstream_load::LoadAggregator;
@@ -99,6 +102,17 @@
         models
     }
 
+    /// Records the loads that upstreams have told a host, and returns the paces of the upstreams
+    /// of `fleet` in their order.
+    pub fn record_told(
+        &self,
+        now: Instant,
+        fleet: &Fleet,
+        told: &BTreeMap<String, Told>,
+    ) -> Arc<Vec<Pace>> {
+        lock(&self.assigner).record_told(now, fleet, told)
+    }
+
     /// Assigns an engine to a long prompt, for which it may wait as long as the request says.
     ///
     /// # Errors
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -210,6 +210,9 @@
     }
     let mut dispatcher = gateway.dispatcher();
     dispatcher.record_answer_head(now, &mut in_flight.handle);
+    if let Some(told) = answer_head.load {
+        dispatcher.record_told(&in_flight.handle, told);
+    }
     if let Some((model, version)) = demand.model.as_ref().zip(answer_head.weights) {
         dispatcher.record_weights(&in_flight.handle, model.clone(), version);
     }
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -168,6 +168,7 @@
         self.desk
             .record_report(now, &ask.assignment_ids, &ask.cached_prefixes);
         let models = self.desk.record_samples(now, ask.samples);
+        let paces = self.desk.record_told(now, fleet_log.fleet(), &ask.told);
         let mut bulletin = self.bulletin.lock().unwrap_or_else(PoisonError::into_inner);
         let (cached_prefixes, prefix_position) = bulletin.exchange(
             reading.term,
@@ -205,7 +206,7 @@
             loads_included,
             models,
             part_verdict,
-            paces: Arc::default(),
+            paces,
             prefix_position,
             table: (table.version > ask.table_version).then(|| table.clone()),
             version_ages: versions.ages(now),
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -193,9 +193,11 @@
                 dispatcher.loads(polled_at),
                 dispatcher.take_prefix_updates(polled_at),
                 dispatcher.take_samples(),
+                dispatcher.take_told(),
             )
         });
-        let (assignment_ids, loads, cached_prefixes, samples) = local_updates.unwrap_or_default();
+        let (assignment_ids, loads, cached_prefixes, samples, told) =
+            local_updates.unwrap_or_default();
         let gateway = context.gateway.as_ref();
         let part_evidence = gateway.map(|gateway| {
             let mut monitor = gateway.part_monitor();
@@ -217,7 +219,7 @@
             cached_prefixes,
             samples,
             table_version: snapshot.index.table().version,
-            told: BTreeMap::new(),
+            told,
         };
         let client = pool.client(target, None);
         let call = client.call(POLL_TIMEOUT, |peer, call| async move {
@@ -252,6 +254,9 @@
             }
             dispatcher.record_remote_prefixes(now, cached_prefixes);
             dispatcher.set_models(update.models.clone());
+            if sums.edition == fleet.edition {
+                dispatcher.set_paces(now, &fleet, &update.paces);
+            }
             if progress.prefix_position.term != update.prefix_position.term {
                 dispatcher.requeue_prefix_updates(now);
             }
