Choose upstreams by their paces

Cause: the cost of a request counted one speed for all upstreams of a service, and hosts with the same news followed it to the least loaded connection of all. Change: the work ahead counts by the pace of the moment and by slots; short prompts take the least loaded of four that are drawn by speed; homes of prefixes are weighted by the usual pace, and a hot prefix gets further homes before its first is overloaded. Services without paces are served as before.

--- a/crates/coordination/src/affinity.rs
+++ b/crates/coordination/src/affinity.rs
@@ -32,6 +32,11 @@
     pub id: String,
     /// Time that the prefill of the request's prompt takes there, in milliseconds.
     pub prefill_ms: u64,
+    /// Time by which candidates are compared, in milliseconds: that of the work ahead and, where
+    /// upstreams differ, that of the request until its answer begins.
+    pub start_ms: u64,
+    /// Share of the prefixes that have their home there, against the other candidates.
+    pub weight: u32,
 }
 
 /// Returns the `count` upstreams that rank highest for the shared prefix `key`, in any order.
@@ -59,7 +64,11 @@
 ) -> Option<usize> {
     let open = candidates.iter().enumerate();
     let open = open.filter(|(_, candidate)| has_room(candidate));
-    let first = open.max_by_key(|(_, c)| rendezvous::score(key.as_bytes(), &c.id));
+    let distance = |candidate: &Candidate| {
+        let score = rendezvous::score(key.as_bytes(), &candidate.id);
+        rendezvous::weighted_distance(score, candidate.weight)
+    };
+    let first = open.min_by(|(_, a), (_, b)| distance(a).total_cmp(&distance(b)));
     first.map(|(index, _)| index)
 }
 
@@ -77,16 +86,48 @@
         rest /= count as u64;
     }
     indices.truncate(SAMPLE_SIZE);
-    let key = |i: &usize| (candidates[*i].backlog_ms, !candidates[*i].same_domain);
+    let key = |i: &usize| (candidates[*i].start_ms, !candidates[*i].same_domain);
     indices.into_iter().min_by_key(key)
 }
 
-/// Returns the index of the least loaded candidate with an idle connection among those whose
-/// backlog is at most `slack_ms` longer than that of the candidate at `index`, or else `index`.
+/// Returns the index of the first candidate of a random sample to begin, where a new connection
+/// takes `connect_ms`. Faster upstreams are in the sample as much more often as they are faster,
+/// and the choice among a few bounds how many hosts follow the same news.
+pub fn first_of_weighted_sample(
+    candidates: &[Candidate],
+    random: u64,
+    connect_ms: u64,
+) -> Option<usize> {
+    let distance = |(index, candidate): (usize, &Candidate)| {
+        let score = rendezvous::scatter(random, index as u64);
+        (
+            rendezvous::weighted_distance(score, candidate.weight),
+            index,
+        )
+    };
+    let mut drawn: Vec<(f64, usize)> = candidates.iter().enumerate().map(distance).collect();
+    if drawn.len() > SAMPLE_SIZE {
+        drawn.select_nth_unstable_by(SAMPLE_SIZE, |(a, _), (b, _)| a.total_cmp(b));
+        drawn.truncate(SAMPLE_SIZE);
+    }
+    drawn.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    let key = |(_, i): &(f64, usize)| {
+        let candidate = &candidates[*i];
+        let start_ms = match candidate.connected {
+            false => candidate.start_ms + connect_ms,
+            true => candidate.start_ms,
+        };
+        (start_ms, !candidate.same_domain)
+    };
+    drawn.into_iter().min_by_key(key).map(|(_, index)| index)
+}
+
+/// Returns the index of the first candidate to begin among those with an idle connection that begin
+/// at most `slack_ms` later than the candidate at `index`, or else `index`.
 pub fn prefer_connected(candidates: &[Candidate], index: usize, slack_ms: u64) -> usize {
-    let limit_ms = candidates[index].backlog_ms + slack_ms;
+    let limit_ms = candidates[index].start_ms + slack_ms;
     let open = candidates.iter().enumerate();
-    let open = open.filter(|(_, c)| c.connected && c.backlog_ms <= limit_ms);
-    let least = open.min_by_key(|(_, c)| (c.backlog_ms, !c.same_domain));
+    let open = open.filter(|(_, c)| c.connected && c.start_ms <= limit_ms);
+    let least = open.min_by_key(|(_, c)| (c.start_ms, !c.same_domain));
     least.map_or(index, |(index, _)| index)
 }
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -56,6 +56,11 @@
 /// should begin. A new connection costs a round trip and a handshake at the upstream; a twentieth
 /// of the time does not make an answer late.
 const CONNECTED_SLACK_DIVISOR: u64 = 20;
+/// Later beginning that an engine with the prefix is worth where engines differ, as a divisor of
+/// the time left until the answer should begin.
+const HOME_SLACK_DIVISOR: u64 = 4;
+/// Time that a new connection takes, in milliseconds: a round trip and a handshake.
+const NEW_CONNECTION_MS: u64 = 5;
 /// Largest number of samples that wait to be sent to the leading host.
 const UNSENT_SAMPLES_LIMIT: usize = 32;
 /// Largest number of told loads that wait to be sent to the leading host.
@@ -520,7 +525,21 @@
                 |candidate: &Candidate| prefill::fits(candidate, demand) && is_idle(candidate);
             let idle = new.iter().chain(&old).filter(|c| is_idle(c)).count();
             let enough_idle = idle * 100 > eligible.len() * RESERVED_IDLE_PERCENT;
-            let upstream = first(&cached_in_time).or_else(|| first(&in_time));
+            let first_ms = |candidates: &[Candidate]| {
+                let in_time = candidates.iter().filter(|candidate| in_time(candidate));
+                in_time.map(|candidate| candidate.start_ms).min()
+            };
+            let first_ms = first_ms(&new).or_else(|| first_ms(&old));
+            let first_ms = first_ms.filter(|_| self.paces.is_uneven(now, &demand.service));
+            let limit_ms = first_ms.map(|ms| ms + demand.first_byte_left_ms / HOME_SLACK_DIVISOR);
+            let near = |candidate: &Candidate| {
+                in_time(candidate)
+                    && limit_ms.is_some_and(|limit_ms| candidate.start_ms <= limit_ms)
+            };
+            let cached_near = |candidate: &Candidate| candidate.has_prefix && near(candidate);
+            let upstream = first(&cached_near).or_else(|| first(&near));
+            let upstream = upstream.or_else(|| first(&cached_in_time));
+            let upstream = upstream.or_else(|| first(&in_time));
             let upstream = upstream.or_else(|| first(&idle_fit).filter(|_| enough_idle));
             return upstream.ok_or(Refusal::Busy);
         }
@@ -535,18 +554,28 @@
             false => (eligible.to_vec(), candidates(eligible)),
             true => (newest, new),
         };
-        let index = affinity::least_loaded_of_sample(&candidates, demand.random);
+        let is_uneven = self.paces.is_uneven(now, &demand.service);
+        let index = match is_uneven {
+            false => affinity::least_loaded_of_sample(&candidates, demand.random),
+            true => {
+                affinity::first_of_weighted_sample(&candidates, demand.random, NEW_CONNECTION_MS)
+            }
+        };
         let index = index.ok_or(Refusal::NoUpstream)?;
         let slack_ms = demand.first_byte_left_ms / CONNECTED_SLACK_DIVISOR;
         if let Some((prefix_id, tokens)) = &demand.short_prefix {
             let saved_ms = self.model(&demand.service).prefill_ms(*tokens);
-            let limit_ms = candidates[index].backlog_ms + slack_ms + saved_ms;
+            let limit_ms = candidates[index].start_ms + slack_ms + saved_ms;
             if let Some(named) = affinity::first_fit(&candidates, prefix_id, |_| true)
-                && candidates[named].backlog_ms <= limit_ms
+                && candidates[named].start_ms <= limit_ms
             {
                 return Ok(upstreams[named]);
             }
         }
-        Ok(upstreams[affinity::prefer_connected(&candidates, index, slack_ms)])
+        let index = match is_uneven {
+            false => affinity::prefer_connected(&candidates, index, slack_ms),
+            true => index,
+        };
+        Ok(upstreams[index])
     }
 }
--- a/crates/coordination/src/dispatch_cost.rs
+++ b/crates/coordination/src/dispatch_cost.rs
@@ -17,12 +17,22 @@
 
 /// Delay that one more running request causes to the others, in milliseconds of waiting.
 const RUNNING_REQUEST_DELAY_MS: u64 = 3;
+/// Weight of an upstream whose pace is one percent; one of the usual pace has a hundredth of it.
+const EVEN_WEIGHT: u32 = 1_000_000;
 /// Age up to which the loads of other hosts count, in milliseconds.
 const OTHER_LOADS_MAX_AGE_MS: u64 = 1_000;
 
 /// IDs of the engines that have a shared prefix cached, by weights version.
 pub(crate) type Holders<'a> = BTreeMap<u64, Vec<&'a str>>;
 
+/// Returns the time until a slot is free where all are taken: answers are taken to last twice as
+/// long as until their first byte.
+fn slot_wait_ms(slots: u32, running: u32, first_byte_ms: u64) -> u64 {
+    let ahead = u64::from((running + 1).saturating_sub(slots));
+    let turn_ms = (2 * first_byte_ms).checked_div(u64::from(slots));
+    turn_ms.map_or(0, |turn_ms| turn_ms * ahead)
+}
+
 impl Dispatcher {
     /// Returns the load that all hosts cause at an upstream.
     pub(crate) fn load(&self, now: Instant, id: &str) -> UpstreamLoad {
@@ -78,14 +88,29 @@
         let running_ms = u64::from(load.running) * RUNNING_REQUEST_DELAY_MS;
         let model = self.model(&demand.service);
         let availability = self.prefix_availability(upstream, demand, holders);
+        let pace = self.paces.get(now, &upstream.id);
+        let is_uneven = self.paces.is_uneven(now, &demand.service);
+        let slot_wait_ms = match is_uneven {
+            false => 0,
+            true => slot_wait_ms(upstream.slots, load.running, model.first_byte_ms),
+        };
+        let paced = |ms: u64| ms * u64::from(pace.now_percent) / 100;
+        let prefill_ms = model.prefill_ms(load.pending_prefill_tokens);
+        let backlog_ms = paced(prefill_ms + running_ms + slot_wait_ms);
+        let prefill_ms = paced(model.prefill_ms(prefill::tokens(demand, availability)));
         Candidate {
-            backlog_ms: model.prefill_ms(load.pending_prefill_tokens) + running_ms,
+            backlog_ms,
             connected: demand.connected.contains(&upstream.address),
             has_prefix: availability == Availability::Here,
             id: upstream.id.clone(),
             long_prompt_tokens: load.long_prompt_tokens,
             same_domain: upstream.domain == demand.domain,
-            prefill_ms: model.prefill_ms(prefill::tokens(demand, availability)),
+            prefill_ms,
+            start_ms: match is_uneven && demand.shared_prefix.is_some() {
+                false => backlog_ms,
+                true => backlog_ms + prefill_ms + paced(model.first_byte_ms),
+            },
+            weight: EVEN_WEIGHT / u32::from(pace.usual_percent.max(1)),
         }
     }
 
