--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -2,4 +2,5 @@
 
 pub mod pace;
 pub mod paces;
+pub mod packed;
 pub mod told;
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -15,6 +15,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::RoutedRequest;
 use crate::gateway::retryable_failure;
+use crate::gateway::uncharged_failure;
 use crate::gateway_answer_log::AnswerLog;
 use crate::gateway_answer_log::Outcome;
 use crate::gateway_attempt::Attempt;
@@ -43,6 +44,9 @@
 /// Random addition to [`BUSY_RETRY_AFTER_MS`] that spreads the retries of callers, at most, in
 /// milliseconds.
 const BUSY_RETRY_JITTER_MS: u64 = 1_500;
+/// `Retry-After` of a request that no engine can hold, in milliseconds: the time in which engines
+/// may be replaced by larger ones.
+const TOO_LARGE_RETRY_AFTER_MS: u64 = 60_000;
 /// Number of upstreams that may reject a request without running it before it is refused.
 const MAX_REJECTIONS: u32 = 3;
 /// `Retry-After` of a request that every tried upstream rejected, in milliseconds.
@@ -55,6 +59,8 @@
     attempts: u32,
     /// Weights version that must generate the rest of a resumed answer.
     pub exact_weights: Option<u64>,
+    /// Whether a charge to the allotment is not used yet.
+    is_charged: bool,
     may_have_run: bool,
     /// Attempts that an upstream rejected without running the request.
     rejections: u32,
@@ -170,12 +176,51 @@
     pub upstream: String,
 }
 
-/// Sends a request to one upstream after another until the head of an answer arrives.
+/// Sends a request to one upstream after another until the head of an answer arrives, and gives
+/// back a charge for which nothing ran.
 async fn send_until_answered(
     context: &Arc<Context>,
     gateway: &Arc<Gateway>,
     routed: &RoutedRequest,
     progress: &mut Progress,
+) -> Result<UpstreamAnswer, Failure> {
+    let answered = try_upstreams(context, gateway, routed, progress).await;
+    if std::mem::take(&mut progress.is_charged)
+        && let Some(cost) = &routed.cost
+    {
+        gateway.charger.give_back(cost);
+    }
+    answered
+}
+
+/// Charges the next run to the allotment of the workspace, unless an earlier charge is still unused
+/// because no upstream ran the request.
+async fn charge(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    progress: &mut Progress,
+) -> Result<(), Failure> {
+    let Some(cost) = routed.cost.as_ref().filter(|_| !progress.is_charged) else {
+        return Ok(());
+    };
+    let charged = gateway.charger.charge(cost).await;
+    progress.is_charged = charged.is_ok();
+    charged.map_err(|refusal| match progress.may_have_run {
+        false => uncharged_failure(refusal),
+        true => Failure {
+            not_run: NotRun::Unknown,
+            reason: Reason::OutcomeUnknown,
+            retry_after_ms: None,
+        },
+    })
+}
+
+/// Sends a request to one upstream after another until the head of an answer arrives.
+async fn try_upstreams(
+    context: &Arc<Context>,
+    gateway: &Arc<Gateway>,
+    routed: &RoutedRequest,
+    progress: &mut Progress,
 ) -> Result<UpstreamAnswer, Failure> {
     loop {
         gateway_crash::admit(context, gateway, routed, progress.may_have_run)?;
@@ -189,9 +234,11 @@
         };
         // A part may have been quarantined while the request waited for a free engine.
         gateway_crash::admit(context, gateway, routed, progress.may_have_run)?;
+        charge(gateway, routed, progress).await?;
         let (may_have_run, reason) =
             match attempt(context, gateway, routed, progress, &demand, &choice).await {
                 Attempt::Answered(answered) => {
+                    progress.is_charged = false;
                     if answered.status().is_server_error() {
                         let handle = &answered.in_flight.handle;
                         gateway
@@ -206,7 +253,10 @@
                 Attempt::Failed {
                     may_have_run,
                     reason,
-                } => (may_have_run, reason),
+                } => {
+                    progress.is_charged &= !may_have_run;
+                    (may_have_run, reason)
+                }
                 Attempt::Rejected => {
                     progress.rejections += 1;
                     (false, retry::Reason::Refused)
@@ -366,6 +416,10 @@
     match refusal {
         Refusal::NoUpstream => rejected_failure(context, gateway, routed, Reason::NoUpstream),
         Refusal::Paused => rejected_failure(context, gateway, routed, Reason::Overloaded),
+        Refusal::Crowded { retry_after_ms } => {
+            retryable_failure(Reason::Overloaded, retry_after_ms)
+        }
+        Refusal::TooLarge => retryable_failure(Reason::Overloaded, TOO_LARGE_RETRY_AFTER_MS),
         Refusal::Busy | Refusal::TooLate => {
             let jitter_ms = rand::random_range(0..=BUSY_RETRY_JITTER_MS);
             retryable_failure(Reason::Overloaded, BUSY_RETRY_AFTER_MS + jitter_ms)
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -1,14 +1,17 @@
 //! The hibiscushoist daemon: settings, duties and the edges towards callers and operators.
 
 pub mod admin;
+pub mod allotment_desk;
 pub mod answer;
 pub mod answer_buffer;
 pub mod assign_desk;
 pub mod attempt;
 pub mod auth;
+pub mod bodies;
 pub mod broker;
 pub mod budget;
 pub mod caller;
+pub mod charger;
 pub mod completions;
 pub mod context;
 pub mod controller;
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::allotment_desk;
 use crate::assign_desk::Desk;
 use crate::broker::Error;
 use crate::broker::Handle;
@@ -34,6 +35,7 @@
 use coordination::fleet_log::FleetLog;
 use coordination::gossip::Message;
 use coordination::part_evidence::EvidenceCollector;
+use coordination::prefix_log;
 use coordination::prefix_log::PrefixLog;
 use coordination::quarantine;
 use coordination::routing_update;
@@ -65,6 +67,8 @@
 /// Hands the calls of other daemons to the duties of this one.
 #[derive(Clone)]
 pub struct Service {
+    /// Lends the allotments of workspaces while this host leads.
+    pub allotments: allotment_desk::Desk,
     /// Reaches the broker of the upstreams that this host owns.
     pub broker: Handle,
     /// Passes what hosts have seen on to the others while this one leads.
@@ -169,6 +173,9 @@
             .record_report(now, &ask.assignment_ids, &ask.cached_prefixes);
         let models = self.desk.record_samples(now, ask.samples);
         let paces = self.desk.record_told(now, fleet_log.fleet(), &ask.told);
+        let allotment_batch = self
+            .allotments
+            .exchange(&reading, &ask.host, &ask.allotment_report);
         let mut bulletin = self.bulletin.lock().unwrap_or_else(PoisonError::into_inner);
         let (cached_prefixes, prefix_position) = bulletin.exchange(
             reading.term,
@@ -199,9 +206,9 @@
         versions.record_namings(now, time, &reading.namings);
         versions.record(now, &reading.routed.weights_versions);
         Ok(RoutingUpdate {
-            allotment_batch: Default::default(),
+            allotment_batch,
             fleet: fleet_log.update_after(ask.edition),
-            cached_prefixes,
+            announcements: prefix_log::announce(fleet_log.fleet(), cached_prefixes),
             loads,
             loads_included,
             models,
@@ -227,8 +234,8 @@
         self.desk.assign(ask).await
     }
 
-    async fn draw(self, _: Context, _draw: message::Draw) -> Result<message::Drawn, Rejection> {
-        Ok(message::Drawn::Charged)
+    async fn draw(self, _: Context, draw: message::Draw) -> Result<message::Drawn, Rejection> {
+        self.allotments.draw(draw).await
     }
 }
 
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -13,6 +13,7 @@
 use crate::context::Context;
 use coordination::fleet_log::FleetUpdate;
 use coordination::host::Role;
+use coordination::prefix_log;
 use coordination::prefix_log::Position;
 use coordination::routing_update::Freshness;
 use coordination::routing_update::Request;
@@ -203,9 +204,10 @@
             let mut monitor = gateway.part_monitor();
             monitor.take_evidence(polled_at)
         });
+        let allotment_report = gateway.map(|gateway| gateway.charger.purse().report(polled_at));
         let loads_number = progress.own_reports.record(loads.clone());
         let request = Request {
-            allotment_report: Default::default(),
+            allotment_report: allotment_report.unwrap_or_default(),
             edition: match progress.wants_whole_fleet {
                 false => snapshot.fleet.edition,
                 true => Edition::default(),
@@ -239,6 +241,8 @@
         let fleet = self.apply_fleet(context, &snapshot, progress, update.fleet.take())?;
         if let Some(gateway) = &context.gateway {
             let now = context.clock.now();
+            let batch = std::mem::take(&mut update.allotment_batch);
+            gateway.charger.apply(polled_at, batch);
             let mut versions = gateway.versions();
             versions.merge(polled_at, &update.version_ages);
             versions.record(polled_at, &update.weights);
@@ -247,7 +251,8 @@
             gateway.part_monitor().adopt(now, verdict);
             let (sums, included) = (&update.loads, update.loads_included);
             let other_loads = progress.own_reports.others(&fleet, sums, included);
-            let cached_prefixes = std::mem::take(&mut update.cached_prefixes);
+            let announcements = std::mem::take(&mut update.announcements);
+            let cached_prefixes = prefix_log::entries(&fleet, update.loads.edition, announcements);
             let mut dispatcher = gateway.dispatcher();
             if let Some(other_loads) = other_loads {
                 dispatcher.set_other_loads(now, other_loads);
