--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -21,6 +21,9 @@
 use crate::engine_model::Sample;
 use crate::hold;
 use crate::hold::Holds;
+use crate::load::pace::Pace;
+use crate::load::paces::Paces;
+use crate::load::told::Told;
 use crate::local_state::InFlight;
 use crate::local_state::LocalState;
 use crate::prefill;
@@ -53,8 +56,15 @@
 /// should begin. A new connection costs a round trip and a handshake at the upstream; a twentieth
 /// of the time does not make an answer late.
 const CONNECTED_SLACK_DIVISOR: u64 = 20;
+/// Later beginning that an engine with the prefix is worth where engines differ, as a divisor of
+/// the time left until the answer should begin.
+const HOME_SLACK_DIVISOR: u64 = 4;
+/// Time that a new connection takes, in milliseconds: a round trip and a handshake.
+const NEW_CONNECTION_MS: u64 = 5;
 /// Largest number of samples that wait to be sent to the leading host.
 const UNSENT_SAMPLES_LIMIT: usize = 32;
+/// Largest number of told loads that wait to be sent to the leading host.
+const UNSENT_TOLD_LIMIT: usize = 64;
 /// Number of engines that are considered for a long prompt, the first in its rendezvous order, so
 /// that a choice costs no more in a larger fleet; as many as a shard has.
 const LONG_PROMPT_CANDIDATES: usize = shard::UPSTREAMS_PER_SHARD;
@@ -81,7 +91,9 @@
     pub(crate) other_loads: (Instant, UpstreamLoads),
     pub(crate) local: BTreeMap<String, LocalState>,
     pub(crate) models: Arc<Models>,
+    pub(crate) paces: Paces,
     pub(crate) samples: Vec<Sample>,
+    told: BTreeMap<String, Told>,
     pub(crate) unresponsive: UnresponsiveDetector,
 }
 
@@ -96,7 +108,9 @@
             other_loads: Default::default(),
             local: BTreeMap::new(),
             models: Arc::default(),
+            paces: Paces::default(),
             samples: Vec::new(),
+            told: BTreeMap::new(),
             unresponsive: UnresponsiveDetector::default(),
         }
     }
@@ -242,6 +256,24 @@
         std::mem::take(&mut self.samples)
     }
 
+    /// Records the load that an upstream told with an answer.
+    pub fn record_told(&mut self, in_flight: &InFlight, told: Told) {
+        let is_known = self.told.contains_key(&in_flight.upstream_id);
+        if is_known || self.told.len() < UNSENT_TOLD_LIMIT {
+            self.told.insert(in_flight.upstream_id.clone(), told);
+        }
+    }
+
+    /// Takes the loads that upstreams have told and that were not sent to the leading host yet.
+    pub fn take_told(&mut self) -> BTreeMap<String, Told> {
+        std::mem::take(&mut self.told)
+    }
+
+    /// Replaces the paces of the upstreams of `fleet`, which are in their order.
+    pub fn set_paces(&mut self, now: Instant, fleet: &Fleet, paces: &[Pace]) {
+        self.paces.set(now, fleet, paces);
+    }
+
     /// Replaces the loads that other hosts cause at upstreams.
     pub fn set_other_loads(&mut self, now: Instant, other_loads: UpstreamLoads) {
         for (id, load) in &other_loads {
@@ -288,6 +320,7 @@
                 first_byte_ms: now.since(in_flight.sent_at),
                 service: in_flight.service.clone(),
                 tokens,
+                upstream: in_flight.upstream_id.clone(),
             });
         }
         if let Some(prefix) = in_flight.prefix.take() {
@@ -496,7 +529,21 @@
                 |candidate: &Candidate| prefill::fits(candidate, demand) && is_idle(candidate);
             let idle = new.iter().chain(&old).filter(|c| is_idle(c)).count();
             let enough_idle = idle * 100 > eligible.len() * RESERVED_IDLE_PERCENT;
-            let upstream = first(&cached_in_time).or_else(|| first(&in_time));
+            let first_ms = |candidates: &[Candidate]| {
+                let in_time = candidates.iter().filter(|candidate| in_time(candidate));
+                in_time.map(|candidate| candidate.start_ms).min()
+            };
+            let first_ms = first_ms(&new).or_else(|| first_ms(&old));
+            let first_ms = first_ms.filter(|_| self.paces.is_uneven(now, &demand.service));
+            let limit_ms = first_ms.map(|ms| ms + demand.first_byte_left_ms / HOME_SLACK_DIVISOR);
+            let near = |candidate: &Candidate| {
+                in_time(candidate)
+                    && limit_ms.is_some_and(|limit_ms| candidate.start_ms <= limit_ms)
+            };
+            let cached_near = |candidate: &Candidate| candidate.has_prefix && near(candidate);
+            let upstream = first(&cached_near).or_else(|| first(&near));
+            let upstream = upstream.or_else(|| first(&cached_in_time));
+            let upstream = upstream.or_else(|| first(&in_time));
             let upstream = upstream.or_else(|| first(&idle_fit).filter(|_| enough_idle));
             return upstream.ok_or(Refusal::Busy);
         }
@@ -511,18 +558,28 @@
             false => (eligible.to_vec(), candidates(eligible)),
             true => (newest, new),
         };
-        let index = affinity::least_loaded_of_sample(&candidates, demand.random);
+        let is_uneven = self.paces.is_uneven(now, &demand.service);
+        let index = match is_uneven {
+            false => affinity::least_loaded_of_sample(&candidates, demand.random),
+            true => {
+                affinity::first_of_weighted_sample(&candidates, demand.random, NEW_CONNECTION_MS)
+            }
+        };
         let index = index.ok_or(Refusal::NoUpstream)?;
         let slack_ms = demand.first_byte_left_ms / CONNECTED_SLACK_DIVISOR;
         if let Some((prefix_id, tokens)) = &demand.short_prefix {
             let saved_ms = self.model(&demand.service).prefill_ms(*tokens);
-            let limit_ms = candidates[index].backlog_ms + slack_ms + saved_ms;
+            let limit_ms = candidates[index].start_ms + slack_ms + saved_ms;
             if let Some(named) = affinity::first_fit(&candidates, prefix_id, |_| true)
-                && candidates[named].backlog_ms <= limit_ms
+                && candidates[named].start_ms <= limit_ms
             {
                 return Ok(upstreams[named]);
             }
         }
-        Ok(upstreams[affinity::prefer_connected(&candidates, index, slack_ms)])
+        let index = match is_uneven {
+            false => affinity::prefer_connected(&candidates, index, slack_ms),
+            true => index,
+        };
+        Ok(upstreams[index])
     }
 }
--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -20,6 +20,8 @@
 use coordination::engine_model::Models;
 use coordination::engine_model::Sample;
 use coordination::fleet_log::FleetLog;
+use coordination::load::pace::Pace;
+use coordination::load::told::Told;
 use coordination::prefix_index::CachedPrefix;
 use coordination::queue::line::Line;
 use coordination::queue::line::Urgency;
@@ -112,6 +114,17 @@
         models
     }
 
+    /// Records the loads that upstreams have told a host, and returns the paces of the upstreams
+    /// of `fleet` in their order.
+    pub fn record_told(
+        &self,
+        now: Instant,
+        fleet: &Fleet,
+        told: &BTreeMap<String, Told>,
+    ) -> Arc<Vec<Pace>> {
+        lock(&self.assigner).record_told(now, fleet, told)
+    }
+
     /// Assigns an engine to a long prompt, for which it may wait as long as the request says.
     ///
     /// # Errors
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -172,6 +172,7 @@
         self.desk
             .record_report(now, &ask.assignment_ids, &ask.cached_prefixes);
         let models = self.desk.record_samples(now, ask.samples);
+        let paces = self.desk.record_told(now, fleet_log.fleet(), &ask.told);
         let allotment_batch = self
             .allotments
             .exchange(&reading, &ask.host, &ask.allotment_report);
@@ -212,7 +213,7 @@
             loads_included,
             models,
             part_verdict,
-            paces: Arc::default(),
+            paces,
             prefix_position,
             table: (table.version > ask.table_version).then(|| table.clone()),
             version_ages: versions.ages(now),
