Ask a leader that did not answer no more for small requests for a while

Cause: while one workspace was hot, the leading host could not answer all draws beside its processor share; draws and routing updates timed out, leases ended, and hosts refused requests of all workspaces (3,386 lines of quorum_away at eleven hosts from 10 to 16 s). Change: after a draw without an answer a host draws nothing for small requests during 0.25 s; what its purse does not cover is refused at once.

--- a/crates/hibiscushoistd/src/charger.rs
+++ b/crates/hibiscushoistd/src/charger.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::Logger;
@@ -10,6 +12,7 @@
 use crate::pool::Pool;
 use crate::routing_snapshot;
 use coordination::allotment::kind::Kind;
+use coordination::allotment::kind::Size;
 use coordination::allotment::message::Batch;
 use coordination::allotment::message::Draw;
 use coordination::allotment::message::Drawn;
@@ -27,6 +30,9 @@
 const DRAW_PAUSE: Duration = Duration::from_millis(50);
 /// Number of times for which a leader is asked.
 const DRAW_ATTEMPTS: u32 = 3;
+/// Time for which a leader that did not answer is not asked again for small requests, in
+/// milliseconds: one that is busy would have to answer those of all hosts first.
+const SILENCE_MS: u64 = 250;
 
 /// Longest wait for units that a request lacks, in milliseconds; its caller would need longer to
 /// come back.
@@ -64,6 +70,8 @@
     pool: Option<Pool>,
     purse: Mutex<Purse>,
     routing: routing_snapshot::Handle,
+    /// Time until which the leader is not asked for small requests, in milliseconds.
+    silent_until_ms: AtomicU64,
 }
 
 impl Charger {
@@ -80,6 +88,7 @@
             pool,
             purse: Mutex::new(Purse::new(rand::random())),
             routing,
+            silent_until_ms: AtomicU64::new(0),
         }
     }
 
@@ -124,6 +133,7 @@
             let charge = self.purse().charge(now, &cost.workspace, cost.units);
             let drawn = match charge {
                 Charge::Covered => Some(Drawn::Charged),
+                Charge::Draw if self.is_silent(now, cost) => break,
                 Charge::Draw => self.draw(cost).await,
                 Charge::Refused { retry_after_ms } => Some(Drawn::Refused { retry_after_ms }),
             };
@@ -150,6 +160,11 @@
         Err(Refusal::Unanswered)
     }
 
+    /// Returns whether the leader is not asked for a request because it has just not answered.
+    fn is_silent(&self, now: Instant, cost: &Cost) -> bool {
+        cost.kind.size == Size::Small && now.0 < self.silent_until_ms.load(Ordering::Relaxed)
+    }
+
     /// Gives back what was charged for a request that did not run.
     pub fn give_back(&self, cost: &Cost) {
         count(metric::ALLOTMENT_RETURNED, cost);
@@ -173,6 +188,10 @@
         let drawn = call.await.ok().and_then(Result::ok);
         let now = self.clock.now();
         let drawn = drawn.filter(|_| now.since(asked_at) <= DRAW_TIMEOUT.as_millis() as u64);
+        if drawn.is_none() {
+            self.silent_until_ms
+                .store((now + SILENCE_MS).0, Ordering::Relaxed);
+        }
         let outcome = match drawn {
             None => "unanswered",
             Some(Drawn::Charged) => "charged",
