Let hosts without a table not wait for each other

While all voters were away after a restart of all hosts, two hosts without a disk could each wait four seconds for a table of the other. They took callers after two, and refused all of them until then.

A host without a table that does not vote now keeps another one that has none for 0.1 s, so that it goes on to the next.

--- a/crates/hibiscushoistd/src/voter.rs
+++ b/crates/hibiscushoistd/src/voter.rs
@@ -44,6 +44,9 @@
 const CALL_LIMIT: Duration = Duration::from_millis(2_000);
 const LIMIT: Duration = Duration::from_secs(6);
 const PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a host without a table keeps another one that has none. The other may have to ask
+/// several hosts before it serves callers, and this one may be asking it in turn.
+const FIRST_SPREAD_WAIT: Duration = Duration::from_millis(100);
 const SPREAD_WAIT: Duration = Duration::from_secs(4);
 
 /// Tells why the voters did not take a command.
@@ -271,7 +274,11 @@
     pub async fn spread(&self, after: u64) -> TableUpdate {
         let mut table = self.table.clone();
         let newer = table.wait_for(|table| table.revision() > after);
-        let newer = tokio::time::timeout(SPREAD_WAIT, newer).await;
+        let wait = match after == 0 && self.local.is_none() {
+            false => SPREAD_WAIT,
+            true => FIRST_SPREAD_WAIT,
+        };
+        let newer = tokio::time::timeout(wait, newer).await;
         let Ok(Ok(newer)) = newer.map(|newer| newer.map(|table| table.clone())) else {
             return TableUpdate::UpToDate;
         };
