Share what the tests of paces set up

The tests of what the leading host learns and of where requests go told engines their paces with the same code twice. It now stands in one module of both.

--- a/crates/coordination/tests/pace.rs
+++ b/crates/coordination/tests/pace.rs
@@ -1,51 +1,21 @@
 //! Tests of the paces that the leading host learns, under the loads that make upstreams differ.
 
+mod pace_fixtures;
 mod upstream_fixtures;
 
+use crate::pace_fixtures::ENGINES;
+use crate::pace_fixtures::mixed;
+use crate::pace_fixtures::number;
+use crate::pace_fixtures::taught;
+use crate::pace_fixtures::tell;
 use crate::upstream_fixtures::engines;
 use coordination::engine_model::EngineModel;
 use coordination::engine_model::Models;
 use coordination::engine_model::Sample;
-use coordination::load::pace::Learner;
 use coordination::load::pace::Pace;
 use coordination::load::paces::Paces;
-use coordination::load::told::Told;
-use coordination::upstream::Fleet;
 use state::time::Instant;
 
-const ENGINES: usize = 30;
-
-fn number(id: &str) -> usize {
-    id[1..].parse().unwrap()
-}
-
-/// Paces of a third of the engines each: fast, usual and slow.
-fn mixed(engine: usize) -> u32 {
-    [60, 100, 160][engine % 3]
-}
-
-/// Records that each engine tells the pace that `pace` gives it.
-fn tell(learner: &mut Learner, now: Instant, fleet: &Fleet, pace: impl Fn(usize) -> u32) {
-    let told = fleet.upstreams.iter().map(|upstream| {
-        let told = Told {
-            pace_percent: pace(number(&upstream.id)),
-            slots: 32,
-            ..Told::default()
-        };
-        (upstream.id.clone(), told)
-    });
-    learner.record_told(now, &told.collect());
-}
-
-/// Returns a learner to which engines have told these paces for a second.
-fn taught(fleet: &Fleet, pace: impl Fn(usize) -> u32) -> Learner {
-    let mut learner = Learner::default();
-    for at in (0..1_000).step_by(100) {
-        tell(&mut learner, Instant(at), fleet, &pace);
-    }
-    learner
-}
-
 /// Load: any, beside engines that are even, or tell no pace.
 #[test]
 fn even_upstreams_have_no_paces() {
--- a/crates/coordination/tests/uneven.rs
+++ b/crates/coordination/tests/uneven.rs
@@ -1,9 +1,15 @@
 //! Tests of where requests go while upstreams differ in speed; each names the load.
 
+mod pace_fixtures;
 mod upstream_fixtures;
 
 use std::collections::BTreeMap;
 
+use crate::pace_fixtures::ENGINES;
+use crate::pace_fixtures::mixed;
+use crate::pace_fixtures::number;
+use crate::pace_fixtures::taught;
+use crate::pace_fixtures::tell;
 use crate::upstream_fixtures::engines;
 use coordination::choice::Choice;
 use coordination::demand::Demand;
@@ -13,17 +19,10 @@
 use coordination::engine_model::Sample;
 use coordination::load::pace::Learner;
 use coordination::load::pace::Pace;
-use coordination::load::told::Told;
 use coordination::rendezvous::scatter;
 use coordination::upstream::Fleet;
 use state::time::Instant;
 
-const ENGINES: usize = 30;
-
-fn number(id: &str) -> usize {
-    id[1..].parse().unwrap()
-}
-
 fn short(random: u64) -> Demand {
     Demand {
         first_byte_left_ms: 500,
@@ -47,28 +46,6 @@
     }
 }
 
-/// Records that each engine tells the pace that `pace` gives it.
-fn tell(learner: &mut Learner, now: Instant, fleet: &Fleet, pace: impl Fn(usize) -> u32) {
-    let told = fleet.upstreams.iter().map(|upstream| {
-        let told = Told {
-            pace_percent: pace(number(&upstream.id)),
-            slots: 32,
-            ..Told::default()
-        };
-        (upstream.id.clone(), told)
-    });
-    learner.record_told(now, &told.collect());
-}
-
-/// Returns a learner to which engines have told these paces for a second.
-fn taught(fleet: &Fleet, pace: impl Fn(usize) -> u32) -> Learner {
-    let mut learner = Learner::default();
-    for at in (0..1_000).step_by(100) {
-        tell(&mut learner, Instant(at), fleet, &pace);
-    }
-    learner
-}
-
 /// Returns a host that knows the paces of a learner.
 fn informed(learner: &mut Learner, now: Instant, fleet: &Fleet) -> Dispatcher {
     let mut host = Dispatcher::new(1);
@@ -95,11 +72,6 @@
     counted as f64 / counts.iter().sum::<usize>() as f64
 }
 
-/// Paces of a third of the engines each: fast, usual and slow.
-fn mixed(engine: usize) -> u32 {
-    [60, 100, 160][engine % 3]
-}
-
 /// Load: any, beside engines that tell that they are even, or tell no pace.
 #[test]
 fn beside_even_engines_every_choice_is_as_without_paces() {
