Read headers up to their limit in bytes, whatever the number of fields

Cause: the HTTP library took 100 fields, and a request with more got 431. The users' limits bound a header in bytes (max_header_bytes) and say nothing of fields. Change: the library takes as many fields as fit in header_limit_bytes and compares the header's length itself; our own count of it goes. What the fields take beyond header_limit_bytes of memory counts as the body does: a request that finds no room is refused as not run, and it yields like others while its body stands still.

--- a/crates/hibiscushoistd/src/bodies.rs
+++ b/crates/hibiscushoistd/src/bodies.rs
@@ -56,16 +56,18 @@
         self.budget.share()
     }
 
-    /// Begins to count a body as arriving.
-    pub fn arriving(&self) -> Arriving {
+    /// Begins to count a body as arriving, whose request holds `held_bytes` already.
+    pub fn arriving(&self, held_bytes: usize) -> Arriving {
         let yields = Arc::new(Notify::new());
+        let now = self.clock.now();
         let mut state = self.state();
-        let id = state.arrivals.begin(self.clock.now());
+        let id = state.arrivals.begin(now);
+        state.arrivals.record(now, id, 0, held_bytes);
         state.yielding.insert(id, yields.clone());
         drop(state);
         Arriving {
             bodies: self.clone(),
-            held_bytes: 0,
+            held_bytes,
             id,
             yields,
         }
--- a/crates/hibiscushoistd/src/budget.rs
+++ b/crates/hibiscushoistd/src/budget.rs
@@ -34,6 +34,11 @@
 }
 
 impl Share {
+    /// Returns how many bytes it holds.
+    pub fn held_bytes(&self) -> usize {
+        self.held.as_ref().map_or(0, |held| held.num_permits())
+    }
+
     /// Takes `bytes` more and returns whether there were as many.
     pub fn grow(&mut self, bytes: usize) -> bool {
         let Ok(count) = u32::try_from(bytes) else {
--- a/crates/hibiscushoistd/src/request.rs
+++ b/crates/hibiscushoistd/src/request.rs
@@ -19,6 +19,10 @@
 use protocol::refusal::Reason;
 use transport::http::Body;
 
+/// Memory that a map of headers takes for each field, in bytes: its entry with the name, its place
+/// in the index and the allocation of an uncommon name, as received and once more as forwarded.
+const FIELD_BYTES: usize = 2 * 160;
+
 /// Holds the parts of a request; the body is read later.
 pub struct Request {
     /// Bounds the bytes of all bodies.
@@ -31,7 +35,7 @@
     pub id: String,
     /// Holds the method.
     pub method: Method,
-    /// Holds the bytes of the body within what the daemon may hold.
+    /// Holds the bytes of the request within what the daemon may hold.
     pub share: Share,
     /// Holds the path and the query.
     pub uri: Uri,
@@ -76,6 +80,20 @@
         Some(value)
     }
 
+    /// Takes the memory of the header beyond `limit` bytes off what the daemon may hold.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Overloaded` when the daemon holds too many bytes of requests.
+    pub async fn hold_header(&mut self, limit: usize) -> Result<(), Reason> {
+        let extra = field_bytes(&self.headers).saturating_sub(limit);
+        let mut arriving = self.bodies.arriving(0);
+        match extra == 0 || arriving.grow(&mut self.share, extra).await {
+            false => Err(Reason::Overloaded),
+            true => Ok(()),
+        }
+    }
+
     /// Reads the whole body, at most `limit` bytes, within `timeout`.
     ///
     /// # Errors
@@ -87,7 +105,7 @@
         if body.size_hint().lower() > limit as u64 {
             return Err(Reason::BodyTooLarge);
         }
-        let mut arriving = self.bodies.arriving();
+        let mut arriving = self.bodies.arriving(self.share.held_bytes());
         let yields = arriving.yields();
         let reading = collect(body, limit, &mut arriving, &mut self.share);
         tokio::select! {
@@ -99,6 +117,11 @@
     }
 }
 
+/// Returns about how much memory the fields of a request take beside the bytes that were read.
+fn field_bytes(headers: &HeaderMap) -> usize {
+    headers.len() * FIELD_BYTES
+}
+
 /// Reads a body, whose memory is taken from `share` as it grows.
 async fn collect(
     body: Body,
--- a/crates/hibiscushoistd/src/routes.rs
+++ b/crates/hibiscushoistd/src/routes.rs
@@ -85,10 +85,15 @@
 ) -> impl Fn(State) -> Pin<Box<HandlerFuture>> + Copy + Send + Sync + 'static {
     move |mut state| {
         let Shared(context) = Shared::borrow_from(&state).clone();
-        let request = Request::take(&mut state);
+        let mut request = Request::take(&mut state);
         async move {
             let guard = context.enter();
-            let mut response = endpoint(context.clone(), request).await;
+            let limit = context.settings.entry.as_ref();
+            let limit = limit.map_or(0, |entry| entry.header_limit);
+            let mut response = match request.hold_header(limit).await {
+                Err(reason) => caller::refuse(&request.id, reason),
+                Ok(()) => endpoint(context.clone(), request).await,
+            };
             observe(&context, path, &response);
             if *context.draining.borrow() {
                 let close = HeaderValue::from_static("close");
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -18,11 +18,10 @@
 use hyper::header::CONNECTION;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use slog::Logger;
 use tokio::net::TcpListener;
@@ -38,6 +37,12 @@
 /// Delay after a failed accept, so that the loop does not spin while accepts keep failing.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Length of the shortest header field, in bytes.
+const SHORTEST_FIELD_BYTES: usize = "a:\r\n".len();
+
+/// Most fields for which a map of headers can reserve room; it panics beyond.
+const MAX_FIELDS: usize = 24_576;
+
 /// Header that tells callers how long an idle connection stays open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -114,18 +119,20 @@
         permit: OwnedSemaphorePermit,
         graceful: &GracefulShutdown,
     ) {
-        let mut builder = auto::Builder::new(TokioExecutor::new()).http1_only();
+        let max_header_bytes = self.limits.max_header_bytes;
+        let mut builder = http1::Builder::new();
         builder
-            .http1()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.header_timeout)
-            .max_buf_size(self.limits.max_header_bytes)
+            .max_buf_size(max_header_bytes)
+            .max_header_size(max_header_bytes)
+            .max_headers((max_header_bytes / SHORTEST_FIELD_BYTES).min(MAX_FIELDS))
             .half_close(false);
         let server = self.clone();
         let service = service_fn(move |request| server.clone().handle(request, peer));
         let stream = write_timeout::WriteTimeoutStream::new(stream, self.limits.write_timeout);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let served = graceful.watch(connection.into_owned());
+        let served = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(error) = served.await {
                 let details = slog::o!("peer" => peer.to_string(), "error" => error.to_string());
@@ -140,9 +147,6 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> Result<Response<Body>, Infallible> {
-        if header_bytes(&request) > self.limits.max_header_bytes {
-            return Ok(header_too_large());
-        }
         let stays = stays_open(&request);
         let mut state = State::from_request(request, peer);
         (self.prepare)(&mut state);
@@ -161,23 +165,6 @@
     }
 }
 
-/// Returns the size of a request's header in its HTTP/1 encoding, in bytes.
-///
-/// hyper limits only its read buffer, and a single read may exceed that limit.
-fn header_bytes(request: &Request<Incoming>) -> usize {
-    let uri = request.uri();
-    let authority = uri.authority().map_or(0, |authority| {
-        uri.scheme_str().map_or(0, str::len) + "://".len() + authority.as_str().len()
-    });
-    let target = authority + uri.path_and_query().map_or(0, |path| path.as_str().len());
-    let request_line = request.method().as_str().len() + target + "  HTTP/1.1\r\n\r\n".len();
-    let fields = request.headers().iter();
-    let field_bytes = |(name, value): (&HeaderName, &HeaderValue)| {
-        name.as_str().len() + value.len() + ": \r\n".len()
-    };
-    request_line + fields.map(field_bytes).sum::<usize>()
-}
-
 /// Returns whether the connection stays open after the answer to `request`.
 fn stays_open(request: &Request<Incoming>) -> bool {
     let options = request.headers().get_all(CONNECTION).iter();
@@ -198,13 +185,6 @@
     (seconds > 0).then_some(told)
 }
 
-fn header_too_large() -> Response<Body> {
-    let mut response = empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-    let headers = response.headers_mut();
-    headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
 fn empty_response(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::default());
     *response.status_mut() = status;
