Draw by time and not by requests where a workspace is hot

Cause: each small request that a lease did not cover drew for itself, so a hot workspace sent the leading host as many calls as it had requests; calls timed out, and routing updates behind them too. Change: the till of a host keeps one line a workspace with at most one draw in flight, which carries all who wait; three draws at once, then one in each pace of routing updates. A draw lends ahead for the small requests that follow, and a refusal tells when the inflow reaches the host, which waits or refuses by itself until then. The silence after an unanswered draw moves into the pure module and gets a test. Version 9 of the peer protocol.

--- a/crates/coordination/src/allotment.rs
+++ b/crates/coordination/src/allotment.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod purse;
 pub mod share;
+pub mod till;
 
 /// How long a host spends its leases after the request whose answer renewed them, in milliseconds.
 /// A lowered allotment binds within this time also on a host that is cut off.
--- a/crates/coordination/src/allotment/bucket.rs
+++ b/crates/coordination/src/allotment/bucket.rs
@@ -11,6 +11,7 @@
 use crate::allotment::message::Drawn;
 use crate::allotment::message::Share;
 use crate::allotment::share;
+use crate::allotment::till::MAX_WAIT_MS;
 use state::routing::Allotment;
 use state::time::Instant;
 
@@ -28,9 +29,8 @@
 const LEAST_DEMAND: u64 = 1;
 /// Time without refusals after which an allotment counts as no longer scarce, in milliseconds.
 const RELIEF_MS: u64 = 2_000;
-/// Bounds of the time after which the caller of an uncovered request may come back, in
-/// milliseconds.
-const RETRY_AFTER_MS: (u64, u64) = (200, 8_000);
+/// Bounds of the time after which an uncovered request may be asked for again, in milliseconds.
+const RETRY_AFTER_MS: (u64, u64) = (100, 8_000);
 const MILLI: i64 = 1_000;
 
 /// Demand of one kind.
@@ -77,6 +77,8 @@
     last_short_at: Instant,
     lent: u64,
     level_milli: i64,
+    /// Units of small requests whose hosts were told to ask for them again.
+    owed_milli: i64,
     recalled_until: Instant,
     refilled_at: Instant,
     reserve: Reserve,
@@ -98,6 +100,7 @@
             last_short_at: now,
             lent: 0,
             level_milli: 0,
+            owed_milli: 0,
             recalled_until: Instant::default(),
             refilled_at: emptied_at,
             reserve: Reserve::default(),
@@ -116,6 +119,7 @@
         let inflow = i64::try_from(inflow).unwrap_or(i64::MAX);
         let level = self.level_milli.saturating_add(inflow);
         self.level_milli = level.min(self.room_milli(excluded));
+        self.owed_milli = self.owed_milli.saturating_sub(inflow).max(0);
         self.reserve.save(inflow, self.level_milli);
     }
 
@@ -238,7 +242,8 @@
     /// Charges a request that a host cannot cover.
     ///
     /// A request that costs more than the burst is taken from a full bucket, as a debt.
-    pub fn draw(&mut self, now: Instant, size: Size, units: u64, excluded: u64) -> Drawn {
+    pub fn draw(&mut self, now: Instant, kind: Kind, units: u64, excluded: u64) -> Drawn {
+        let size = kind.size;
         if size == Size::Large {
             self.record_large(now, units);
         }
@@ -262,11 +267,36 @@
         if needed > self.room_milli(excluded) {
             self.recalled_until = now + RECALL_MS;
         }
+        Drawn::Refused {
+            retry_after_ms: self.wait_ms(kind, needed),
+        }
+    }
+
+    /// Returns the time after which a request may be asked for again. Small ones are told times one
+    /// after the other, as the inflow covers them; those that would wait for longer than hosts let
+    /// requests wait come back when the backlog of their kind lets them.
+    fn wait_ms(&mut self, kind: Kind, needed: i64) -> u64 {
         let missing = needed.min(milli(self.allotment.burst)) - self.level_milli;
-        let wait_ms = missing.max(0).unsigned_abs() / self.allotment.rate.max(1);
+        let (missing, per_mille) = match kind.size {
+            Size::Large => (missing, 1_000),
+            Size::Small => {
+                let missing = missing + self.reserve.saved_milli + self.owed_milli;
+                (missing, 1_000 - self.reserve.per_mille)
+            }
+        };
+        let rate = i64::try_from(self.allotment.rate).unwrap_or(i64::MAX);
+        let inflow = rate.saturating_mul(per_mille).max(1);
+        let wait_ms = missing.max(0).saturating_mul(1_000) / inflow;
         let (least, most) = RETRY_AFTER_MS;
-        let retry_after_ms = wait_ms.clamp(least, most);
-        Drawn::Refused { retry_after_ms }
+        let wait_ms = wait_ms.unsigned_abs().clamp(least, most);
+        match (kind.size, self.shares.get(&kind)) {
+            (Size::Small, _) if wait_ms <= MAX_WAIT_MS => self.owed_milli += needed,
+            (_, Some(share)) if wait_ms > MAX_WAIT_MS => {
+                return wait_ms.max(u64::from(share.retry_after_ms));
+            }
+            (_, Some(_) | None) => {}
+        }
+        wait_ms
     }
 
     /// Returns the mean cost of small requests.
--- a/crates/coordination/src/allotment/holder.rs
+++ b/crates/coordination/src/allotment/holder.rs
@@ -14,10 +14,13 @@
 use crate::allotment::message::Batch;
 use crate::allotment::message::Demand;
 use crate::allotment::message::Draw;
+use crate::allotment::message::Drawing;
 use crate::allotment::message::Drawn;
+use crate::allotment::message::Grant;
 use crate::allotment::message::Lease;
 use crate::allotment::message::Report;
 use crate::allotment::message::Use;
+use crate::allotment::message::Want;
 use state::routing::Allotment;
 use state::routing::Table;
 use state::time::Instant;
@@ -34,6 +37,9 @@
 const COVER_MS: u64 = LEASE_MS;
 /// The same while the allotment is scarce: unspent leases are missing elsewhere.
 const SCARCE_COVER_MS: u64 = 150;
+/// Time for which units that were lent with a draw are not called in, in milliseconds: some paces
+/// of draws.
+const AHEAD_MS: u64 = 200;
 /// Least time between two reports that a rate is taken from, in milliseconds.
 const MIN_ELAPSED_MS: u64 = 50;
 /// Reciprocals of the weights of a new rate that is greater or less than the known one.
@@ -45,6 +51,9 @@
 /// What one host holds of one workspace's allotment, and how fast it spends it.
 #[derive(Debug, Default)]
 struct Account {
+    /// Units lent by draws of which no report tells yet, by number of the draw.
+    ahead: Vec<(u64, u64)>,
+    ahead_at: Instant,
     held: u64,
     lent_last: u64,
     /// Units of small requests that callers ask this host for in a second.
@@ -150,17 +159,80 @@
         }
     }
 
-    /// Charges a request that its host cannot cover. The leadership in `term` and the table have to
-    /// be confirmed since the call arrived.
-    pub fn draw(&mut self, now: Instant, term: u64, table: &Table, draw: &Draw) -> Drawn {
+    /// Charges requests that their host cannot cover, and lends it units for those that follow.
+    /// The leadership in `term` and the table have to be confirmed since the call arrived.
+    pub fn draw(&mut self, now: Instant, term: u64, table: &Table, draw: &Draw) -> Drawing {
         self.begin(now, term);
         self.sweep(now);
-        let Some(allotment) = table.allotment(&draw.workspace) else {
-            return Drawn::Charged;
+        let grants = draw.wants.iter().map(|(workspace, wants)| {
+            let grant = match table.allotment(workspace) {
+                None => Grant {
+                    ahead: 0,
+                    verdicts: vec![Drawn::Charged; wants.len()],
+                },
+                Some(allotment) => self.grant(now, workspace, allotment, draw, wants),
+            };
+            (workspace.clone(), grant)
+        });
+        Drawing {
+            grants: grants.collect(),
+            term,
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: Instant,
+        workspace: &str,
+        allotment: Allotment,
+        draw: &Draw,
+        wants: &[Want],
+    ) -> Grant {
+        let is_new = self.is_new(now);
+        let excluded = excluded(is_new, &allotment);
+        let bucket = self.refill(now, workspace, allotment);
+        let verdicts = wants
+            .iter()
+            .map(|want| bucket.draw(now, want.kind, want.units, excluded));
+        let verdicts: Vec<Drawn> = verdicts.collect();
+        let charged = wants.iter().zip(&verdicts);
+        let small = charged
+            .filter(|(want, verdict)| want.kind.size == Size::Small && **verdict == Drawn::Charged);
+        // A single request tells no rate: units for a second one might lie idle.
+        let expected = small.skip(1).map(|(want, _)| want.units).sum();
+        Grant {
+            ahead: self.lend_ahead(now, workspace, draw, expected),
+            verdicts,
+        }
+    }
+
+    /// Lends a host units for small requests that it can expect until its next draw; the part of
+    /// the demand that it would get with its next report if the allotment is not scarce.
+    fn lend_ahead(&mut self, now: Instant, workspace: &str, draw: &Draw, expected: u64) -> u64 {
+        let limit_eighths = lent_eighths(self.is_new(now));
+        let host = self.hosts.get_mut(&draw.host);
+        let host = host.filter(|host| host.incarnation == draw.incarnation);
+        let (Some(host), Some(bucket)) = (host, self.buckets.get_mut(workspace)) else {
+            return 0;
         };
-        let excluded = excluded(self.is_new(now), &allotment);
-        let bucket = self.refill(now, &draw.workspace, allotment);
-        bucket.draw(now, draw.kind.size, draw.units, excluded)
+        if bucket.is_recalled(now) {
+            return 0;
+        }
+        let limit = bucket.lend_limit(limit_eighths);
+        let account = host.accounts.entry(workspace.to_owned()).or_default();
+        let wanted = match bucket.shares().is_empty() {
+            false => expected,
+            true => account.target(bucket, limit).saturating_sub(account.held),
+        };
+        let room = limit.saturating_sub(bucket.lent());
+        let units = wanted.max(expected).min(room).min(bucket.small_level());
+        if units > 0 {
+            bucket.lend(units);
+            account.held += units;
+            account.ahead.push((draw.number, units));
+            account.ahead_at = now;
+        }
+        units
     }
 
     /// Returns which allotments have become scarce or ended being so since the last call.
@@ -258,9 +330,13 @@
                 continue;
             };
             let used = report.uses.get(workspace).unwrap_or(&unused);
+            account
+                .ahead
+                .retain(|(number, _)| is_same && *number > report.drawn);
+            let ahead: u64 = account.ahead.iter().map(|(_, units)| units).sum();
             let held = match report.term == self.term {
-                false => 0,
-                true => used.held,
+                false => ahead,
+                true => used.held + ahead,
             };
             bucket.record_held(account.held, held);
             let unreceived = match is_lost {
@@ -294,11 +370,7 @@
             ..Lease::default()
         };
         if let Some(account) = account {
-            let eighths = match is_new {
-                false => LENT_EIGHTHS,
-                true => NEW_LENT_EIGHTHS,
-            };
-            let limit = bucket.lend_limit(eighths);
+            let limit = bucket.lend_limit(lent_eighths(is_new));
             let target = match bucket.is_recalled(now) {
                 false => account.target(bucket, limit),
                 true => 0,
@@ -308,7 +380,8 @@
                 .saturating_sub(account.held)
                 .min(room)
                 .min(bucket.small_level());
-            lease.keep = (account.held > target * 2).then_some(target);
+            let is_idle = bucket.is_recalled(now) || now.since(account.ahead_at) >= AHEAD_MS;
+            lease.keep = (is_idle && account.held > target * 2).then_some(target);
             bucket.lend(lease.units);
             account.held += lease.units;
             account.lent_last = lease.units;
@@ -358,6 +431,13 @@
     }
 }
 
+fn lent_eighths(is_new: bool) -> u64 {
+    match is_new {
+        false => LENT_EIGHTHS,
+        true => NEW_LENT_EIGHTHS,
+    }
+}
+
 /// Returns the units that hosts may hold under terms before that of a new holder.
 fn excluded(is_new: bool, allotment: &Allotment) -> u64 {
     match is_new {
--- a/crates/coordination/src/allotment/message.rs
+++ b/crates/coordination/src/allotment/message.rs
@@ -31,6 +31,8 @@
 /// Report of a host to the holder, sent with each request for a routing update.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
+    /// Number of a draw; it and all before have been answered or given up.
+    pub drawn: u64,
     /// Random number of the host's process.
     pub incarnation: u64,
     /// Number of the report within the process, from 1.
@@ -74,25 +76,54 @@
     pub term: u64,
 }
 
-/// A request of a host for units that it needs at once.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Draw {
+/// One request that a host cannot cover.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Want {
     /// Kind of the work.
     pub kind: Kind,
     /// Units that the work costs.
     pub units: u64,
-    /// Name of the workspace.
-    pub workspace: String,
 }
 
-/// Answer to a [`Draw`].
+/// Requests of a host that it cannot cover.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Draw {
+    /// Name of the host.
+    pub host: String,
+    /// Random number of the host's process.
+    pub incarnation: u64,
+    /// Number of the draw within the process, from 1.
+    pub number: u64,
+    /// Requests by workspace, in the order in which they are charged.
+    pub wants: BTreeMap<String, Vec<Want>>,
+}
+
+/// Answer for one request of a [`Draw`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Drawn {
     /// The units are charged.
     Charged,
     /// The allotment does not cover the work.
     Refused {
-        /// Time after which the caller may come back, in milliseconds.
+        /// Time after which the bucket can cover it, in milliseconds.
         retry_after_ms: u64,
     },
 }
+
+/// Answer for one workspace of a [`Draw`].
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Grant {
+    /// Units lent for small requests to come.
+    pub ahead: u64,
+    /// Answers to the requests, in their order.
+    pub verdicts: Vec<Drawn>,
+}
+
+/// Answer to a [`Draw`].
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Drawing {
+    /// Grants by workspace.
+    pub grants: BTreeMap<String, Grant>,
+    /// Term of the holder.
+    pub term: u64,
+}
--- a/crates/coordination/src/allotment/purse.rs
+++ b/crates/coordination/src/allotment/purse.rs
@@ -1,6 +1,7 @@
 //! The purse of one host: the leases that it spends, and what it tells the holder.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::allotment::LEASE_MS;
 use crate::allotment::kind::Kind;
@@ -12,33 +13,8 @@
 use crate::allotment::message::Use;
 use state::time::Instant;
 
-/// Time for which a host repeats the holder's refusal by itself, in milliseconds: a few routing
-/// updates, after which leases and shares reflect the shortage.
-const REFUSAL_MS: u64 = 200;
 const WHOLE: u64 = 1_000;
 
-/// How a charge ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Charge {
-    /// The purse covers the request.
-    Covered,
-    /// The holder has to be asked.
-    Draw,
-    /// The holder has refused as much a moment ago.
-    Refused {
-        /// Time after which the caller may come back, in milliseconds.
-        retry_after_ms: u64,
-    },
-}
-
-/// What the holder refused last.
-#[derive(Clone, Copy, Debug)]
-struct Refusal {
-    retry_after_ms: u64,
-    units: u64,
-    until: Instant,
-}
-
 /// What the host holds of one workspace's allotment.
 #[derive(Clone, Debug, Default)]
 struct Account {
@@ -46,7 +22,6 @@
     earlier: u64,
     /// Units lent in this term.
     held: u64,
-    refusal: Option<Refusal>,
     returned: u64,
     shares: BTreeMap<Kind, Share>,
     wanted: BTreeMap<Kind, Demand>,
@@ -58,7 +33,11 @@
     accounts: BTreeMap<String, Account>,
     /// Time at which leases of the term before end.
     earlier_until: Instant,
+    /// Numbers of the draws in flight.
+    in_flight: BTreeSet<u64>,
     incarnation: u64,
+    /// Number of the last draw.
+    last_draw: u64,
     received: u64,
     reports: u64,
     term: u64,
@@ -72,7 +51,9 @@
         Self {
             accounts: BTreeMap::new(),
             earlier_until: Instant::default(),
+            in_flight: BTreeSet::new(),
             incarnation,
+            last_draw: 0,
             received: 0,
             reports: 0,
             term: 0,
@@ -109,8 +90,8 @@
         }
     }
 
-    /// Charges a request that is about to be sent.
-    pub fn charge(&mut self, now: Instant, workspace: &str, units: u64) -> Charge {
+    /// Charges a request that is about to be sent; returns whether the purse covers it.
+    pub fn charge(&mut self, now: Instant, workspace: &str, units: u64) -> bool {
         let (is_valid, is_earlier_valid) = (now < self.until, now < self.earlier_until);
         let account = self.account(workspace);
         let earlier = match is_earlier_valid {
@@ -121,33 +102,42 @@
             false => 0,
             true => account.held,
         };
-        if units <= earlier + held {
+        let is_covered = units <= earlier + held;
+        if is_covered {
             let from_earlier = units.min(earlier);
             account.earlier -= from_earlier;
             account.held -= units - from_earlier;
-            return Charge::Covered;
-        }
-        match account.refusal {
-            Some(refusal) if now < refusal.until && units >= refusal.units => Charge::Refused {
-                retry_after_ms: refusal.retry_after_ms,
-            },
-            Some(_) | None => Charge::Draw,
         }
+        is_covered
     }
 
-    /// Records that the holder has refused to cover a request.
-    pub fn record_refusal(
-        &mut self,
-        now: Instant,
-        workspace: &str,
-        units: u64,
-        retry_after_ms: u64,
-    ) {
-        self.account(workspace).refusal = Some(Refusal {
-            retry_after_ms,
-            units,
-            until: now + REFUSAL_MS.min(retry_after_ms),
-        });
+    /// Returns the number of the host's process.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the number of a new draw.
+    pub fn begin_draw(&mut self) -> u64 {
+        self.last_draw += 1;
+        self.in_flight.insert(self.last_draw);
+        self.last_draw
+    }
+
+    /// Ends a draw, and takes the units that the holder of a term has lent with it by workspace.
+    /// Units of another term go back, because reports tell only what is held of one.
+    pub fn end_draw(&mut self, number: u64, lent: Option<(u64, BTreeMap<&str, u64>)>) {
+        self.in_flight.remove(&number);
+        let Some((term, lent)) = lent else {
+            return;
+        };
+        let is_current = term == self.term;
+        for (workspace, units) in lent.into_iter().filter(|(_, units)| *units > 0) {
+            let account = self.account(workspace);
+            match is_current {
+                false => account.returned += units,
+                true => account.held += units,
+            }
+        }
     }
 
     /// Gives units back that were charged for a request that did not run. They go to the holder.
@@ -175,7 +165,9 @@
             }
         }
         self.accounts.retain(|_, account| account.is_used());
+        let first_in_flight = self.in_flight.first();
         Report {
+            drawn: first_in_flight.map_or(self.last_draw, |number| number - 1),
             incarnation: self.incarnation,
             number: self.reports,
             received: self.received,
@@ -225,7 +217,7 @@
     }
 
     fn is_used(&self) -> bool {
-        self.earlier > 0 || self.held > 0 || self.refusal.is_some() || !self.shares.is_empty()
+        self.earlier > 0 || self.held > 0 || !self.shares.is_empty()
     }
 }
 
--- a/crates/coordination/tests/allotment.rs
+++ b/crates/coordination/tests/allotment.rs
@@ -1,6 +1,7 @@
 //! Allotments under load and under failure: a holder and the purses of many hosts, without a
 //! network.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use rand::Rng;
@@ -12,10 +13,9 @@
 use coordination::allotment::holder::Holder;
 use coordination::allotment::kind::Kind;
 use coordination::allotment::kind::Size;
-use coordination::allotment::message::Draw;
-use coordination::allotment::message::Drawn;
-use coordination::allotment::purse::Charge;
-use coordination::allotment::purse::Purse;
+use coordination::allotment::message::Drawing;
+use coordination::allotment::till::Charge;
+use coordination::allotment::till::Till;
 use state::routing::Allotment;
 use state::routing::Table;
 use state::routing::Unit;
@@ -41,17 +41,33 @@
 type Run = (Instant, u64);
 
 struct World {
+    /// Longest time after which the answer to a draw arrives, in milliseconds.
+    answer_ms: u64,
+    /// Answers to draws on their way: when they arrive, the host and the number of the draw.
+    answers: Vec<(Instant, usize, u64, Option<Drawing>)>,
     cut_off: BTreeSet<usize>,
+    /// Draws by host.
+    draws: Vec<u64>,
     holder: Holder,
     /// Part of the updates that are lost on either way, in percent.
     loss_percent: u64,
     now: Instant,
-    purses: Vec<Purse>,
+    /// Requests that wait for a draw, by host and number.
+    queued: BTreeMap<(usize, u64), (String, u64)>,
     random: ChaCha8Rng,
     refused: u64,
     runs: Vec<(String, Run)>,
     table: Table,
     term: u64,
+    tills: Vec<Till>,
+}
+
+/// Returns the tills of all hosts, whose processes are numbered from `first`.
+fn tills(first: u64) -> Vec<Till> {
+    let hosts = 0..HOSTS as u64;
+    hosts
+        .map(|n| Till::new(format!("h{n}"), first + n))
+        .collect()
 }
 
 fn allotment(rate: u64, burst: u64) -> Allotment {
@@ -82,16 +98,20 @@
     /// Returns a world whose first holder has led for long enough to lend everything.
     fn new(seed: u64, table: Table) -> Self {
         let mut world = Self {
+            answer_ms: 0,
+            answers: Vec::new(),
             cut_off: BTreeSet::new(),
+            draws: vec![0; HOSTS],
             holder: Holder::default(),
             loss_percent: 0,
             now: Instant(1),
-            purses: (0..HOSTS as u64).map(Purse::new).collect(),
+            queued: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             refused: 0,
             runs: Vec::new(),
             table,
             term: 1,
+            tills: tills(0),
         };
         world.advance(LEASE_MS * 2);
         world
@@ -106,16 +126,18 @@
     /// Lets the hosts poll whose turn it is.
     fn step(&mut self) {
         self.now = self.now + STEP_MS;
+        self.settle();
         let turn = self.now.0 / STEP_MS;
         for host in 0..HOSTS {
             if turn % (POLL_MS / STEP_MS) == host as u64 % (POLL_MS / STEP_MS) {
                 self.poll(host);
             }
+            self.draw(host);
         }
     }
 
     fn poll(&mut self, host: usize) {
-        let report = self.purses[host].report(self.now);
+        let report = self.tills[host].purse().report(self.now);
         if self.cut_off.contains(&host) || self.is_lost() {
             return;
         }
@@ -124,7 +146,8 @@
             .holder
             .exchange(self.now, self.term, &self.table, &name, &report);
         if !self.is_lost() {
-            self.purses[host].apply(self.now, batch);
+            let outcomes = self.tills[host].apply(self.now, self.now, batch);
+            self.tell(host, outcomes);
         }
     }
 
@@ -140,40 +163,68 @@
         self.random.random_range(0..100) < self.loss_percent
     }
 
-    /// A request arrives at a host; returns whether it ran.
+    /// A request arrives at a host; returns whether it ran at once.
     fn ask(&mut self, host: usize, workspace: &str, kind: Kind, units: u64) -> bool {
         let random = self.random.next_u64();
-        let admitted = self.purses[host].admit(self.now, workspace, kind, units, random);
-        let ran = admitted.is_ok() && self.charge(host, workspace, kind, units);
-        match ran {
-            false => self.refused += 1,
-            true => self.runs.push((workspace.to_owned(), (self.now, units))),
+        let purse = self.tills[host].purse();
+        if purse
+            .admit(self.now, workspace, kind, units, random)
+            .is_err()
+        {
+            self.refused += 1;
+            return false;
         }
-        ran
+        self.charge(host, workspace, kind, units)
     }
 
     fn charge(&mut self, host: usize, workspace: &str, kind: Kind, units: u64) -> bool {
-        match self.purses[host].charge(self.now, workspace, units) {
-            Charge::Covered => true,
-            Charge::Refused { .. } => false,
-            Charge::Draw => {
-                !self.cut_off.contains(&host) && self.draw(host, workspace, kind, units)
+        let charge = self.tills[host].charge(self.now, workspace, kind, units);
+        let ran = self.runs.len();
+        match charge {
+            Charge::Covered => self.runs.push((workspace.to_owned(), (self.now, units))),
+            Charge::Queued(id) => {
+                let request = (workspace.to_owned(), units);
+                self.queued.insert((host, id), request);
+                self.draw(host);
             }
+            Charge::Refused { .. } | Charge::Unanswered => self.refused += 1,
         }
+        self.runs.len() > ran
     }
 
-    fn draw(&mut self, host: usize, workspace: &str, kind: Kind, units: u64) -> bool {
-        let draw = Draw {
-            kind,
-            units,
-            workspace: workspace.to_owned(),
-        };
-        match self.holder.draw(self.now, self.term, &self.table, &draw) {
-            Drawn::Charged => true,
-            Drawn::Refused { retry_after_ms } => {
-                let now = self.now;
-                self.purses[host].record_refusal(now, workspace, units, retry_after_ms);
-                false
+    /// Draws for the requests that wait at a host.
+    fn draw(&mut self, host: usize) {
+        while let Some(draw) = self.tills[host].draw(self.now) {
+            self.draws[host] += 1;
+            let is_cut_off = self.cut_off.contains(&host);
+            let drawing =
+                (!is_cut_off).then(|| self.holder.draw(self.now, self.term, &self.table, &draw));
+            let arrives_at = self.now + self.random.random_range(0..=self.answer_ms);
+            self.answers.push((arrives_at, host, draw.number, drawing));
+            self.settle();
+        }
+    }
+
+    /// Lets the answers arrive whose time has come.
+    fn settle(&mut self) {
+        let now = self.now;
+        for (_, host, number, drawing) in self
+            .answers
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect::<Vec<_>>()
+        {
+            let outcomes = self.tills[host].settle(now, number, drawing);
+            self.tell(host, outcomes);
+        }
+    }
+
+    /// Records how charges of requests that waited have ended.
+    fn tell(&mut self, host: usize, outcomes: Vec<(u64, Charge)>) {
+        for (id, outcome) in outcomes {
+            let (workspace, units) = self.queued.remove(&(host, id)).unwrap();
+            match outcome {
+                Charge::Covered => self.runs.push((workspace, (self.now, units))),
+                _ => self.refused += 1,
             }
         }
     }
@@ -262,6 +313,7 @@
         let allotment = allotment(200_000, 300_000);
         let mut world = World::new(seed, table(&[("w", allotment)]));
         world.loss_percent = 20;
+        world.answer_ms = 250;
         for round in 0..6 {
             world.load(700, "w", 700_000, few);
             let host = any(&mut world.random);
@@ -286,18 +338,22 @@
     let allotment = allotment(200_000, 200_000);
     let mut world = World::new(3, table(&[("w", allotment)]));
     let began_at = world.now;
-    let (mut long_ran, mut short_ran) = (0, 0);
     for turn in 0..1_500 {
         world.step();
         if turn % 4 == 0 {
             let host = any(&mut world.random);
-            long_ran += LONG_UNITS * u64::from(world.ask(host, "w", LONG, LONG_UNITS));
+            world.ask(host, "w", LONG, LONG_UNITS);
         }
         for _ in 0..8 {
             let host = any(&mut world.random);
-            short_ran += SHORT_UNITS * u64::from(world.ask(host, "w", SHORT, SHORT_UNITS));
+            world.ask(host, "w", SHORT, SHORT_UNITS);
         }
     }
+    let ran = |cost| {
+        let runs = world.runs.iter().map(|(_, (_, units))| *units);
+        runs.filter(|units| *units == cost).sum::<u64>()
+    };
+    let (long_ran, short_ran) = (ran(LONG_UNITS), ran(SHORT_UNITS));
     let allowed = 200_000 * 15 + 200_000;
     world.assert_within("w", began_at, allotment);
     assert!(
@@ -369,7 +425,9 @@
         world.load(500, "w", 2_000_000, any);
         world.change_leader();
         if all {
-            world.purses = (100..100 + HOSTS as u64).map(Purse::new).collect();
+            world.tills = tills(100);
+            world.queued.clear();
+            world.answers.clear();
         }
         world.load(6_000, "w", 2_000_000, any);
         world.assert_within("w", Instant(0), allotment);
@@ -382,14 +440,14 @@
     let table = table(&[("w", allotment(100_000, 100_000))]);
     let mut world = World::new(8, table);
     world.load(1_000, "w", 50_000, |_| 0);
-    let report = world.purses[0].report(world.now);
+    let report = world.tills[0].purse().report(world.now);
     let asked_at = world.now;
     let late = world
         .holder
         .exchange(asked_at, world.term, &world.table, "h0", &report);
     world.now = world.now + LEASE_MS;
-    world.purses[0].apply(asked_at, late);
-    assert_eq!(world.purses[0].charge(world.now, "w", 1), Charge::Draw);
+    world.tills[0].purse().apply(asked_at, late);
+    assert!(!world.tills[0].purse().charge(world.now, "w", 1));
 }
 
 #[test]
@@ -424,7 +482,7 @@
     let mut world = World::new(11, table(&[("w", allotment)]));
     for _ in 0..5 {
         assert!(world.charge(0, "w", LONG, 9_000));
-        world.purses[0].give_back("w", 9_000);
+        world.tills[0].purse().give_back("w", 9_000);
         world.advance(POLL_MS);
     }
 }
@@ -438,9 +496,40 @@
     let mut times = BTreeSet::new();
     for random in 0..2_000 {
         let now = world.now;
-        let admitted = world.purses[9].admit(now, "w", SHORT, 1, random * 7_919);
+        let admitted = world.tills[9]
+            .purse()
+            .admit(now, "w", SHORT, 1, random * 7_919);
         times.extend(admitted.err());
     }
     let (first, last) = (times.first().unwrap(), times.last().unwrap());
     assert!(*first >= 500 && *last >= first * 5 / 4, "{first} {last}");
 }
+
+/// One workspace asks for five times its allotment at 57 hosts, beside long prompts.
+#[test]
+fn a_hot_workspace_draws_by_time_and_not_by_requests() {
+    let allotment = allotment(200_000, 200_000);
+    let mut world = World::new(13, table(&[("w", allotment)]));
+    world.load(3_000, "w", 150_000, any);
+    assert_eq!(world.refused, 0);
+    world.draws.fill(0);
+    let began_at = world.now;
+    for _ in 0..10 {
+        world.load(1_000, "w", 1_000_000, any);
+        for _ in 0..20 {
+            let host = any(&mut world.random);
+            world.ask(host, "w", LONG, LONG_UNITS);
+        }
+    }
+    // Three at once, then one in 100 ms.
+    let most = 3 + 10_000 / POLL_MS;
+    assert!(
+        world.draws.iter().all(|draws| *draws <= most),
+        "{:?}",
+        world.draws
+    );
+    println!("{} draws in 10 s", world.draws.iter().sum::<u64>());
+    world.assert_within("w", Instant(0), allotment);
+    let ran = world.ran("w", began_at);
+    assert!(ran >= 200_000 * 10 * 9 / 10, "{ran}");
+}
--- a/crates/hibiscushoistd/src/allotment_desk.rs
+++ b/crates/hibiscushoistd/src/allotment_desk.rs
@@ -12,7 +12,7 @@
 use coordination::allotment::holder::Holder;
 use coordination::allotment::message::Batch;
 use coordination::allotment::message::Draw;
-use coordination::allotment::message::Drawn;
+use coordination::allotment::message::Drawing;
 use coordination::allotment::message::Report;
 use protocol::voter::Rejection;
 use state::time::Instant;
@@ -80,12 +80,12 @@
         batch
     }
 
-    /// Charges a request that its host cannot cover.
+    /// Charges requests that their host cannot cover.
     ///
     /// # Errors
     ///
     /// Returns why this host does not hold the allotments.
-    pub async fn draw(&self, draw: Draw) -> Result<Drawn, Rejection> {
+    pub async fn draw(&self, draw: Draw) -> Result<Drawing, Rejection> {
         let reading = self.reads.read().await?;
         let now = self.clock.now();
         let table = &reading.routed.table;
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -138,7 +138,13 @@
         let weights_limit = settings.gateway.as_ref().map(|g| g.weights_limit);
         let versions =
             VersionHistory::new(weights_limit.map_or(u64::MAX, |l| l.as_millis() as u64));
-        let charger = Charger::new(clock, log.clone(), links.pool.clone(), routing.clone());
+        let charger = Charger::new(
+            clock,
+            settings.name.clone(),
+            log.clone(),
+            links.pool.clone(),
+            routing.clone(),
+        );
         let gateway = Gateway::new(routing, versions.clone(), charger);
         let gateway = bound.callers.map(|_| Arc::new(gateway));
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone(), voter.table());
@@ -178,6 +184,8 @@
         }
         if let Some(gateway) = gateway {
             tokio::spawn(routing_updater.run(context.clone()));
+            let drawing = gateway.clone();
+            tokio::spawn(async move { drawing.charger.run().await });
             tokio::spawn(gateway.follow(context.clone()));
         }
         voter.follow(member.view());
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -234,7 +234,7 @@
         self.desk.assign(ask).await
     }
 
-    async fn draw(self, _: Context, draw: message::Draw) -> Result<message::Drawn, Rejection> {
+    async fn draw(self, _: Context, draw: message::Draw) -> Result<message::Drawing, Rejection> {
         self.allotments.draw(draw).await
     }
 }
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -204,7 +204,7 @@
             let mut monitor = gateway.part_monitor();
             monitor.take_evidence(polled_at)
         });
-        let allotment_report = gateway.map(|gateway| gateway.charger.purse().report(polled_at));
+        let allotment_report = gateway.map(|gateway| gateway.charger.report(polled_at));
         let loads_number = progress.own_reports.record(loads.clone());
         let request = Request {
             allotment_report: allotment_report.unwrap_or_default(),
@@ -242,7 +242,9 @@
         if let Some(gateway) = &context.gateway {
             let now = context.clock.now();
             let batch = std::mem::take(&mut update.allotment_batch);
-            gateway.charger.apply(polled_at, batch);
+            gateway
+                .charger
+                .apply(polled_at, poll_interval(context), batch);
             let mut versions = gateway.versions();
             versions.merge(polled_at, &update.version_ages);
             versions.record(polled_at, &update.weights);
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -26,7 +26,7 @@
 use coordination::state_machine::Command;
 
 /// Version of the message formats; both ends of a connection need the same one.
-pub const VERSION: u32 = 8;
+pub const VERSION: u32 = 9;
 
 /// Service for the other daemons of the fleet.
 ///
@@ -68,6 +68,6 @@
     async fn assign(
         request: assignment::Request,
     ) -> Result<Result<Choice, choice::Refusal>, Rejection>;
-    /// Charges work to the allotment of its workspace; only the leading voter's host can.
-    async fn draw(draw: message::Draw) -> Result<message::Drawn, Rejection>;
+    /// Charges work to the allotments of its workspaces; only the leading voter's host can.
+    async fn draw(draw: message::Draw) -> Result<message::Drawing, Rejection>;
 }
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -85,6 +85,8 @@
 /// Counter of commands that were sent to the voters again, by reason.
 pub const VOTER_RETRIES: &str = "hibiscushoist_voter_retries_total";
 
+/// Counter of calls that charge requests at the holder of the allotments.
+pub const ALLOTMENT_DRAW_CALLS: &str = "hibiscushoist_allotment_draw_calls_total";
 /// Counter of requests that had to be charged by the holder of the allotments, by outcome.
 pub const ALLOTMENT_DRAWS: &str = "hibiscushoist_allotment_draws_total";
 /// Gauge of the time since the leases of this host were renewed, in milliseconds.
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -137,7 +137,7 @@
         Err(Rejection::Ended)
     }
 
-    async fn draw(self, _: Context, _: message::Draw) -> Result<message::Drawn, Rejection> {
+    async fn draw(self, _: Context, _: message::Draw) -> Result<message::Drawing, Rejection> {
         Err(Rejection::Ended)
     }
 }
