--- a/crates/coordination/src/allotment/bucket.rs
+++ b/crates/coordination/src/allotment/bucket.rs
@@ -29,8 +29,13 @@
 const LEAST_DEMAND: u64 = 1;
 /// Time without refusals after which an allotment counts as no longer scarce, in milliseconds.
 const RELIEF_MS: u64 = 2_000;
-/// Bounds of the time after which an uncovered request may be asked for again, in milliseconds.
-const RETRY_AFTER_MS: (u64, u64) = (100, 8_000);
+/// Longest time after which an uncovered request may be asked for again, in milliseconds.
+const MAX_RETRY_AFTER_MS: u64 = 8_000;
+/// Least such time of large requests, in milliseconds: leases that are called in for them come back
+/// with the second report from then.
+const LEAST_LARGE_WAIT_MS: u64 = 200;
+/// Least such time of small requests, in milliseconds.
+const LEAST_SMALL_WAIT_MS: u64 = 100;
 const MILLI: i64 = 1_000;
 
 /// Demand of one kind.
@@ -277,18 +282,18 @@
     /// requests wait come back when the backlog of their kind lets them.
     fn wait_ms(&mut self, kind: Kind, needed: i64) -> u64 {
         let missing = needed.min(milli(self.allotment.burst)) - self.level_milli;
-        let (missing, per_mille) = match kind.size {
-            Size::Large => (missing, 1_000),
+        let (missing, per_mille, least) = match kind.size {
+            Size::Large => (missing, 1_000, LEAST_LARGE_WAIT_MS),
             Size::Small => {
                 let missing = missing + self.reserve.saved_milli + self.owed_milli;
-                (missing, 1_000 - self.reserve.per_mille)
+                let per_mille = 1_000 - self.reserve.per_mille;
+                (missing, per_mille, LEAST_SMALL_WAIT_MS)
             }
         };
         let rate = i64::try_from(self.allotment.rate).unwrap_or(i64::MAX);
         let inflow = rate.saturating_mul(per_mille).max(1);
         let wait_ms = missing.max(0).saturating_mul(1_000) / inflow;
-        let (least, most) = RETRY_AFTER_MS;
-        let wait_ms = wait_ms.unsigned_abs().clamp(least, most);
+        let wait_ms = wait_ms.unsigned_abs().clamp(least, MAX_RETRY_AFTER_MS);
         match (kind.size, self.shares.get(&kind)) {
             (Size::Small, _) if wait_ms <= MAX_WAIT_MS => self.owed_milli += needed,
             (_, Some(share)) if wait_ms > MAX_WAIT_MS => {
--- a/crates/coordination/tests/allotment.rs
+++ b/crates/coordination/tests/allotment.rs
@@ -13,7 +13,9 @@
 use coordination::allotment::holder::Holder;
 use coordination::allotment::kind::Kind;
 use coordination::allotment::kind::Size;
+use coordination::allotment::message::Draw;
 use coordination::allotment::message::Drawing;
+use coordination::allotment::message::Drawn;
 use coordination::allotment::till::Charge;
 use coordination::allotment::till::Till;
 use state::routing::Allotment;
@@ -56,6 +58,8 @@
     queued: BTreeMap<(usize, u64), (String, u64)>,
     random: ChaCha8Rng,
     refused: u64,
+    /// Most units in a bucket beyond those lent while a draw refused a short request.
+    refused_beside: i64,
     runs: Vec<(String, Run)>,
     table: Table,
     term: u64,
@@ -108,6 +112,7 @@
             queued: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             refused: 0,
+            refused_beside: i64::MIN,
             runs: Vec::new(),
             table,
             term: 1,
@@ -199,12 +204,27 @@
             let is_cut_off = self.cut_off.contains(&host);
             let drawing =
                 (!is_cut_off).then(|| self.holder.draw(self.now, self.term, &self.table, &draw));
+            self.watch(&draw, drawing.as_ref());
             let arrives_at = self.now + self.random.random_range(0..=self.answer_ms);
             self.answers.push((arrives_at, host, draw.number, drawing));
             self.settle();
         }
     }
 
+    fn watch(&mut self, draw: &Draw, drawing: Option<&Drawing>) {
+        let grants = drawing.into_iter().flat_map(|drawing| &drawing.grants);
+        for (workspace, grant) in grants {
+            let wants = draw.wants[workspace].iter().zip(&grant.verdicts);
+            let mut short = wants.filter(|(want, _)| want.kind == SHORT);
+            if short.any(|(_, verdict)| *verdict != Drawn::Charged) {
+                let mut summaries = self.holder.summaries();
+                let (_, summary) = summaries.find(|(name, _)| name == workspace).unwrap();
+                let beside = summary.level - summary.lent as i64;
+                self.refused_beside = self.refused_beside.max(beside);
+            }
+        }
+    }
+
     /// Lets the answers arrive whose time has come.
     fn settle(&mut self) {
         let now = self.now;
@@ -505,7 +525,7 @@
     assert!(*first >= 500 && *last >= first * 5 / 4, "{first} {last}");
 }
 
-/// One workspace asks for five times its allotment at 57 hosts, beside long prompts.
+/// One workspace asks for five times its allotment at 57 hosts, at last beside long prompts.
 #[test]
 fn a_hot_workspace_draws_by_time_and_not_by_requests() {
     let allotment = allotment(200_000, 200_000);
@@ -514,7 +534,10 @@
     assert_eq!(world.refused, 0);
     world.draws.fill(0);
     let began_at = world.now;
-    for _ in 0..10 {
+    world.load(5_000, "w", 1_000_000, any);
+    // Whoever is refused by the bucket finds less there than other hosts hold.
+    assert!(world.refused_beside <= 0, "{}", world.refused_beside);
+    for _ in 0..5 {
         world.load(1_000, "w", 1_000_000, any);
         for _ in 0..20 {
             let host = any(&mut world.random);
@@ -528,7 +551,6 @@
         "{:?}",
         world.draws
     );
-    println!("{} draws in 10 s", world.draws.iter().sum::<u64>());
     world.assert_within("w", Instant(0), allotment);
     let ran = world.ran("w", began_at);
     assert!(ran >= 200_000 * 10 * 9 / 10, "{ran}");
