--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -139,7 +139,13 @@
         let weights_limit = settings.gateway.as_ref().map(|g| g.weights_limit);
         let versions =
             VersionHistory::new(weights_limit.map_or(u64::MAX, |l| l.as_millis() as u64));
-        let charger = Charger::new(clock, log.clone(), links.pool.clone(), routing.clone());
+        let charger = Charger::new(
+            clock,
+            settings.name.clone(),
+            log.clone(),
+            links.pool.clone(),
+            routing.clone(),
+        );
         let upstream_connections = settings.gateway.as_ref().map(|g| g.upstream_connections);
         let pool = ConnectionPool::new(upstream_connections.unwrap_or_default());
         let gateway = Gateway::new(routing, versions.clone(), charger, pool);
@@ -181,6 +187,8 @@
         }
         if let Some(gateway) = gateway {
             tokio::spawn(routing_updater.run(context.clone()));
+            let drawing = gateway.clone();
+            tokio::spawn(async move { drawing.charger.run().await });
             tokio::spawn(gateway.follow(context.clone()));
         }
         voter.follow(member.view());
