Keep suspecting silent upstreams until they are heard from

Cause: a host forgot an engine that had gone dark once its last waiting request was given up, sent further requests into it, and no other host learnt of it. Change: a suspicion lasts until a byte of the upstream arrives or a failed connection succeeds. The host checks the connection in the background; requests that must run once never go there, others one at a time if it accepts connections. The leading host publishes what two hosts suspect while nobody hears from it; a host to which most of a service looks silent distrusts itself. Version 9 of the protocol between hosts.

--- a/crates/coordination/src/demand.rs
+++ b/crates/coordination/src/demand.rs
@@ -38,6 +38,8 @@
     pub newest_weights: u64,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Whether the request must not run again once it may have run.
+    pub runs_once: bool,
     /// Name of the service.
     pub service: String,
     /// ID of the prefix that the prompt shares with other requests, and the tokens up to its end;
--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::hold::Holds;
 use crate::load::pace::Pace;
 use crate::load::paces::Paces;
+use crate::load::silent::Tracker;
 use crate::load::told::Told;
 use crate::local_state::InFlight;
 use crate::local_state::LocalState;
@@ -93,6 +94,7 @@
     pub(crate) models: Arc<Models>,
     pub(crate) paces: Paces,
     pub(crate) samples: Vec<Sample>,
+    pub(crate) silent: Tracker,
     told: BTreeMap<String, Told>,
     pub(crate) unresponsive: UnresponsiveDetector,
 }
@@ -110,6 +112,7 @@
             models: Arc::default(),
             paces: Paces::default(),
             samples: Vec::new(),
+            silent: Tracker::default(),
             told: BTreeMap::new(),
             unresponsive: UnresponsiveDetector::default(),
         }
@@ -121,6 +124,7 @@
         let ids: Vec<&String> = fleet.upstreams.iter().map(|u| &u.id).collect();
         self.breaker.sync(ids.iter().map(|id| (*id).clone()));
         self.holds.sync(fleet);
+        self.silent.sync(fleet);
         self.local
             .retain(|id, local| local.has_requests() || ids.contains(&id));
         self.unresponsive
@@ -208,6 +212,7 @@
         let request_id = self
             .unresponsive
             .record_sent(now, upstream_id.clone(), work_ms);
+        self.silent.record_sent(now, &upstream_id, request_id);
         InFlight {
             upstream_id,
             long_prompt_tokens,
@@ -279,6 +284,7 @@
         for (id, load) in &other_loads {
             if let Some(age_ms) = load.last_byte_age_ms {
                 self.unresponsive.record_remote_byte(now.before(age_ms), id);
+                self.end_suspicion_elsewhere(now, now.before(age_ms), id);
             }
         }
         self.other_loads = (now, other_loads);
@@ -333,6 +339,7 @@
     /// Records that bytes of an answer arrived.
     pub fn record_byte(&mut self, now: Instant, in_flight: &InFlight) {
         self.unresponsive.record_byte(now, &in_flight.upstream_id);
+        self.end_suspicion(now, &in_flight.upstream_id);
     }
 
     /// Records the weights version that an answer names.
@@ -409,6 +416,8 @@
 
     /// Records that a request is no longer in flight.
     pub fn record_end(&mut self, in_flight: &InFlight) {
+        self.silent
+            .record_end(&in_flight.upstream_id, in_flight.request_id);
         self.unresponsive
             .record_end(&in_flight.upstream_id, in_flight.request_id);
         if let Some(local) = self.local.get_mut(&in_flight.upstream_id) {
@@ -424,8 +433,9 @@
 
     /// Returns whether the upstream of a request, or the path to it, has stopped responding.
     pub fn is_unresponsive(&self, now: Instant, in_flight: &InFlight) -> bool {
-        self.unresponsive
-            .is_unresponsive(now, &in_flight.upstream_id)
+        let id = in_flight.upstream_id.as_str();
+        self.unresponsive.is_unresponsive(now, id)
+            || self.silent.is_silent_for(in_flight.sent_at, id)
     }
 
     /// Returns whether the upstream's weights version may serve the request.
@@ -453,6 +463,7 @@
         let refused_at = self.local.get(id).and_then(|local| local.refused_at);
         !matches!(self.breaker.state(now, id), State::Open(_))
             && !self.unresponsive.is_unresponsive(now, id)
+            && !self.silent.is_barred(now, id)
             && !self.is_held(now, upstream)
             && refused_at.is_none_or(|at| now.since(at) > REFUSAL_PAUSE_MS)
     }
@@ -466,6 +477,7 @@
                 && upstream.standing == upstream::Standing::Ready
                 && !self.is_held(now, upstream)
                 && !demand.tried.contains(&upstream.id)
+                && !(demand.runs_once && self.silent.is_suspected(&upstream.id))
                 && self.is_current(fleet, upstream, demand)
         };
         let listed: Vec<&Upstream> = fleet.upstreams.iter().filter(is_eligible).collect();
--- a/crates/coordination/src/load.rs
+++ b/crates/coordination/src/load.rs
@@ -3,4 +3,7 @@
 pub mod pace;
 pub mod paces;
 pub mod packed;
+pub mod silent;
+mod silent_dispatch;
+pub mod silent_reports;
 pub mod told;
--- /dev/null
+++ b/crates/coordination/src/load/silent_dispatch.rs
@@ -0,0 +1,78 @@
+//! What [`Dispatcher`] records of silent upstreams.
+
+use crate::dispatch::Dispatcher;
+use crate::load::silent::Change;
+use crate::load::silent::Evidence;
+use crate::load::silent_reports::News;
+use crate::load::silent_reports::Report;
+use crate::local_state::InFlight;
+use crate::upstream::Fleet;
+use state::time::Instant;
+
+impl Dispatcher {
+    /// Suspects the upstreams that have become unresponsive, and returns the suspected ones of
+    /// which it must be checked now whether they accept a connection.
+    pub fn due_checks(&mut self, now: Instant) -> Vec<String> {
+        for id in self.unresponsive.unresponsive(now) {
+            self.silent.suspect(now, now, &id, Evidence::Idle);
+        }
+        self.silent.due_checks(now)
+    }
+
+    /// Records whether an upstream accepted a connection that was begun at `begun_at`.
+    pub fn record_check(&mut self, now: Instant, begun_at: Instant, id: &str, accepted: bool) {
+        if self.silent.record_check(now, begun_at, id, accepted) {
+            self.unresponsive.record_recovery(id);
+        }
+    }
+
+    /// Records that the upstream accepted no connection for the request.
+    pub fn record_unreachable(&mut self, now: Instant, in_flight: &InFlight) {
+        let (sent_at, id) = (in_flight.sent_at, &in_flight.upstream_id);
+        self.silent.suspect(now, sent_at, id, Evidence::Unreachable);
+    }
+
+    /// Records that the answer of the request stalled.
+    pub fn record_stall(&mut self, now: Instant, in_flight: &InFlight) {
+        let id = &in_flight.upstream_id;
+        if self.unresponsive.is_quiet(now, id) {
+            self.silent.suspect(now, now, id, Evidence::Idle);
+        }
+    }
+
+    /// Replaces what the leading host published in answer to a request sent at `asked_at`.
+    pub fn set_silent_news(&mut self, now: Instant, asked_at: Instant, fleet: &Fleet, news: &News) {
+        for id in self.silent.set_news(now, asked_at, fleet, news) {
+            self.unresponsive.record_recovery(&id);
+        }
+    }
+
+    /// Returns what this host reports of silent upstreams.
+    pub fn silent_report(&mut self, now: Instant) -> Report {
+        self.silent.report(now)
+    }
+
+    /// Returns the upstreams that are suspected to be silent.
+    pub fn suspected(&self) -> Vec<String> {
+        self.silent.suspected().cloned().collect()
+    }
+
+    /// Takes the changes of what this host suspects on its own evidence.
+    pub fn take_silent_changes(&mut self) -> Vec<Change> {
+        self.silent.take_changes()
+    }
+
+    /// Ends the suspicion of an upstream that sent this host a byte.
+    pub(crate) fn end_suspicion(&mut self, now: Instant, id: &str) {
+        if self.silent.record_byte(now, id) {
+            self.unresponsive.record_recovery(id);
+        }
+    }
+
+    /// Ends the suspicion of an upstream that sent another host a byte at `at`.
+    pub(crate) fn end_suspicion_elsewhere(&mut self, now: Instant, at: Instant, id: &str) {
+        if self.silent.record_remote_byte(now, at, id) {
+            self.unresponsive.record_recovery(id);
+        }
+    }
+}
--- a/crates/coordination/src/routing_update.rs
+++ b/crates/coordination/src/routing_update.rs
@@ -17,6 +17,8 @@
 use crate::engine_model::Sample;
 use crate::fleet_log::FleetUpdate;
 use crate::load::pace::Pace;
+use crate::load::silent_reports::News;
+use crate::load::silent_reports::Report;
 use crate::load::told::Told;
 use crate::part_evidence::Evidence;
 use crate::part_evidence::Verdict;
@@ -53,6 +55,8 @@
     pub cached_prefixes: Vec<CachedPrefix>,
     /// Answers of engines that the host has seen since its last request.
     pub samples: Vec<Sample>,
+    /// Upstreams that the host suspects to be silent.
+    pub silent: Report,
     /// Version of the routed table that the host has.
     pub table_version: u64,
     /// Load that upstreams have told the host since its last request, by their IDs.
@@ -81,6 +85,9 @@
     pub paces: Arc<Vec<Pace>>,
     /// Position of the last entry of the prefix log.
     pub prefix_position: Position,
+    /// Upstreams that several hosts suspect to be silent, by their positions in the edition in
+    /// `loads`.
+    pub silent: News,
     /// The routed table, if the host lacks this version of it.
     pub table: Option<Arc<Table>>,
     /// Time since the weights versions of each model were named.
--- a/crates/coordination/src/unresponsive.rs
+++ b/crates/coordination/src/unresponsive.rs
@@ -25,9 +25,23 @@
 struct Upstream {
     last_byte: Instant,
     last_remote_byte: Instant,
+    /// ID of the first request that was sent since a suspicion ended.
+    first_after: u64,
     waiting: BTreeMap<u64, Instant>,
 }
 
+impl Upstream {
+    /// Returns whether requests with this or a later ID have waited for too long.
+    fn is_unresponsive(&self, now: Instant, first_id: u64) -> bool {
+        let Some(due) = self.waiting.range(first_id..).map(|(_, due)| *due).min() else {
+            return false;
+        };
+        let here = due.max(self.last_byte);
+        let anywhere = here.max(self.last_remote_byte);
+        now.since(anywhere) > TIMEOUT_MS || now.since(here) > PATH_TIMEOUT_MS
+    }
+}
+
 /// Tracks the last bytes of upstreams and the requests that wait for them.
 #[derive(Clone, Debug, Default)]
 pub struct UnresponsiveDetector {
@@ -82,12 +96,28 @@
         let Some(upstream) = self.upstreams.get(id) else {
             return false;
         };
-        let Some(due) = upstream.waiting.values().min() else {
-            return false;
-        };
-        let here = (*due).max(upstream.last_byte);
-        let anywhere = here.max(upstream.last_remote_byte);
-        now.since(anywhere) > TIMEOUT_MS || now.since(here) > PATH_TIMEOUT_MS
+        upstream.is_unresponsive(now, 0)
+    }
+
+    /// Returns the upstreams that are unresponsive to requests sent since their last suspicion
+    /// ended; earlier ones may wait on connections that are broken.
+    pub fn unresponsive(&self, now: Instant) -> Vec<String> {
+        let upstreams = self.upstreams.iter();
+        let silent = upstreams.filter(|(_, u)| u.is_unresponsive(now, u.first_after));
+        silent.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns whether no host got a byte from the upstream for longer than [`TIMEOUT_MS`].
+    pub fn is_quiet(&self, now: Instant, id: &str) -> bool {
+        let quiet = |u: &Upstream| now.since(u.last_byte.max(u.last_remote_byte)) > TIMEOUT_MS;
+        self.upstreams.get(id).is_some_and(quiet)
+    }
+
+    /// Records that a suspicion of the upstream ended.
+    pub fn record_recovery(&mut self, id: &str) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.first_after = self.next_id;
+        }
     }
 
     /// Removes the upstreams that `keep` rejects and that have no requests waiting.
--- a/crates/coordination/src/upstream_load.rs
+++ b/crates/coordination/src/upstream_load.rs
@@ -146,6 +146,11 @@
         (self.sums.clone(), last_number)
     }
 
+    /// Returns when an upstream with requests in flight last sent a byte to any host, if known.
+    pub fn last_byte(&self, id: &str) -> Option<Instant> {
+        self.last_bytes.get(id).copied()
+    }
+
     /// Returns the sum of the reports of all hosts.
     pub fn total(&self) -> &UpstreamLoads {
         &self.total
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::feed;
 use crate::gateway;
 use crate::gateway::Gateway;
+use crate::gateway_silent;
 use crate::health::Health;
 use crate::journal::Journal;
 use crate::links::Links;
@@ -178,6 +179,7 @@
         }
         if let Some(gateway) = gateway {
             tokio::spawn(routing_updater.run(context.clone()));
+            tokio::spawn(gateway_silent::run(context.clone(), gateway.clone()));
             tokio::spawn(gateway.follow(context.clone()));
         }
         voter.follow(member.view());
@@ -209,6 +211,7 @@
                 voter.clone(),
             ),
             evidence: Arc::default(),
+            silent: Arc::default(),
             fleet,
             log: log.clone(),
             member,
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -185,7 +185,12 @@
     let now = context.clock.now();
     let (response, connection) = match sent {
         Err(error) => {
-            gateway.dispatcher().record_failure(now, &in_flight.handle);
+            let mut dispatcher = gateway.dispatcher();
+            dispatcher.record_failure(now, &in_flight.handle);
+            if error.is_unreachable() {
+                dispatcher.record_unreachable(now, &in_flight.handle);
+            }
+            drop(dispatcher);
             let reason = match error.not_sent() {
                 false => retry::Reason::Cut,
                 true => retry::Reason::Connect,
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -102,6 +102,12 @@
     let patience = patience(routed, demand.is_patient);
     let max_wait_ms = patience.wait_left_ms(waited_ms).min(MAX_HOLD_MS);
     let timeout = ASSIGN_TIMEOUT + Duration::from_millis(max_wait_ms);
+    let mut unusable = gateway
+        .dispatcher()
+        .unusable(now, &snapshot.fleet, &demand.service);
+    if demand.runs_once {
+        unusable.extend(gateway.dispatcher().suspected());
+    }
     let request = Request {
         digest: routed.digest.short(),
         is_repeat,
@@ -110,9 +116,7 @@
         request_id: routed.request_head.request_id.clone(),
         rank: rank(routed),
         waited_ms,
-        unusable: gateway
-            .dispatcher()
-            .unusable(now, &snapshot.fleet, &demand.service),
+        unusable,
         workspace: routed
             .workspace
             .as_ref()
@@ -271,6 +275,7 @@
         newest_weights: newest.copied().unwrap_or_default(),
         model,
         prompt_tokens: routed.request_head.prompt_tokens,
+        runs_once: !routed.route.is_repeatable(),
         service: routed.service.clone(),
         shared_prefix,
         short_prefix,
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -185,6 +185,9 @@
                 () = tokio::time::sleep(check_after) => {
                     check_after = STALL_CHECK_INTERVAL;
                     let (context, gateway) = (&self.context, &self.gateway);
+                    gateway
+                        .dispatcher()
+                        .record_stall(context.clock.now(), &in_flight.handle);
                     if !can_move(context, gateway, &self.routed, progress, &upstream) {
                         continue;
                     }
--- a/crates/hibiscushoistd/src/lib.rs
+++ b/crates/hibiscushoistd/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod gateway_crash;
 pub mod gateway_placement;
 pub mod gateway_retry;
+pub mod gateway_silent;
 pub mod gateway_stream;
 pub mod health;
 pub mod import;
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -34,6 +34,7 @@
 use coordination::choice::Choice;
 use coordination::fleet_log::FleetLog;
 use coordination::gossip::Message;
+use coordination::load::silent_reports::Collector;
 use coordination::part_evidence::EvidenceCollector;
 use coordination::prefix_log;
 use coordination::prefix_log::PrefixLog;
@@ -57,6 +58,7 @@
 use transport::clock::wall_millis;
 use transport::event;
 use transport::event::Event;
+use transport::metric;
 use transport::peer_handshake;
 use transport::peer_handshake::Identity;
 use transport::peer_server;
@@ -89,6 +91,8 @@
     pub reads: Reads,
     /// Adds up what hosts have under way at upstreams.
     pub tally: Arc<Mutex<LoadAggregator>>,
+    /// Pools which upstreams hosts suspect to be silent while this host leads.
+    pub silent: Arc<Mutex<Collector>>,
     /// Answers for the requests that may crash upstreams.
     pub suspects: Suspects,
     /// Knows since when each weights version has been named.
@@ -192,11 +196,17 @@
         let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
         let (loads, loads_included) = tally.exchange(
             now,
-            ask.host,
+            ask.host.clone(),
             ask.loads_number,
             ask.loads,
             fleet_log.fleet(),
         );
+        let last_byte = |id: &str| tally.last_byte(id);
+        let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        let silent_news =
+            silent.exchange(now, &ask.host, &ask.silent, fleet_log.fleet(), last_byte);
+        metrics::gauge!(metric::SILENT_UPSTREAMS).set(silent.silent() as f64);
+        drop(silent);
         drop(tally);
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         let time = naming::Time {
@@ -215,6 +225,7 @@
             part_verdict,
             paces,
             prefix_position,
+            silent: silent_news,
             table: (table.version > ask.table_version).then(|| table.clone()),
             version_ages: versions.ages(now),
             weights: reading.routed.weights_versions.clone(),
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -195,9 +195,10 @@
                 dispatcher.take_prefix_updates(polled_at),
                 dispatcher.take_samples(),
                 dispatcher.take_told(),
+                dispatcher.silent_report(polled_at),
             )
         });
-        let (assignment_ids, loads, cached_prefixes, samples, told) =
+        let (assignment_ids, loads, cached_prefixes, samples, told, silent) =
             local_updates.unwrap_or_default();
         let gateway = context.gateway.as_ref();
         let part_evidence = gateway.map(|gateway| {
@@ -220,6 +221,7 @@
             loads_number,
             cached_prefixes,
             samples,
+            silent,
             table_version: snapshot.index.table().version,
             told,
         };
@@ -261,6 +263,7 @@
             dispatcher.set_models(update.models.clone());
             if sums.edition == fleet.edition {
                 dispatcher.set_paces(now, &fleet, &update.paces);
+                dispatcher.set_silent_news(now, polled_at, &fleet, &update.silent);
             }
             if progress.prefix_position.term != update.prefix_position.term {
                 dispatcher.requeue_prefix_updates(now);
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -26,7 +26,7 @@
 use coordination::state_machine::Command;
 
 /// Version of the message formats; both ends of a connection need the same one.
-pub const VERSION: u32 = 8;
+pub const VERSION: u32 = 9;
 
 /// Service for the other daemons of the fleet.
 ///
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -86,6 +86,18 @@
     pub fn not_sent(&self) -> bool {
         matches!(self, Self::Connect { .. })
     }
+
+    /// Returns whether nothing accepts connections at the address. An upstream that is full accepts
+    /// and resets them.
+    pub fn is_unreachable(&self) -> bool {
+        let Self::Connect { source, .. } = self else {
+            return false;
+        };
+        matches!(
+            source.kind(),
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::TimedOut
+        )
+    }
 }
 
 /// An open connection.
@@ -215,6 +227,12 @@
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, address: SocketAddr) {
+        let mut idle_by_address = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle_by_address.remove(&address);
+    }
+
     /// Returns the addresses with an idle connection that a request with `limits` may use.
     pub fn idle_addresses(&self, limits: Limits) -> Vec<SocketAddr> {
         let now = Instant::now();
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -160,6 +160,10 @@
     AllotmentRefused = 342,
     /// A long prompt would not begin before its caller leaves, so it was rejected.
     PromptRejected = 343,
+    /// This host suspects an upstream to be silent, and sends it no requests.
+    UpstreamSuspected = 350,
+    /// An upstream that this host suspected to be silent is there again.
+    SuspicionEnded = 351,
 }
 
 impl Event {
@@ -233,7 +237,9 @@
             | Self::SettingsReloaded
             | Self::Started
             | Self::Stopped
+            | Self::SuspicionEnded
             | Self::TableApplied
+            | Self::UpstreamSuspected
             | Self::VoterStarted
             | Self::VotersChanged
             | Self::WeightsNamed => Level::Info,
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -73,6 +73,10 @@
 pub const RUNS: &str = "hibiscushoist_runs_total";
 /// Counter of callers that were disconnected because they read too slowly.
 pub const SLOW_CALLERS: &str = "hibiscushoist_slow_callers_total";
+/// Counter of suspicions that an upstream is silent, by evidence.
+pub const SUSPICIONS: &str = "hibiscushoist_upstream_suspicions_total";
+/// Gauge of the upstreams that the leading host publishes as silent.
+pub const SILENT_UPSTREAMS: &str = "hibiscushoist_silent_upstreams";
 /// Counter of holds of upstreams, by what the upstream asked for.
 pub const UPSTREAM_HOLDS: &str = "hibiscushoist_upstream_holds_total";
 /// Counter of steps of roll-outs, by step.
--- a/crates/transport/src/reachability.rs
+++ b/crates/transport/src/reachability.rs
@@ -20,6 +20,12 @@
     timeout(limit, is_refused(address)).await.unwrap_or(false)
 }
 
+/// Returns whether the host at `address` accepts a connection within `limit`.
+pub async fn accepts_connections(address: SocketAddr, limit: Duration) -> bool {
+    let connected = timeout(limit, TcpStream::connect(address)).await;
+    connected.is_ok_and(|connected| connected.is_ok())
+}
+
 /// Returns whether a connection is refused, at the latest once those that were accepted broke.
 async fn is_refused(address: SocketAddr) -> bool {
     for _ in 0..MAX_CONNECTIONS {
