Check engines that are quiet whatever their backlog is

Cause: a request that waits for an engine with a long backlog counted as overdue only after twice the time of all of that backlog, so an engine that went dark under load was noticed after several seconds. Change: where no host had a byte of an upstream with requests in flight for 0.4 s, the host checks whether it accepts connections; one that does not is suspected at once. A stream whose upstream is suspected moves at once where it may.

--- a/crates/coordination/src/load/silent.rs
+++ b/crates/coordination/src/load/silent.rs
@@ -26,6 +26,8 @@
 /// Longest pause between two checks, in milliseconds, so that an upstream that comes back gets work
 /// within a second.
 const CHECK_PAUSE_LIMIT_MS: u64 = 400;
+/// Pause between two checks of an upstream that is not suspected, in milliseconds.
+const QUIET_CHECK_PAUSE_MS: u64 = 1_000;
 /// First pause between two trials, in milliseconds; it doubles with each trial.
 const TRIAL_PAUSE_MS: u64 = 500;
 /// Longest pause between two trials, in milliseconds; each costs a caller about a second.
@@ -83,6 +85,8 @@
     changes: Vec<Change>,
     heard: BTreeMap<String, Instant>,
     own: BTreeMap<String, Suspicion>,
+    /// When upstreams that are not suspected were checked.
+    quiet_checks: BTreeMap<String, Instant>,
     /// Upstreams that other hosts suspect, with the number of hosts and when this host first knew.
     published: BTreeMap<String, (u32, Instant)>,
     published_at: Instant,
@@ -163,17 +167,22 @@
         ends
     }
 
-    /// Returns the upstreams of which it must be checked now whether they accept a connection; each
-    /// check ends with [`Self::record_check`].
-    pub fn due_checks(&mut self, now: Instant) -> Vec<String> {
+    /// Returns the upstreams of which it must be checked now whether they accept a connection:
+    /// suspected ones and those in `quiet`. Each check ends with [`Self::record_check`].
+    pub fn due_checks(&mut self, now: Instant, mut quiet: Vec<String>) -> Vec<String> {
         self.refresh(now);
+        self.quiet_checks
+            .retain(|_, at| now.since(*at) < QUIET_CHECK_PAUSE_MS);
+        quiet.retain(|id| !self.own.contains_key(id) && !self.quiet_checks.contains_key(id));
+        self.quiet_checks
+            .extend(quiet.iter().map(|id| (id.clone(), now)));
         let due = |own: &Suspicion| !own.is_checked && now >= own.check_at;
         let due = self.own.iter_mut().filter(|(_, own)| due(own));
         let due = due.map(|(id, own)| {
             own.is_checked = true;
             id.clone()
         });
-        due.collect()
+        due.chain(quiet).collect()
     }
 
     /// Records whether an upstream accepted a connection that was begun at `begun_at`, and returns
@@ -187,6 +196,9 @@
     ) -> bool {
         let hosts = self.published.get(id).map_or(1, |(hosts, _)| *hosts);
         let Some(own) = self.own.get_mut(id) else {
+            if !accepted {
+                self.suspect(now, begun_at, id, Evidence::Unreachable);
+            }
             return false;
         };
         let share = u64::from(hosts).div_ceil(HOSTS_PER_CHECK).max(1);
@@ -282,6 +294,11 @@
         }
     }
 
+    /// Returns whether this host has evidence of its own against an upstream.
+    pub fn has_evidence(&self, id: &str) -> bool {
+        self.own.contains_key(id)
+    }
+
     /// Returns whether an upstream is suspected.
     pub fn is_suspected(&self, id: &str) -> bool {
         self.suspected.contains_key(id)
--- a/crates/coordination/src/load/silent_dispatch.rs
+++ b/crates/coordination/src/load/silent_dispatch.rs
@@ -10,17 +10,24 @@
 use state::time::Instant;
 
 impl Dispatcher {
-    /// Suspects the upstreams that have become unresponsive, and returns the suspected ones of
-    /// which it must be checked now whether they accept a connection.
+    /// Suspects the upstreams that have become unresponsive, and returns those of which it must be
+    /// checked now whether they accept a connection.
     pub fn due_checks(&mut self, now: Instant) -> Vec<String> {
         for id in self.unresponsive.unresponsive(now) {
             self.silent.suspect(now, now, &id, Evidence::Idle);
         }
-        self.silent.due_checks(now)
+        let busy = self.local.iter().filter(|(_, local)| local.has_requests());
+        let quiet = busy.filter(|(id, _)| self.unresponsive.needs_check(now, id));
+        let quiet = quiet.map(|(id, _)| id.clone()).collect();
+        self.silent.due_checks(now, quiet)
     }
 
     /// Records whether an upstream accepted a connection that was begun at `begun_at`.
     pub fn record_check(&mut self, now: Instant, begun_at: Instant, id: &str, accepted: bool) {
+        let is_lost = !accepted && self.unresponsive.was_heard_after(begun_at, id);
+        if is_lost && !self.silent.has_evidence(id) {
+            return;
+        }
         if self.silent.record_check(now, begun_at, id, accepted) {
             self.unresponsive.record_recovery(id);
         }
@@ -40,6 +47,12 @@
         }
     }
 
+    /// Returns whether the upstream of a request in flight is suspected since the request was sent.
+    pub fn is_silent(&self, in_flight: &InFlight) -> bool {
+        self.silent
+            .is_silent_for(in_flight.sent_at, &in_flight.upstream_id)
+    }
+
     /// Replaces what the leading host published in answer to a request sent at `asked_at`.
     pub fn set_silent_news(&mut self, now: Instant, asked_at: Instant, fleet: &Fleet, news: &News) {
         for id in self.silent.set_news(now, asked_at, fleet, news) {
--- a/crates/coordination/src/unresponsive.rs
+++ b/crates/coordination/src/unresponsive.rs
@@ -19,27 +19,43 @@
 /// four seconds.
 pub const PATH_TIMEOUT_MS: u64 = 1_500;
 
-/// The last bytes of an upstream, and the requests that wait for it with the time when their work
-/// is due.
+/// Time without a byte to any host after which it is checked whether an upstream with requests still
+/// accepts connections, in milliseconds; reports of other hosts take up to half of it.
+const QUIET_MS: u64 = 400;
+
+/// A request that waits for its answer.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    due: Instant,
+    sent_at: Instant,
+}
+
+/// The last bytes of an upstream, and the requests that wait for it.
 #[derive(Clone, Debug, Default)]
 struct Upstream {
     last_byte: Instant,
     last_remote_byte: Instant,
     /// ID of the first request that was sent since a suspicion ended.
     first_after: u64,
-    waiting: BTreeMap<u64, Instant>,
+    waiting: BTreeMap<u64, Waiting>,
 }
 
 impl Upstream {
     /// Returns whether requests with this or a later ID have waited for too long.
     fn is_unresponsive(&self, now: Instant, first_id: u64) -> bool {
-        let Some(due) = self.waiting.range(first_id..).map(|(_, due)| *due).min() else {
+        let waiting = self.waiting.range(first_id..);
+        let Some(due) = waiting.map(|(_, waiting)| waiting.due).min() else {
             return false;
         };
         let here = due.max(self.last_byte);
         let anywhere = here.max(self.last_remote_byte);
         now.since(anywhere) > TIMEOUT_MS || now.since(here) > PATH_TIMEOUT_MS
     }
+
+    /// Returns the time of the last byte to any host.
+    fn last_byte_anywhere(&self) -> Instant {
+        self.last_byte.max(self.last_remote_byte)
+    }
 }
 
 /// Tracks the last bytes of upstreams and the requests that wait for them.
@@ -59,7 +75,11 @@
         let request_id = RequestId(self.next_id);
         self.next_id += 1;
         let upstream = self.upstreams.entry(id.into()).or_default();
-        upstream.waiting.insert(request_id.0, now + work_ms);
+        let waiting = Waiting {
+            due: now + work_ms,
+            sent_at: now,
+        };
+        upstream.waiting.insert(request_id.0, waiting);
         request_id
     }
 
@@ -109,10 +129,30 @@
 
     /// Returns whether no host got a byte from the upstream for longer than [`TIMEOUT_MS`].
     pub fn is_quiet(&self, now: Instant, id: &str) -> bool {
-        let quiet = |u: &Upstream| now.since(u.last_byte.max(u.last_remote_byte)) > TIMEOUT_MS;
+        let quiet = |u: &Upstream| now.since(u.last_byte_anywhere()) > TIMEOUT_MS;
         self.upstreams.get(id).is_some_and(quiet)
     }
 
+    /// Returns whether an upstream with requests in flight should be checked, because no host got a
+    /// byte lately and the oldest of the requests that wait is not new either.
+    pub fn needs_check(&self, now: Instant, id: &str) -> bool {
+        let needs_check = |upstream: &Upstream| {
+            let waiting = upstream.waiting.values();
+            let oldest = waiting.map(|waiting| waiting.sent_at).min();
+            let quiet_since = upstream
+                .last_byte_anywhere()
+                .max(oldest.unwrap_or_default());
+            now.since(quiet_since) > QUIET_MS
+        };
+        self.upstreams.get(id).is_some_and(needs_check)
+    }
+
+    /// Returns whether any host got a byte of the upstream after `earlier`.
+    pub fn was_heard_after(&self, earlier: Instant, id: &str) -> bool {
+        let upstream = self.upstreams.get(id);
+        upstream.is_some_and(|upstream| upstream.last_byte_anywhere() > earlier)
+    }
+
     /// Records that a suspicion of the upstream ended.
     pub fn record_recovery(&mut self, id: &str) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/coordination/tests/silent.rs
+++ b/crates/coordination/tests/silent.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use crate::upstream_fixtures::engines;
+use crate::upstream_fixtures::pending_prefill;
 use coordination::demand::Demand;
 use coordination::dispatch::Dispatcher;
 use coordination::load::silent_reports::Collector;
@@ -206,6 +207,33 @@
     }
 }
 
+/// Load: a backlog of prefill that takes 20 s at an engine that goes dark, and one request there.
+#[test]
+fn a_dark_engine_with_a_long_backlog_is_known_within_a_second() {
+    let mut sim = Sim::new();
+    let host = &mut sim.hosts[0].dispatcher;
+    let (now, later) = (Instant(2_000), Instant(2_401));
+    host.set_other_loads(
+        now,
+        BTreeMap::from([("e0".to_owned(), pending_prefill(500_000))]),
+    );
+    let demand = Demand {
+        left_ms: 60_000,
+        service: "engines".to_owned(),
+        tried: (1..ENGINES).map(|engine| format!("e{engine}")).collect(),
+        ..Demand::default()
+    };
+    let choice = host.choose(now, &sim.fleet, &demand).unwrap();
+    let handle = host.record_sent(now, &choice, &demand);
+    assert_eq!(host.due_checks(now), [""; 0]);
+    assert_eq!(host.due_checks(later), ["e0"]);
+    host.record_check(later, later, "e0", true);
+    assert!(!host.is_unresponsive(later, &handle));
+    assert_eq!(host.due_checks(Instant(3_401)), ["e0"]);
+    host.record_check(Instant(3_801), Instant(3_401), "e0", false);
+    assert!(host.is_unresponsive(Instant(3_801), &handle));
+}
+
 /// Load: 300 requests a second, beside one engine that takes six times as long as the others.
 #[test]
 fn a_slow_engine_that_sends_bytes_is_not_suspected() {
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -21,6 +21,7 @@
 use crate::gateway::RoutedRequest;
 use crate::gateway_answer_log::AnswerLog;
 use crate::gateway_answer_log::Outcome;
+use crate::gateway_attempt::InFlightGuard;
 use crate::gateway_attempt::UpstreamAnswer;
 use crate::gateway_crash::Exposure;
 use crate::gateway_retry;
@@ -42,7 +43,7 @@
 /// Least gap after which the stream may move; the prefill of a long prompt can delay the other
 /// requests of an engine that long.
 const MIN_STALL_TIME: Duration = Duration::from_millis(1_200);
-/// Time between two checks whether another upstream can take over a stalled stream.
+/// Time between two checks whether the upstream is silent and another upstream can take over a stalled stream.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 type Part = Result<Frame<Bytes>, io::Error>;
@@ -178,16 +179,15 @@
         let (mut body, connection, idle_limit, in_flight) = answered.into_stream();
         let gap = Duration::from_millis(self.routed.route.max_event_gap_ms);
         let stall_time = MIN_STALL_TIME.max(gap * STALL_GAPS);
-        let mut check_after = stall_time;
+        let mut last_byte = Instant::now();
         loop {
             let frame = tokio::select! {
                 frame = next_bytes(&mut body) => frame,
-                () = tokio::time::sleep(check_after) => {
-                    check_after = STALL_CHECK_INTERVAL;
+                () = tokio::time::sleep(STALL_CHECK_INTERVAL) => {
                     let (context, gateway) = (&self.context, &self.gateway);
-                    gateway
-                        .dispatcher()
-                        .record_stall(context.clock.now(), &in_flight.handle);
+                    if !self.has_stalled(last_byte, stall_time, &in_flight) {
+                        continue;
+                    }
                     if !can_move(context, gateway, &self.routed, progress, &upstream) {
                         continue;
                     }
@@ -198,7 +198,7 @@
                 () = sleep_until(self.deadline) => return End::Deadline,
                 () = self.caller.closed() => return End::Caller,
             };
-            check_after = stall_time;
+            last_byte = Instant::now();
             let now = self.context.clock.now();
             let bytes = match frame {
                 None if !self.looks_cut(is_cut_if_empty) => {
@@ -232,6 +232,16 @@
         }
     }
 
+    /// Returns whether the upstream is silent or has sent nothing for too long.
+    fn has_stalled(&self, last_byte: Instant, limit: Duration, in_flight: &InFlightGuard) -> bool {
+        let mut dispatcher = self.gateway.dispatcher();
+        if last_byte.elapsed() < limit {
+            return dispatcher.is_silent(&in_flight.handle);
+        }
+        dispatcher.record_stall(self.context.clock.now(), &in_flight.handle);
+        true
+    }
+
     /// Returns whether a body that ends now was broken off.
     fn looks_cut(&self, is_cut_if_empty: bool) -> bool {
         let is_empty = self.splitter.last().is_none();
