--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -488,7 +488,7 @@
         let is_usable = |upstream: &&Upstream| self.is_usable(now, upstream);
         let usable: Vec<&Upstream> = listed.iter().copied().filter(is_usable).collect();
         match usable.is_empty() {
-            false => usable,
+            false => self.trial_or_all(usable, demand),
             true => listed,
         }
     }
--- a/crates/coordination/src/load/silent_dispatch.rs
+++ b/crates/coordination/src/load/silent_dispatch.rs
@@ -1,5 +1,6 @@
 //! What [`Dispatcher`] records of silent upstreams.
 
+use crate::demand::Demand;
 use crate::dispatch::Dispatcher;
 use crate::load::silent::Change;
 use crate::load::silent::Evidence;
@@ -7,6 +8,7 @@
 use crate::load::silent_reports::Report;
 use crate::local_state::InFlight;
 use crate::upstream::Fleet;
+use crate::upstream::Upstream;
 use state::time::Instant;
 
 impl Dispatcher {
@@ -39,6 +41,15 @@
         self.silent.suspect(now, sent_at, id, Evidence::Unreachable);
     }
 
+    /// Records that the request is given up because no answer came.
+    pub fn record_idle(&mut self, now: Instant, in_flight: &InFlight) {
+        self.record_failure(now, in_flight);
+        let id = &in_flight.upstream_id;
+        if self.unresponsive.unresponsive(now).contains(id) {
+            self.silent.suspect(now, now, id, Evidence::Idle);
+        }
+    }
+
     /// Records that the answer of the request stalled.
     pub fn record_stall(&mut self, now: Instant, in_flight: &InFlight) {
         let id = &in_flight.upstream_id;
@@ -75,6 +86,20 @@
         self.silent.take_changes()
     }
 
+    /// Returns the suspected one of these upstreams if there is one, because it is due for a trial
+    /// that other upstreams would win otherwise, or else all. A request that was moved is no trial.
+    pub(crate) fn trial_or_all<'a>(
+        &self,
+        usable: Vec<&'a Upstream>,
+        demand: &Demand,
+    ) -> Vec<&'a Upstream> {
+        let mut upstreams = usable.iter().filter(|_| demand.tried.is_empty());
+        match upstreams.find(|upstream| self.silent.is_suspected(&upstream.id)) {
+            None => usable,
+            Some(trial) => vec![*trial],
+        }
+    }
+
     /// Ends the suspicion of an upstream that sent this host a byte.
     pub(crate) fn end_suspicion(&mut self, now: Instant, id: &str) {
         if self.silent.record_byte(now, id) {
--- a/crates/coordination/src/load/silent_reports.rs
+++ b/crates/coordination/src/load/silent_reports.rs
@@ -1,8 +1,8 @@
 //! Pools which upstreams hosts suspect to be silent.
 //!
-//! The leading host publishes an upstream that two hosts suspect and that sent no host a byte since,
-//! so one host that is cut off takes no upstream away from the others. Once a host hears from a
-//! published upstream, all learn of it.
+//! The leading host publishes an upstream that two hosts suspect and that sent no host a byte
+//! since, so one host that is cut off takes no upstream away from the others. Once a host hears
+//! from a published upstream, all learn of it.
 
 use std::collections::BTreeMap;
 
--- a/crates/coordination/src/unresponsive.rs
+++ b/crates/coordination/src/unresponsive.rs
@@ -19,8 +19,8 @@
 /// four seconds.
 pub const PATH_TIMEOUT_MS: u64 = 1_500;
 
-/// Time without a byte to any host after which it is checked whether an upstream with requests still
-/// accepts connections, in milliseconds; reports of other hosts take up to half of it.
+/// Time without a byte to any host after which it is checked whether an upstream with requests
+/// still accepts connections, in milliseconds; reports of other hosts take up to half of it.
 const QUIET_MS: u64 = 400;
 
 /// A request that waits for its answer.
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -177,7 +177,7 @@
         sent = sending => sent,
         reason = wait_for_abandonment(context, routed, progress, choice, &in_flight) => {
             if reason == retry::Reason::Idle {
-                gateway.dispatcher().record_failure(context.clock.now(), &in_flight.handle);
+                gateway.dispatcher().record_idle(context.clock.now(), &in_flight.handle);
             }
             return Attempt::Failed { may_have_run: true, reason };
         }
--- a/crates/hibiscushoistd/src/gateway_stream.rs
+++ b/crates/hibiscushoistd/src/gateway_stream.rs
@@ -43,7 +43,7 @@
 /// Least gap after which the stream may move; the prefill of a long prompt can delay the other
 /// requests of an engine that long.
 const MIN_STALL_TIME: Duration = Duration::from_millis(1_200);
-/// Time between two checks whether the upstream is silent and another upstream can take over a stalled stream.
+/// Time between two checks whether another upstream has to take over the stream, and can.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 type Part = Result<Frame<Bytes>, io::Error>;
--- a/crates/hibiscushoistd/tests/routed.rs
+++ b/crates/hibiscushoistd/tests/routed.rs
@@ -137,6 +137,29 @@
     }
 }
 
+/// Load: orders beside an upstream that accepts connections and answers nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_order_goes_to_a_silent_upstream_until_it_answers_a_read() {
+    let setup = Setup::start_ready("desk").await;
+    let silent = &setup.first;
+    silent.set_mode(Mode::Hanging);
+    while silent.arrivals("/read/x") == 0 {
+        assert_eq!(setup.send("/read/x", "k1").await.status, 200);
+    }
+    for _ in 0..20 {
+        assert_eq!(setup.send("/order/x", "k1").await.status, 200);
+    }
+    assert_eq!(silent.arrivals("/order/x"), 0);
+    silent.set_mode(Mode::Working);
+    let answer = format!("answer of {}", silent.id);
+    for kind in ["read", "order"] {
+        let path = format!("/{kind}/y");
+        setup
+            .wait_until(async || setup.send(&path, "k1").await.body.unwrap() == answer)
+            .await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_error_of_an_upstream_reaches_the_caller_unchanged() {
     let setup = Setup::start_ready("desk").await;
