Leave silent engines out of the assignments of long prompts

Cause: the leading host counted engines that it had published as silent as capacity of the line of long prompts, and learnt only from each request which engines to avoid. Change: it avoids and does not count them itself.

--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -20,6 +20,7 @@
 use crate::engine_model::Sample;
 use crate::load::pace::Learner;
 use crate::load::pace::Pace;
+use crate::load::silent_reports::News;
 use crate::load::told::Told;
 use crate::local_state::InFlight;
 use crate::prefill;
@@ -147,10 +148,7 @@
         loads: &UpstreamLoads,
         request: Request,
     ) -> Result<Choice, Refusal> {
-        if self.edition != fleet.edition {
-            self.edition = fleet.edition;
-            self.dispatcher.sync(fleet);
-        }
+        self.sync(fleet);
         if self
             .loads_taken_at
             .is_none_or(|at| now.since(at) > LOADS_MAX_AGE_MS)
@@ -188,11 +186,12 @@
         model.prefill_ms(tokens) + model.first_byte_ms
     }
 
-    /// Returns the engines of a service that are ready, and their work in flight.
+    /// Returns the engines of a service that are ready and not silent, and their work in flight.
     pub fn engines(&self, now: Instant, fleet: &Fleet, service: &str) -> Engines {
         let model = self.dispatcher.model(service);
         let ready = fleet.upstreams.iter();
         let ready = ready.filter(|u| u.service == service && u.standing == Standing::Ready);
+        let ready = ready.filter(|u| !self.dispatcher.silent.is_suspected(&u.id));
         let mut engines = Engines::default();
         for upstream in ready {
             let load = self.dispatcher.load(now, &upstream.id);
@@ -227,6 +226,12 @@
         paces
     }
 
+    /// Replaces the upstreams that several hosts suspect to be silent.
+    pub fn set_silent_news(&mut self, now: Instant, fleet: &Fleet, news: &News) {
+        self.sync(fleet);
+        self.dispatcher.set_silent_news(now, now, fleet, news);
+    }
+
     /// Records which assignments the report of a host includes, and the prefixes that it saw
     /// cached.
     pub fn record_report(
@@ -245,6 +250,14 @@
         }
     }
 
+    /// Adopts another edition of the fleet.
+    fn sync(&mut self, fleet: &Fleet) {
+        if self.edition != fleet.edition {
+            self.edition = fleet.edition;
+            self.dispatcher.sync(fleet);
+        }
+    }
+
     /// Stops counting the assignments for which `is_over` holds.
     fn release(&mut self, is_over: impl Fn(&PendingAssignment) -> bool) {
         for pending in self.pending.extract_if(.., |pending| is_over(pending)) {
--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -21,6 +21,7 @@
 use coordination::engine_model::Sample;
 use coordination::fleet_log::FleetLog;
 use coordination::load::pace::Pace;
+use coordination::load::silent_reports::News;
 use coordination::load::told::Told;
 use coordination::prefix_index::CachedPrefix;
 use coordination::queue::line::Line;
@@ -125,6 +126,11 @@
         lock(&self.assigner).record_told(now, fleet, told)
     }
 
+    /// Replaces the upstreams of `fleet` that several hosts suspect to be silent.
+    pub fn set_silent_news(&self, now: Instant, fleet: &Fleet, news: &News) {
+        lock(&self.assigner).set_silent_news(now, fleet, news);
+    }
+
     /// Assigns an engine to a long prompt, for which it may wait as long as the request says.
     ///
     /// # Errors
--- a/crates/hibiscushoistd/src/peer.rs
+++ b/crates/hibiscushoistd/src/peer.rs
@@ -208,6 +208,8 @@
         metrics::gauge!(metric::SILENT_UPSTREAMS).set(silent.silent() as f64);
         drop(silent);
         drop(tally);
+        self.desk
+            .set_silent_news(now, fleet_log.fleet(), &silent_news);
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         let time = naming::Time {
             log_time_ms: reading.log_time_ms,
