--- a/crates/coordination/src/assignment.rs
+++ b/crates/coordination/src/assignment.rs
@@ -226,6 +226,11 @@
         paces
     }
 
+    /// Returns how far the upstreams of each service differ, see [`Learner::spreads`].
+    pub fn spreads(&self) -> &BTreeMap<String, u64> {
+        self.learner.spreads()
+    }
+
     /// Replaces the upstreams that several hosts suspect to be silent.
     pub fn set_silent_news(&mut self, now: Instant, fleet: &Fleet, news: &News) {
         self.sync(fleet);
--- a/crates/coordination/src/load/pace.rs
+++ b/crates/coordination/src/load/pace.rs
@@ -92,6 +92,7 @@
     edition: Option<Edition>,
     paces: Arc<Vec<Pace>>,
     records: BTreeMap<String, Record>,
+    spreads: BTreeMap<String, u64>,
 }
 
 impl Learner {
@@ -137,11 +138,22 @@
         self.paces.clone()
     }
 
+    /// Returns the usual pace of the slowest upstream of each service that tells paces, in percent
+    /// of the fastest, as it was last computed.
+    pub fn spreads(&self) -> &BTreeMap<String, u64> {
+        &self.spreads
+    }
+
     fn compute(&mut self, now: Instant, fleet: &Fleet) -> Vec<Pace> {
         let middles = self.middles(now, fleet);
         if middles.is_empty() {
+            self.spreads.clear();
             return Vec::new();
         }
+        let told: BTreeSet<String> = middles
+            .keys()
+            .map(|service| (*service).to_owned())
+            .collect();
         let pace = |upstream: &Upstream| {
             let middle = middles.get(upstream.service.as_str());
             let record = self.records.get_mut(&upstream.id);
@@ -149,6 +161,8 @@
             known.map_or_else(Pace::default, |(middle, record)| record.pace(now, middle))
         };
         let paces: Vec<Pace> = fleet.upstreams.iter().map(pace).collect();
+        self.spreads = spreads(fleet, &paces);
+        self.spreads.retain(|service, _| told.contains(service));
         match paces.iter().all(|pace| *pace == Pace::default()) {
             false => paces,
             true => Vec::new(),
@@ -236,6 +250,21 @@
     }
 }
 
+/// Returns the usual pace of the slowest upstream of each service in percent of the fastest.
+fn spreads(fleet: &Fleet, paces: &[Pace]) -> BTreeMap<String, u64> {
+    let mut ranges: BTreeMap<&String, (u64, u64)> = BTreeMap::new();
+    for (upstream, pace) in fleet.upstreams.iter().zip(paces) {
+        let usual = u64::from(pace.usual_percent);
+        let (least, most) = ranges.entry(&upstream.service).or_insert((usual, usual));
+        (*least, *most) = (usual.min(*least), usual.max(*most));
+    }
+    let ranges = ranges.into_iter();
+    let spread = |(least, most): (u64, u64)| most * 100 / least.max(1);
+    ranges
+        .map(|(service, range)| (service.clone(), spread(range)))
+        .collect()
+}
+
 /// Returns 100 for a percentage that is about even.
 fn level(percent: u64) -> u64 {
     match percent.abs_diff(100) <= EVEN_PERCENT {
--- a/crates/coordination/tests/uneven.rs
+++ b/crates/coordination/tests/uneven.rs
@@ -100,6 +100,18 @@
     [60, 100, 160][engine % 3]
 }
 
+/// Load: any; the figure shows an operator whether the upstreams of a service differ.
+#[test]
+fn the_spread_of_a_service_is_that_of_its_slowest_and_fastest_engines() {
+    let fleet = engines(ENGINES);
+    let mut learner = taught(&fleet, mixed);
+    let _ = learner.paces(Instant(1_000), &fleet);
+    assert_eq!(learner.spreads()["engines"], 266);
+    let mut silent = taught(&fleet, |_| 0);
+    let _ = silent.paces(Instant(1_000), &fleet);
+    assert!(silent.spreads().is_empty());
+}
+
 /// Load: any, beside engines that tell that they are even, or tell no pace.
 #[test]
 fn beside_even_engines_every_choice_is_as_without_paces() {
--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -123,7 +123,12 @@
         fleet: &Fleet,
         told: &BTreeMap<String, Told>,
     ) -> Arc<Vec<Pace>> {
-        lock(&self.assigner).record_told(now, fleet, told)
+        let mut assigner = lock(&self.assigner);
+        let paces = assigner.record_told(now, fleet, told);
+        for (service, percent) in assigner.spreads() {
+            metrics::gauge!(metric::PACE_SPREAD, "service" => service.clone()).set(*percent as f64);
+        }
+        paces
     }
 
     /// Replaces the upstreams of `fleet` that several hosts suspect to be silent.
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -73,6 +73,8 @@
 pub const RUNS: &str = "hibiscushoist_runs_total";
 /// Counter of callers that were disconnected because they read too slowly.
 pub const SLOW_CALLERS: &str = "hibiscushoist_slow_callers_total";
+/// Gauge of how far the upstreams of a service differ in pace, in percent, by service.
+pub const PACE_SPREAD: &str = "hibiscushoist_pace_spread_percent";
 /// Counter of suspicions that an upstream is silent, by evidence.
 pub const SUSPICIONS: &str = "hibiscushoist_upstream_suspicions_total";
 /// Gauge of the upstreams that the leading host publishes as silent.
