--- a/crates/hibiscushoistd/src/assign_desk.rs
+++ b/crates/hibiscushoistd/src/assign_desk.rs
@@ -21,6 +21,7 @@
 use coordination::engine_model::Sample;
 use coordination::fleet_log::FleetLog;
 use coordination::load::pace::Pace;
+use coordination::load::silent_reports::News;
 use coordination::load::told::Told;
 use coordination::prefix_index::CachedPrefix;
 use coordination::queue::line::Line;
@@ -122,7 +123,17 @@
         fleet: &Fleet,
         told: &BTreeMap<String, Told>,
     ) -> Arc<Vec<Pace>> {
-        lock(&self.assigner).record_told(now, fleet, told)
+        let mut assigner = lock(&self.assigner);
+        let paces = assigner.record_told(now, fleet, told);
+        for (service, percent) in assigner.spreads() {
+            metrics::gauge!(metric::PACE_SPREAD, "service" => service.clone()).set(*percent as f64);
+        }
+        paces
+    }
+
+    /// Replaces the upstreams of `fleet` that several hosts suspect to be silent.
+    pub fn set_silent_news(&self, now: Instant, fleet: &Fleet, news: &News) {
+        lock(&self.assigner).set_silent_news(now, fleet, news);
     }
 
     /// Assigns an engine to a long prompt, for which it may wait as long as the request says.
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::feed;
 use crate::gateway;
 use crate::gateway::Gateway;
+use crate::gateway_silent;
 use crate::health::Health;
 use crate::journal::Journal;
 use crate::links::Links;
@@ -189,6 +190,7 @@
             tokio::spawn(routing_updater.run(context.clone()));
             let drawing = gateway.clone();
             tokio::spawn(async move { drawing.charger.run().await });
+            tokio::spawn(gateway_silent::run(context.clone(), gateway.clone()));
             tokio::spawn(gateway.follow(context.clone()));
         }
         voter.follow(member.view());
@@ -220,6 +222,7 @@
                 voter.clone(),
             ),
             evidence: Arc::default(),
+            silent: Arc::default(),
             fleet,
             log: log.clone(),
             member,
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -177,7 +177,7 @@
         sent = sending => sent,
         reason = wait_for_abandonment(context, routed, progress, choice, &in_flight) => {
             if reason == retry::Reason::Idle {
-                gateway.dispatcher().record_failure(context.clock.now(), &in_flight.handle);
+                gateway.dispatcher().record_idle(context.clock.now(), &in_flight.handle);
             }
             return Attempt::Failed { may_have_run: true, reason };
         }
@@ -185,7 +185,12 @@
     let now = context.clock.now();
     let (response, connection) = match sent {
         Err(error) => {
-            gateway.dispatcher().record_failure(now, &in_flight.handle);
+            let mut dispatcher = gateway.dispatcher();
+            dispatcher.record_failure(now, &in_flight.handle);
+            if error.is_unreachable() {
+                dispatcher.record_unreachable(now, &in_flight.handle);
+            }
+            drop(dispatcher);
             let reason = match error.not_sent() {
                 false => retry::Reason::Cut,
                 true => retry::Reason::Connect,
