--- a/crates/coordination/tests/silent.rs
+++ b/crates/coordination/tests/silent.rs
@@ -7,9 +7,12 @@
 
 use crate::upstream_fixtures::engines;
 use crate::upstream_fixtures::pending_prefill;
+use coordination::assignment::Assigner;
+use coordination::assignment::Request;
 use coordination::demand::Demand;
 use coordination::dispatch::Dispatcher;
 use coordination::load::silent_reports::Collector;
+use coordination::load::silent_reports::News;
 use coordination::local_state::InFlight;
 use coordination::rendezvous::scatter;
 use coordination::upstream::Fleet;
@@ -183,6 +186,37 @@
     ids.iter().map(|id| (*id).to_owned()).collect()
 }
 
+/// Load: long prompts of which a dark engine would get most, since it looks idle.
+#[test]
+fn the_leading_host_assigns_no_prompt_to_a_published_engine() {
+    let fleet = engines(ENGINES);
+    let mut assigner = Assigner::new(1);
+    let news = News {
+        silent: vec![(0, 2), (5, 3)],
+        ..News::default()
+    };
+    assigner.set_silent_news(Instant(1_000), &fleet, &news);
+    let engines = assigner.engines(Instant(1_000), &fleet, "engines");
+    assert_eq!(engines.count, ENGINES - 2);
+    for prompt in 0..200 {
+        let demand = Demand {
+            first_byte_left_ms: 800,
+            left_ms: 12_000,
+            prompt_tokens: 17_000,
+            service: "engines".to_owned(),
+            shared_prefix: Some((format!("p{prompt}"), 13_300)),
+            ..Demand::default()
+        };
+        let request = Request {
+            demand,
+            ..Request::default()
+        };
+        let assigned = assigner.assign(Instant(1_000), &fleet, &BTreeMap::new(), request);
+        let id = assigned.map(|choice| choice.upstream.id);
+        assert!(!id.is_ok_and(|id| id == "e0" || id == "e5"));
+    }
+}
+
 /// Load: 300 requests a second of six hosts, while a quarter of the engines goes dark for 6 s.
 #[test]
 fn a_quarter_of_the_engines_that_goes_dark_gets_no_work_until_it_is_back() {
