Test that a report which crosses a draw frees nothing

Cause: no test failed when the holder took the units lent with a draw for spent while the answer was on its way. Change: a test that holds an answer back over one report.

--- a/crates/coordination/tests/allotment.rs
+++ b/crates/coordination/tests/allotment.rs
@@ -555,3 +555,30 @@
     let ran = world.ran("w", began_at);
     assert!(ran >= 200_000 * 10 * 9 / 10, "{ran}");
 }
+
+/// A report on its way while a draw lends ahead does not tell of the units, which are not spent.
+#[test]
+fn a_report_that_crosses_a_draw_frees_nothing() {
+    let mut world = World::new(14, table(&[("w", allotment(200_000, 200_000))]));
+    for _ in 0..6 {
+        world.tills[0].charge(world.now, "w", SHORT, SHORT_UNITS);
+    }
+    let draw = world.tills[0].draw(world.now).unwrap();
+    let drawing = world
+        .holder
+        .draw(world.now, world.term, &world.table, &draw);
+    let ahead = drawing.grants["w"].ahead;
+    let lent = |world: &World| world.holder.summaries().next().unwrap().1.lent;
+    assert_eq!((ahead, lent(&world)), (5 * SHORT_UNITS, ahead));
+    world.advance(POLL_MS);
+    assert_eq!(lent(&world), ahead);
+    let outcomes = world.tills[0].settle(world.now, draw.number, Some(drawing));
+    assert!(
+        outcomes
+            .iter()
+            .all(|(_, outcome)| *outcome == Charge::Covered)
+    );
+    assert!(world.tills[0].purse().charge(world.now, "w", ahead));
+    world.advance(POLL_MS);
+    assert_eq!(lent(&world), 0);
+}
