Split the pick of an upstream from the dispatcher

Change: the pick and its limits stand in dispatch_pick.rs; nothing else changes. Checked: cargo check and the style check.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod desired_state;
 pub mod dispatch;
 mod dispatch_cost;
+mod dispatch_pick;
 pub mod dissemination;
 pub mod door;
 pub mod drain;
