Hold short requests back from full upstreams

Cause: hosts sent short requests to upstreams that were full, also again after a rejection; three rejections were a 503 with a fixed Retry-After. Change: where upstreams tell their load, a host knows which are full, waits in a line of its own while all are, and rejects at once what would not be taken in time, with a time to come back. A rejected request keeps its place. Short requests go to newer weights as fast as slots are free there, and a loaded service is sampled also for idle connections. Checked: queue_short, dispatch, uneven, short_prefix, assignment.

--- a/crates/coordination/src/dispatch.rs
+++ b/crates/coordination/src/dispatch.rs
@@ -31,6 +31,7 @@
 use crate::prefix_index::CacheLocation;
 use crate::prefix_index::CachedPrefix;
 use crate::prefix_index::PrefixIndex;
+use crate::queue::room::REFUSAL_PAUSE_MS;
 use crate::shard;
 use crate::unresponsive::UnresponsiveDetector;
 use crate::upstream;
@@ -39,8 +40,6 @@
 use crate::upstream_load::UpstreamLoads;
 use state::time::Instant;
 
-/// How long an upstream that refused a request gets no further one, in milliseconds.
-const REFUSAL_PAUSE_MS: u64 = 250;
 /// Largest number of samples that wait to be sent to the leading host.
 const UNSENT_SAMPLES_LIMIT: usize = 32;
 /// Largest number of told loads that wait to be sent to the leading host.
@@ -73,6 +72,9 @@
     pub(crate) models: Arc<Models>,
     pub(crate) paces: Paces,
     pub(crate) samples: Vec<Sample>,
+    /// Services whose upstreams tell their load, with the number of requests at which one was
+    /// full.
+    pub(crate) telling: BTreeMap<String, Option<u32>>,
     told: BTreeMap<String, Told>,
     pub(crate) unresponsive: UnresponsiveDetector,
 }
@@ -90,6 +92,7 @@
             models: Arc::default(),
             paces: Paces::default(),
             samples: Vec::new(),
+            telling: BTreeMap::new(),
             told: BTreeMap::new(),
             unresponsive: UnresponsiveDetector::default(),
         }
@@ -105,6 +108,8 @@
             .retain(|id, local| local.has_requests() || ids.contains(&id));
         self.unresponsive
             .retain(|id| ids.iter().any(|known| *known == id));
+        let is_listed = |service: &String| fleet.upstreams.iter().any(|u| u.service == *service);
+        self.telling.retain(|service, _| is_listed(service));
     }
 
     /// Chooses the upstream of a request.
@@ -175,6 +180,7 @@
             .map_or(0, |_| demand.prompt_tokens);
         let local = self.local.entry(upstream_id.clone()).or_default();
         local.record_sent(long_prompt_tokens, pending_prefill_tokens);
+        local.room.record_sent(now);
         let load = self.load(now, &upstream_id);
         let model = self.model(&demand.service);
         let work_ms = 2 * model.prefill_ms(load.pending_prefill_tokens);
@@ -189,6 +195,7 @@
             .unresponsive
             .record_sent(now, upstream_id.clone(), work_ms);
         InFlight {
+            is_accepted: false,
             upstream_id,
             long_prompt_tokens,
             prefix: choice
@@ -393,6 +400,7 @@
             .record_end(&in_flight.upstream_id, in_flight.request_id);
         if let Some(local) = self.local.get_mut(&in_flight.upstream_id) {
             local.record_end(in_flight);
+            local.room.record_end();
         }
     }
 
@@ -429,31 +437,51 @@
     /// Returns whether an upstream is neither held, ejected nor unresponsive, and has not refused a
     /// request lately.
     pub(crate) fn is_usable(&self, now: Instant, upstream: &Upstream) -> bool {
+        let local = self.local.get(&upstream.id);
+        let refused_at = local.and_then(|local| local.refused_at);
+        self.is_healthy(now, upstream)
+            && refused_at.is_none_or(|at| now.since(at) > REFUSAL_PAUSE_MS)
+    }
+
+    /// Returns whether an upstream is neither held, ejected nor unresponsive.
+    pub(crate) fn is_healthy(&self, now: Instant, upstream: &Upstream) -> bool {
         let id = upstream.id.as_str();
-        let refused_at = self.local.get(id).and_then(|local| local.refused_at);
         !matches!(self.breaker.state(now, id), State::Open(_))
             && !self.unresponsive.is_unresponsive(now, id)
             && !self.is_held(now, upstream)
-            && refused_at.is_none_or(|at| now.since(at) > REFUSAL_PAUSE_MS)
     }
 
-    /// Returns the upstreams that may take a request: the usable ones or, where none is usable, all
-    /// that are listed as ready, are not held and have not failed the request. For a long prompt
-    /// they are among the first in its rendezvous order.
-    fn eligible<'a>(&self, now: Instant, fleet: &'a Fleet, demand: &Demand) -> Vec<&'a Upstream> {
-        let is_eligible = |upstream: &&Upstream| {
+    /// Returns the upstreams that are listed as ready for a request, are not held and have not
+    /// failed it.
+    pub(crate) fn listed<'a>(
+        &self,
+        now: Instant,
+        fleet: &'a Fleet,
+        demand: &Demand,
+    ) -> Vec<&'a Upstream> {
+        let is_listed = |upstream: &&Upstream| {
             upstream.service == demand.service
                 && upstream.standing == upstream::Standing::Ready
                 && !self.is_held(now, upstream)
                 && !demand.tried.contains(&upstream.id)
                 && self.is_current(fleet, upstream, demand)
         };
-        let listed: Vec<&Upstream> = fleet.upstreams.iter().filter(is_eligible).collect();
+        fleet.upstreams.iter().filter(is_listed).collect()
+    }
+
+    /// Returns the upstreams that may take a request: the usable ones or, where none is usable, all
+    /// that are listed as ready, are not held and have not failed the request. For a long prompt
+    /// they are among the first in its rendezvous order.
+    fn eligible<'a>(&self, now: Instant, fleet: &'a Fleet, demand: &Demand) -> Vec<&'a Upstream> {
+        let listed = self.listed(now, fleet, demand);
         let listed = match &demand.shared_prefix {
             Some((prefix_id, _)) => affinity::top_ranked(listed, prefix_id, LONG_PROMPT_CANDIDATES),
             None => listed,
         };
-        let is_usable = |upstream: &&Upstream| self.is_usable(now, upstream);
+        let is_usable = |upstream: &&Upstream| match self.has_line(demand) {
+            false => self.is_usable(now, upstream),
+            true => self.is_healthy(now, upstream) && self.has_room(now, upstream),
+        };
         let usable: Vec<&Upstream> = listed.iter().copied().filter(is_usable).collect();
         match usable.is_empty() {
             false => usable,
--- a/crates/coordination/src/dispatch_cost.rs
+++ b/crates/coordination/src/dispatch_cost.rs
@@ -90,7 +90,7 @@
         let availability = self.prefix_availability(upstream, demand, holders);
         let pace = self.paces.get(now, &upstream.id);
         let is_uneven = self.paces.is_uneven(now, &demand.service);
-        let slot_wait_ms = match is_uneven {
+        let slot_wait_ms = match is_uneven || self.has_line(demand) && demand.model.is_some() {
             false => 0,
             true => slot_wait_ms(upstream.slots, load.running, model.first_byte_ms),
         };
--- a/crates/coordination/src/dispatch_pick.rs
+++ b/crates/coordination/src/dispatch_pick.rs
@@ -98,17 +98,21 @@
         }
         let backlog = |candidates: &[Candidate]| candidates.iter().map(|c| c.backlog_ms).min();
         let prefers_newest = match (backlog(&new), backlog(&old)) {
-            (Some(new), Some(old)) => new <= old + NEWEST_WEIGHTS_WAIT_MS,
+            (Some(new), Some(old)) => {
+                new <= old + NEWEST_WEIGHTS_WAIT_MS
+                    && self.newest_take(now, &newest, &older, demand)
+            }
             (Some(_), None) => true,
             (None, _) => false,
         };
         let (upstreams, candidates) = match prefers_newest {
-            false if new.is_empty() => (older, old),
+            false if new.is_empty() || self.has_line(demand) => (older, old),
             false => (eligible.to_vec(), candidates(eligible)),
             true => (newest, new),
         };
         let is_uneven = self.paces.is_uneven(now, &demand.service);
-        let index = match is_uneven {
+        let is_sampled = is_uneven || self.is_loaded(now, &upstreams, demand);
+        let index = match is_sampled {
             false => affinity::least_loaded_of_sample(&candidates, demand.random),
             true => {
                 affinity::first_of_weighted_sample(&candidates, demand.random, NEW_CONNECTION_MS)
@@ -125,7 +129,7 @@
                 return Ok(upstreams[named]);
             }
         }
-        let index = match is_uneven {
+        let index = match is_sampled {
             false => affinity::prefer_connected(&candidates, index, slack_ms),
             true => index,
         };
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod dispatch;
 mod dispatch_cost;
 mod dispatch_pick;
+mod dispatch_room;
 pub mod dissemination;
 pub mod door;
 pub mod drain;
--- a/crates/coordination/src/load/told.rs
+++ b/crates/coordination/src/load/told.rs
@@ -15,3 +15,17 @@
     /// Number of requests that wait.
     pub waiting: u32,
 }
+
+impl Told {
+    /// Returns the number of requests there, those that wait included.
+    pub fn count(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
+    /// Returns whether requests wait and no fewer are there than can run at once; memory may keep
+    /// some slots empty. An upstream that rejects a request otherwise has other reasons than its
+    /// load.
+    pub fn is_full(&self) -> bool {
+        self.slots > 0 && self.waiting > 0 && self.count() >= self.slots
+    }
+}
--- a/crates/coordination/src/local_state.rs
+++ b/crates/coordination/src/local_state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::prefix_index::PrefixKey;
+use crate::queue::room::Room;
 use crate::unresponsive::RequestId;
 use crate::upstream_load::UpstreamLoad;
 use state::time::Instant;
@@ -11,6 +12,8 @@
 /// A request in flight at an upstream, as later events of it are recorded with.
 #[derive(Clone, Debug)]
 pub struct InFlight {
+    /// Whether the upstream took the request.
+    pub(crate) is_accepted: bool,
     pub(crate) upstream_id: String,
     pub(crate) long_prompt_tokens: u64,
     pub(crate) prefix: Option<PrefixKey>,
@@ -23,11 +26,26 @@
     pub(crate) started: u64,
 }
 
+impl InFlight {
+    /// Returns the name of the service.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
+    /// Returns the time since it was sent, in milliseconds, if it is a short request that the
+    /// upstream took.
+    pub fn short_held_ms(&self, now: Instant) -> Option<u64> {
+        let is_short = self.is_accepted && self.long_prompt_tokens == 0;
+        is_short.then(|| now.since(self.sent_at))
+    }
+}
+
 /// What this host itself has observed of an upstream.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LocalState {
     long_prompt_tokens: u64,
     pub(crate) refused_at: Option<Instant>,
+    pub(crate) room: Room,
     running: u32,
     pending_prefill_tokens: u64,
     pub(crate) weights: BTreeMap<String, u64>,
--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -4,4 +4,6 @@
 pub mod pace;
 pub mod patience;
 pub mod returning;
+pub mod room;
+pub mod short;
 pub mod ticket;
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::request::Request;
 use crate::routing_snapshot;
 use crate::routing_snapshot::Snapshot;
+use crate::short_desk::Desk;
 use coordination::allotment::kind::Kind;
 use coordination::dispatch::Dispatcher;
 use coordination::host::Role;
@@ -77,6 +78,8 @@
     pub crash_checks: CrashChecks,
     /// Evidence on prompt parts that crash engines, and their quarantines.
     pub part_monitor: Mutex<PartMonitor>,
+    /// Short requests that wait while all upstreams are full.
+    pub short_desk: Arc<Desk>,
     /// Access to the latest routing snapshot.
     pub routing: routing_snapshot::Handle,
     /// Budgets that limit attempts after the first one, by service.
@@ -99,6 +102,7 @@
             connection_pool: ConnectionPool::default(),
             crash_checks: CrashChecks::default(),
             part_monitor: Mutex::new(PartMonitor::new(rand::random())),
+            short_desk: Arc::default(),
             routing,
             retry_budgets: Mutex::new(RetryBudgets::new(
                 host_retry_policy(0, 0, 1),
@@ -147,11 +151,14 @@
             }
             let fleet = snapshot.borrow_and_update().fleet.clone();
             self.dispatcher().sync(&fleet);
+            let is_listed = |service: &str| fleet.upstreams.iter().any(|u| u.service == service);
+            self.short_desk.retain(is_listed);
             let addresses: Vec<_> = fleet.upstreams.iter().map(|u| u.address).collect();
             self.connection_pool.retain(&addresses);
             let member_view = view.borrow_and_update().clone();
             let hosts = member_view.present(Role::Entry).filter(accepts_callers);
             let hosts = hosts.count().max(1) as u64;
+            self.short_desk.set_hosts(hosts);
             if let Some(settings) = &context.settings.gateway {
                 let policy = host_retry_policy(settings.retry_percent, settings.retry_slack, hosts);
                 self.retry_budgets().set_policy(policy);
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -18,6 +18,7 @@
 use crate::gateway_retry::can_move;
 use coordination::choice::Choice;
 use coordination::demand::Demand;
+use coordination::load::told::Told;
 use coordination::local_state::InFlight;
 use coordination::retry;
 use coordination::version_history::CANCEL_MARGIN_MS;
@@ -26,6 +27,7 @@
 use platform::caller::ForwardedHeaders;
 use state::routing::Kind;
 use state::time::Instant;
+use transport::clock::Clock;
 use transport::connection_pool;
 use transport::connection_pool::PooledConnection;
 use transport::event;
@@ -46,6 +48,7 @@
 
 /// Counts a request as in flight at its upstream until the guard is dropped.
 pub struct InFlightGuard {
+    clock: Clock,
     gateway: Arc<Gateway>,
     /// Handle with which the dispatcher records the events of the request.
     pub handle: InFlight,
@@ -60,7 +63,16 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.gateway.dispatcher().record_end(&self.handle);
+        let mut dispatcher = self.gateway.dispatcher();
+        dispatcher.record_end(&self.handle);
+        let service = self.handle.service();
+        let tells_load = dispatcher.tells_load(service);
+        drop(dispatcher);
+        if tells_load {
+            let now = self.clock.now();
+            let held_ms = self.handle.short_held_ms(now);
+            self.gateway.short_desk.record_end(now, service, held_ms);
+        }
     }
 }
 
@@ -76,7 +88,12 @@
         reason: retry::Reason,
     },
     /// The upstream refused the request without running it.
-    Rejected,
+    Rejected {
+        /// Load that the upstream told with the refusal, if any.
+        told: Option<Told>,
+        /// Time for which the request was at the upstream, in milliseconds.
+        held_ms: u64,
+    },
 }
 
 /// The answer of an upstream whose head has arrived and whose body is still to be read.
@@ -162,10 +179,14 @@
     let headers =
         caller::request_headers(&routed.headers, &upstream_headers(routed, choice, demand));
     let Some(request) = upstream_request(routed, headers) else {
-        return Attempt::Rejected;
+        return Attempt::Rejected {
+            told: None,
+            held_ms: 0,
+        };
     };
     let handle = gateway.dispatcher().record_sent(started_at, choice, demand);
     let mut in_flight = InFlightGuard {
+        clock: context.clock.clone(),
         gateway: gateway.clone(),
         handle,
     };
@@ -224,8 +245,11 @@
         dispatcher.record_weights(&in_flight.handle, model.clone(), version);
     }
     if answer_head.not_run {
-        dispatcher.record_refusal(now, &in_flight.handle);
-        return Attempt::Rejected;
+        dispatcher.record_rejected(now, &in_flight.handle, answer_head.load);
+        return Attempt::Rejected {
+            told: answer_head.load,
+            held_ms: now.since(started_at),
+        };
     }
     if !answer_head.stamped {
         dispatcher.record_failure(now, &in_flight.handle);
@@ -234,6 +258,7 @@
             reason: retry::Reason::Format,
         };
     }
+    dispatcher.record_accepted(now, &mut in_flight.handle, answer_head.load);
     if response.status().is_success() {
         dispatcher.record_prefill(now, &mut in_flight.handle);
     }
--- a/crates/hibiscushoistd/src/gateway_placement.rs
+++ b/crates/hibiscushoistd/src/gateway_placement.rs
@@ -8,6 +8,7 @@
 use crate::gateway::RoutedRequest;
 use crate::gateway_attempt;
 use crate::gateway_retry::Progress;
+use crate::gateway_room;
 use crate::routing_snapshot::Snapshot;
 use coordination::assignment::Request;
 use coordination::choice::Choice;
@@ -54,10 +55,15 @@
 ) -> Result<(Demand, Choice), Refusal> {
     let mut is_repeat = false;
     loop {
-        let demand = demand(context, gateway, routed, progress);
+        let mut demand = demand(context, gateway, routed, progress);
         if prefill::is_too_large(&demand) {
             return Err(Refusal::TooLarge);
         }
+        if has_line(gateway, &demand)
+            && gateway_room::wait(context, gateway, routed, progress, &demand).await?
+        {
+            demand = self::demand(context, gateway, routed, progress);
+        }
         let asked_at = context.clock.now();
         let asked = ask_leader(context, gateway, routed, &demand, is_repeat).await;
         is_repeat |= asked.is_some();
@@ -297,6 +303,11 @@
     (tokens >= MIN_SHORT_PREFIX_TOKENS).then(|| (last.id.clone(), tokens))
 }
 
+/// Returns whether a request waits in a line of this host while all upstreams are full.
+fn has_line(gateway: &Gateway, demand: &Demand) -> bool {
+    gateway.dispatcher().has_line(demand)
+}
+
 /// Chooses an upstream with the observations of this host alone.
 fn choose_locally(
     context: &Context,
--- a/crates/hibiscushoistd/src/gateway_retry.rs
+++ b/crates/hibiscushoistd/src/gateway_retry.rs
@@ -26,9 +26,11 @@
 use crate::gateway_crash::Exposure;
 use crate::gateway_placement;
 use crate::gateway_placement::place;
+use crate::gateway_room;
 use crate::gateway_stream;
 use coordination::choice::Choice;
 use coordination::choice::Refusal;
+use coordination::load::told::Told;
 use coordination::retry;
 use protocol::refusal::NotRun;
 use protocol::refusal::Reason;
@@ -59,6 +61,8 @@
     attempts: u32,
     /// Weights version that must generate the rest of a resumed answer.
     pub exact_weights: Option<u64>,
+    /// Whether a full upstream rejected the request, so that it went back to its line.
+    is_queued_again: bool,
     /// Whether a charge to the allotment is not used yet.
     is_charged: bool,
     may_have_run: bool,
@@ -68,6 +72,13 @@
     pub tried: Vec<String>,
 }
 
+impl Progress {
+    /// Returns whether a full upstream has rejected the request, which keeps its place then.
+    pub fn is_queued_again(&self) -> bool {
+        self.is_queued_again
+    }
+}
+
 /// Sends a request to one upstream after another, and returns the response to the caller. Streams
 /// are forwarded as they arrive; other answers are buffered, so that one that breaks off can still
 /// be retried.
@@ -257,7 +268,14 @@
                     progress.is_charged &= !may_have_run;
                     (may_have_run, reason)
                 }
-                Attempt::Rejected => {
+                Attempt::Rejected { told, held_ms } => {
+                    log_rejection(context, routed, &choice, told, held_ms);
+                    let is_full = told.is_some_and(|told| told.is_full());
+                    if is_full && gateway.dispatcher().has_line(&demand) {
+                        progress.is_queued_again = true;
+                        allow_retry(context, gateway, routed, progress, retry::Reason::Refused)?;
+                        continue;
+                    }
                     progress.rejections += 1;
                     (false, retry::Reason::Refused)
                 }
@@ -434,11 +452,32 @@
     routed: &RoutedRequest,
     reason: Reason,
 ) -> Failure {
-    let after_ms = REJECTED_RETRY_AFTER_MS;
+    let after_ms = gateway_room::retry_after_ms(context, gateway, routed);
+    let after_ms = after_ms.unwrap_or(REJECTED_RETRY_AFTER_MS);
     let after_ms = gateway_placement::retry_after_ms(context, gateway, routed, after_ms);
     retryable_failure(reason, after_ms)
 }
 
+/// Logs that an upstream rejected a request.
+fn log_rejection(
+    context: &Context,
+    routed: &RoutedRequest,
+    choice: &Choice,
+    told: Option<Told>,
+    held_ms: u64,
+) {
+    let details = slog::o!(
+        "request" => routed.request_head.request_id.clone(),
+        "service" => routed.service.clone(),
+        "upstream" => choice.upstream.id.clone(),
+        "held_ms" => held_ms,
+        "running" => told.map(|told| told.running),
+        "waiting" => told.map(|told| told.waiting),
+        "slots" => told.map(|told| told.slots),
+    );
+    event::emit(&context.log, Event::UpstreamRejected, details);
+}
+
 /// Logs a failed attempt.
 fn log_failed_attempt(context: &Context, routed: &RoutedRequest, failed_attempt: &FailedAttempt) {
     let details = slog::o!(
--- a/crates/hibiscushoistd/src/routing_snapshot.rs
+++ b/crates/hibiscushoistd/src/routing_snapshot.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::context::Context;
+use crate::gateway_room;
 use coordination::fleet_log::FleetUpdate;
 use coordination::host::Role;
 use coordination::prefix_log;
@@ -265,6 +266,8 @@
             if progress.prefix_position.term != update.prefix_position.term {
                 dispatcher.requeue_prefix_updates(now);
             }
+            drop(dispatcher);
+            gateway_room::call_all(gateway, now, &fleet);
         }
         progress.prefix_position = update.prefix_position;
         self.publish_changes(context, &snapshot, fleet, update);
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -160,6 +160,10 @@
     AllotmentRefused = 342,
     /// A long prompt would not begin before its caller leaves, so it was rejected.
     PromptRejected = 343,
+    /// An upstream rejected a request without running it.
+    UpstreamRejected = 353,
+    /// A short request was rejected because it would not be served in time.
+    ForecastRejected = 354,
 }
 
 impl Event {
@@ -170,6 +174,7 @@
             | Self::AttemptFailed
             | Self::ConnectionFailed
             | Self::FleetChanged
+            | Self::ForecastRejected
             | Self::HostLoaded
             | Self::OutlookStale
             | Self::PartRefused
@@ -179,6 +184,7 @@
             | Self::RoutedRefused
             | Self::StreamBroken
             | Self::UpstreamHeld
+            | Self::UpstreamRejected
             | Self::VersionUnknown => Level::Debug,
             Self::AssignFailed
             | Self::ConnectionLimit
--- a/crates/transport/src/metric.rs
+++ b/crates/transport/src/metric.rs
@@ -9,6 +9,11 @@
 pub const ASSIGNMENTS: &str = "hibiscushoist_assignments_total";
 /// Gauge of the long prompts that wait at the leading host until an engine has room for them.
 pub const ASSIGNMENTS_WAITING: &str = "hibiscushoist_assignments_waiting";
+/// Gauge of the short requests that wait at this host while all upstreams are full.
+pub const SHORT_WAITING: &str = "hibiscushoist_short_waiting";
+/// Counter of short requests that were rejected because they would not be served in time, by
+/// service.
+pub const FORECAST_REJECTIONS: &str = "hibiscushoist_forecast_rejections_total";
 /// Counter of engines that crashed under requests of this host, by request.
 pub const CRASHES: &str = "hibiscushoist_crashes_total";
 /// Counter of ejections of upstreams, by the reason of the last failure.
