--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -164,6 +164,10 @@
     UpstreamSuspected = 350,
     /// An upstream that this host suspected to be silent is there again.
     SuspicionEnded = 351,
+    /// An upstream rejected a request without running it.
+    UpstreamRejected = 353,
+    /// A short request was rejected because it would not be served in time.
+    ForecastRejected = 354,
 }
 
 impl Event {
@@ -174,6 +178,7 @@
             | Self::AttemptFailed
             | Self::ConnectionFailed
             | Self::FleetChanged
+            | Self::ForecastRejected
             | Self::HostLoaded
             | Self::OutlookStale
             | Self::PartRefused
@@ -183,6 +188,7 @@
             | Self::RoutedRefused
             | Self::StreamBroken
             | Self::UpstreamHeld
+            | Self::UpstreamRejected
             | Self::VersionUnknown => Level::Debug,
             Self::AssignFailed
             | Self::ConnectionLimit
