--- a/crates/coordination/src/queue/short.rs
+++ b/crates/coordination/src/queue/short.rs
@@ -3,9 +3,9 @@
 //! The pattern it answers: for some seconds more short prompts or plain requests arrive than the
 //! upstreams of a service can run. Those that can meet their goal go first, the oldest of them
 //! before others. Those that turned late while they waited, and callers who come back, have half of
-//! the turns. A new request that would not meet its goal is rejected when it arrives, with a time to
-//! come back. Requests that wait are called: by an answer that ends at this host, or by news that
-//! upstreams have room.
+//! the turns. A new request that would not meet its goal is rejected when it arrives, with a time
+//! to come back. Requests that wait are called: by an answer that ends at this host, or by news
+//! that upstreams have room.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -59,12 +59,12 @@
 }
 
 /// Which turns a request has.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Class {
-    /// It can meet its goal.
-    OnTime,
     /// It is late, or its caller was rejected before.
     Late,
+    /// It can meet its goal.
+    OnTime,
 }
 
 /// Place of a request in its class: rank, whether its workspace is hot, whether its caller is new,
--- a/crates/hibiscushoistd/src/gateway_attempt.rs
+++ b/crates/hibiscushoistd/src/gateway_attempt.rs
@@ -186,7 +186,7 @@
     };
     let handle = gateway.dispatcher().record_sent(started_at, choice, demand);
     let mut in_flight = InFlightGuard {
-        clock: context.clock.clone(),
+        clock: context.clock,
         gateway: gateway.clone(),
         handle,
     };
