Take the time of an answer off the time that a short request may wait

A host also worked out what upstreams hold for every short request. Change: the time that upstreams held the last requests is taken off both, and what they hold is worked out only where a request has to wait. A change of the list of upstreams counts for requests that wait.

--- a/crates/coordination/src/queue/short.rs
+++ b/crates/coordination/src/queue/short.rs
@@ -136,6 +136,14 @@
         self.forget(now);
     }
 
+    /// Returns the time for which upstreams held the last requests, in milliseconds, if any ended
+    /// lately.
+    pub fn held_ms(&self) -> Option<u64> {
+        let recent = self.ends.iter().rev().take(RECENT_ENDS);
+        let recent: Vec<u64> = recent.map(|(_, held_ms)| *held_ms).collect();
+        recent.iter().sum::<u64>().checked_div(recent.len() as u64)
+    }
+
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -222,10 +230,7 @@
     /// since requests wait and, before these are many, what upstreams hold at the moment ends.
     fn pace(&self, now: Instant, supply: Supply) -> u64 {
         let rate = |count: usize, window_ms: u64| count as u64 * 1_000_000 / window_ms.max(1);
-        let recent = self.ends.iter().rev().take(RECENT_ENDS);
-        let recent: Vec<u64> = recent.map(|(_, held_ms)| *held_ms).collect();
-        let held_ms = recent.iter().sum::<u64>().checked_div(recent.len() as u64);
-        let held_ms = held_ms.unwrap_or(UNKNOWN_HELD_MS).max(1);
+        let held_ms = self.held_ms().unwrap_or(UNKNOWN_HELD_MS).max(1);
         let hosts = u64::from(supply.hosts.max(1));
         let expected = u64::from(supply.places.max(1)) * 1_000_000 / held_ms / hosts;
         let first = self.ends.front().map_or(now, |(at, _)| *at);
--- a/crates/hibiscushoistd/src/gateway_room.rs
+++ b/crates/hibiscushoistd/src/gateway_room.rs
@@ -32,31 +32,32 @@
     demand: &Demand,
 ) -> Result<bool, Refusal> {
     let service = demand.service.as_str();
-    let snapshot = gateway.routing.latest();
     let desk = &gateway.short_desk;
+    let held_ms = desk.held_ms(service);
+    let goal_ms = routed.route.first_byte_goal_ms;
     let rank = routed.workspace.as_ref().map(|workspace| workspace.rank);
     let mut ticket = Ticket {
         arrived: routed.arrived,
-        goal_ms: routed.route.first_byte_goal_ms,
+        goal_ms,
         is_repeat: progress.is_queued_again(),
-        late_at: routed.arrived + routed.route.first_byte_goal_ms,
+        late_at: routed.arrived + goal_ms.saturating_sub(held_ms),
         rank: rank.unwrap_or(routed.route.rank),
-        until: routed.deadline,
+        until: routed.deadline.before(held_ms),
         workspace: routed.workspace.as_ref().map(|w| w.name.clone()),
         ..Ticket::default()
     };
     let mut has_waited = false;
     loop {
         let now = context.clock.now();
-        let (is_full, supply) = {
-            let dispatcher = gateway.dispatcher();
-            let (supply, _) = dispatcher.supply(now, &snapshot.fleet, service, desk.hosts());
-            (dispatcher.is_full(now, &snapshot.fleet, demand), supply)
-        };
+        let fleet = gateway.routing.latest().fleet.clone();
+        let is_full = gateway.dispatcher().is_full(now, &fleet, demand);
         // A request that was called has had its turn.
         if !is_full && (has_waited || !desk.is_behind(now, service, &ticket)) {
             return Ok(has_waited);
         }
+        let (supply, _) = gateway
+            .dispatcher()
+            .supply(now, &fleet, service, desk.hosts());
         let digest = routed.digest.short();
         let entered = desk.enter(now, service, ticket.clone(), digest, supply);
         let mut waiter = entered
@@ -75,7 +76,7 @@
             let pause = Duration::from_millis(left_ms.min(REFUSAL_PAUSE_MS));
             match tokio::time::timeout(pause, &mut waiter.called).await {
                 Ok(_) => break,
-                Err(_) => call(gateway, context.clock.now(), &snapshot.fleet, service),
+                Err(_) => call(gateway, context.clock.now(), &fleet, service),
             }
         }
     }
--- a/crates/hibiscushoistd/src/short_desk.rs
+++ b/crates/hibiscushoistd/src/short_desk.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Returns the time for which upstreams of a service held the last requests, in milliseconds;
+    /// 0 if it is unknown.
+    pub fn held_ms(&self, service: &str) -> u64 {
+        let services = self.lock();
+        let held_ms = services.get(service).and_then(|entry| entry.line.held_ms());
+        held_ms.unwrap_or_default()
+    }
+
     /// Returns the services in whose lines requests wait.
     pub fn waiting_services(&self) -> Vec<String> {
         let services = self.lock();
