--- a/crates/coordination/src/queue/short.rs
+++ b/crates/coordination/src/queue/short.rs
@@ -3,9 +3,9 @@
 //! The pattern it answers: for some seconds more short prompts or plain requests arrive than the
 //! upstreams of a service can run. Those that can meet their goal go first, the oldest of them
 //! before others. Those that turned late while they waited, and callers who come back, have half of
-//! the turns. A new request that would not meet its goal is rejected when it arrives, with a time to
-//! come back. Requests that wait are called: by an answer that ends at this host, or by news that
-//! upstreams have room.
+//! the turns. A new request that would not meet its goal is rejected when it arrives, with a time
+//! to come back. Requests that wait are called: by an answer that ends at this host, or by news
+//! that upstreams have room.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -59,12 +59,12 @@
 }
 
 /// Which turns a request has.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Class {
-    /// It can meet its goal.
-    OnTime,
     /// It is late, or its caller was rejected before.
     Late,
+    /// It can meet its goal.
+    OnTime,
 }
 
 /// Place of a request in its class: rank, whether its workspace is hot, whether its caller is new,
@@ -136,6 +136,14 @@
         self.forget(now);
     }
 
+    /// Returns the time for which upstreams held the last requests, in milliseconds, if any ended
+    /// lately.
+    pub fn held_ms(&self) -> Option<u64> {
+        let recent = self.ends.iter().rev().take(RECENT_ENDS);
+        let recent: Vec<u64> = recent.map(|(_, held_ms)| *held_ms).collect();
+        recent.iter().sum::<u64>().checked_div(recent.len() as u64)
+    }
+
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -222,10 +230,7 @@
     /// since requests wait and, before these are many, what upstreams hold at the moment ends.
     fn pace(&self, now: Instant, supply: Supply) -> u64 {
         let rate = |count: usize, window_ms: u64| count as u64 * 1_000_000 / window_ms.max(1);
-        let recent = self.ends.iter().rev().take(RECENT_ENDS);
-        let recent: Vec<u64> = recent.map(|(_, held_ms)| *held_ms).collect();
-        let held_ms = recent.iter().sum::<u64>().checked_div(recent.len() as u64);
-        let held_ms = held_ms.unwrap_or(UNKNOWN_HELD_MS).max(1);
+        let held_ms = self.held_ms().unwrap_or(UNKNOWN_HELD_MS).max(1);
         let hosts = u64::from(supply.hosts.max(1));
         let expected = u64::from(supply.places.max(1)) * 1_000_000 / held_ms / hosts;
         let first = self.ends.front().map_or(now, |(at, _)| *at);
