Let connections with the least claim yield their places to new ones

Cause: connections were taken in the order of their arrival. A crowd that reads its answers slowly or not at all held all places of an address, and its answers filled the kernel's buffers before a write was ever blocked, so that the write limit came late. Change: while an address has no place, connections idle for 2 s yield to new ones, then those without a complete header for 2 s, then those whose callers read less than 4 KiB of a blocked answer in 2 s; of equals the longest first. A running request keeps its place. The decision is coordination::door::connections. The kernel takes 16 KiB of an answer beyond what it sends at once (TCP_NOTSENT_LOWAT).

--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -10,6 +10,7 @@
 use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -24,19 +25,28 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use slog::Logger;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
 use crate::event;
 use crate::event::Event;
+use crate::place::AnswerGuard;
+use crate::place::Place;
+use crate::place::Places;
+use crate::place::RecordedStream;
+use crate::place::Recorder;
 use crate::write_timeout;
+use coordination::door::connections;
 
 /// Delay after a failed accept, so that the loop does not spin while accepts keep failing.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Bytes of an answer that the kernel takes beyond those that it sends at once, so that a caller
+/// who does not read is noticed early.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
+
 /// Length of the shortest header field, in bytes.
 const SHORTEST_FIELD_BYTES: usize = "a:\r\n".len();
 
@@ -82,17 +92,17 @@
     pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let server = Arc::new(self);
         let graceful = GracefulShutdown::new();
-        let permits = Arc::new(Semaphore::new(server.limits.max_connections));
+        let places = Arc::new(Places::new(server.limits.max_connections));
         while !*stop.borrow() {
             let accepted = tokio::select! {
-                accepted = server.accept(&listener, &permits) => accepted,
+                accepted = server.accept(&listener, &places) => accepted,
                 _ = stop.changed() => break,
             };
-            let Some((stream, peer, permit)) = accepted else {
+            let Some((stream, peer, place)) = accepted else {
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            server.clone().spawn(stream, peer, permit, &graceful);
+            server.clone().spawn(stream, peer, place, &graceful);
         }
         drop(listener);
         graceful.shutdown().await;
@@ -101,22 +111,24 @@
     async fn accept(
         &self,
         listener: &TcpListener,
-        permits: &Arc<Semaphore>,
-    ) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
-        if permits.available_permits() == 0 {
-            event::emit(&self.log, Event::ConnectionLimit, slog::o!());
-        }
-        let permit = permits.clone().acquire_owned().await.ok()?;
+        places: &Arc<Places>,
+    ) -> Option<(TcpStream, SocketAddr, Place)> {
         let (stream, peer) = listener.accept().await.ok()?;
         stream.set_nodelay(true).ok()?;
-        Some((stream, peer, permit))
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES).ok()?;
+        if places.is_full() {
+            event::emit(&self.log, Event::ConnectionLimit, slog::o!());
+        }
+        let place = places.take().await;
+        Some((stream, peer, place))
     }
 
     fn spawn(
         self: Arc<Self>,
         stream: TcpStream,
         peer: SocketAddr,
-        permit: OwnedSemaphorePermit,
+        place: Place,
         graceful: &GracefulShutdown,
     ) {
         let max_header_bytes = self.limits.max_header_bytes;
@@ -129,16 +141,22 @@
             .max_headers((max_header_bytes / SHORTEST_FIELD_BYTES).min(MAX_FIELDS))
             .half_close(false);
         let server = self.clone();
-        let service = service_fn(move |request| server.clone().handle(request, peer));
+        let recorder = place.recorder();
+        let service =
+            service_fn(move |request| server.clone().handle(request, peer, recorder.clone()));
         let stream = write_timeout::WriteTimeoutStream::new(stream, self.limits.write_timeout);
+        let stream = RecordedStream::new(stream, place.recorder());
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let served = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(error) = served.await {
-                let details = slog::o!("peer" => peer.to_string(), "error" => error.to_string());
+            let failed = tokio::select! {
+                served = served => served.err().map(|error| error.to_string()),
+                () = place.yields() => Some("yielded its place to a new connection".to_owned()),
+            };
+            if let Some(error) = failed {
+                let details = slog::o!("peer" => peer.to_string(), "error" => error);
                 event::emit(&self.log, Event::ConnectionFailed, details);
             }
-            drop(permit);
         });
     }
 
@@ -146,7 +164,10 @@
         self: Arc<Self>,
         request: Request<Incoming>,
         peer: SocketAddr,
+        recorder: Recorder,
     ) -> Result<Response<Body>, Infallible> {
+        recorder.record(connections::Event::Requested);
+        let guard = AnswerGuard(recorder);
         let stays = stays_open(&request);
         let mut state = State::from_request(request, peer);
         (self.prepare)(&mut state);
@@ -161,7 +182,7 @@
         {
             headers.insert(KEEP_ALIVE, told);
         }
-        Ok(answer)
+        Ok(answer.map(|body| guarded(body, guard)))
     }
 }
 
@@ -185,6 +206,15 @@
     (seconds > 0).then_some(told)
 }
 
+/// Returns `body`, which drops `guard` when it has been taken for sending.
+fn guarded(body: Body, guard: AnswerGuard) -> Body {
+    let body = body.map_err(move |error| {
+        let _held = &guard;
+        error
+    });
+    Body::new(body)
+}
+
 fn empty_response(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::default());
     *response.status_mut() = status;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peer_handshake;
 pub mod peer_key;
 pub mod peer_server;
+pub mod place;
 pub mod platform;
 pub mod raft_store;
 pub mod reachability;
