Keep no upstream connection idle above a bound on all of them

Cause: up to 64 connections were kept idle for each upstream, without a bound on all together, so that callers and upstreams took 88 and 90 descriptors of 80. Change: above upstream_connections open ones, idle and in use, the one that has been idle for longest is closed for a new one, and none is kept after its answer. The default is [entry] connections. A request never waits for it.

--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -58,6 +58,7 @@
 use coordination::upstream_load::LoadAggregator;
 use coordination::version_history::VersionHistory;
 use transport::clock::Clock;
+use transport::connection_pool::ConnectionPool;
 use transport::event;
 use transport::event::Event;
 use transport::http::Limits;
@@ -139,7 +140,9 @@
         let versions =
             VersionHistory::new(weights_limit.map_or(u64::MAX, |l| l.as_millis() as u64));
         let charger = Charger::new(clock, log.clone(), links.pool.clone(), routing.clone());
-        let gateway = Gateway::new(routing, versions.clone(), charger);
+        let upstream_connections = settings.gateway.as_ref().map(|g| g.upstream_connections);
+        let pool = ConnectionPool::new(upstream_connections.unwrap_or_default());
+        let gateway = Gateway::new(routing, versions.clone(), charger, pool);
         let gateway = bound.callers.map(|_| Arc::new(gateway));
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone(), voter.table());
         let context = Arc::new(Context {
--- a/crates/hibiscushoistd/src/gateway.rs
+++ b/crates/hibiscushoistd/src/gateway.rs
@@ -86,17 +86,18 @@
 }
 
 impl Gateway {
-    /// Returns a gateway without connections or observations.
+    /// Returns a gateway without observations.
     pub fn new(
         routing: routing_snapshot::Handle,
         versions: VersionHistory,
         charger: Charger,
+        connection_pool: ConnectionPool,
     ) -> Self {
         Self {
             answer_buffer: AnswerBuffer::default(),
             charger,
             dispatcher: Mutex::new(Dispatcher::new(rand::random())),
-            connection_pool: ConnectionPool::default(),
+            connection_pool,
             crash_checks: CrashChecks::default(),
             part_monitor: Mutex::new(PartMonitor::new(rand::random())),
             routing,
--- a/crates/hibiscushoistd/src/settings.rs
+++ b/crates/hibiscushoistd/src/settings.rs
@@ -19,6 +19,8 @@
 use transport::log::Format;
 
 const ADDRESS: &str = "an IP address and port such as 192.0.2.1:8000";
+/// Connections that an address takes if no setting says otherwise.
+const CONNECTIONS: u64 = 4_096;
 const HASH: &str = "64 hexadecimal digits";
 const LEAST_BODY_BYTES: u64 = 1 << 10;
 const LEAST_HEADER_BYTES: u64 = 8 << 10;
@@ -56,6 +58,7 @@
             "readiness",
             "retry_percent",
             "retry_slack",
+            "upstream_connections",
             "weights_limit_ms",
         ],
         name: "gateway",
@@ -180,6 +183,8 @@
     pub retry_percent: u64,
     /// Gives the retries that all hosts together may make beside that share.
     pub retry_slack: u64,
+    /// Bounds the open connections to upstreams above which none is kept idle.
+    pub upstream_connections: usize,
     /// Bounds the time after which no request may begin on weights older than those named.
     pub weights_limit: Duration,
 }
@@ -350,13 +355,7 @@
         bodies_limit: size("bodies_limit_bytes", 256 << 20, LEAST_BODY_BYTES)?,
         body_limit: size("body_limit_bytes", 16 << 20, LEAST_BODY_BYTES)?,
         body_timeout: millis("body_timeout_ms", 30_000)?,
-        connections: file.optional(
-            "entry",
-            "connections",
-            4096,
-            "a whole number from 1 to 1000000",
-            number(1, 1_000_000),
-        )? as usize,
+        connections: connections(file, "entry", "connections", CONNECTIONS)?,
         drain_limit: millis("drain_limit_ms", 600_000)?,
         header_limit: size("header_limit_bytes", 64 << 10, LEAST_HEADER_BYTES)?,
         header_timeout: millis("header_timeout_ms", 10_000)?,
@@ -365,6 +364,17 @@
     }))
 }
 
+fn connections(
+    file: &File,
+    section: &'static str,
+    key: &'static str,
+    default: u64,
+) -> Result<usize, Error> {
+    let accepted = "a whole number from 1 to 1000000";
+    let count = file.optional(section, key, default, accepted, number(1, 1_000_000))?;
+    Ok(count as usize)
+}
+
 fn gateway(file: &File) -> Result<Option<Gateway>, Error> {
     if !file.has("gateway") {
         return Ok(None);
@@ -374,6 +384,7 @@
         let accepted = format!("a number from 0 to {most}");
         file.optional("gateway", key, default, &accepted, limit(0, most))
     };
+    let own = connections(file, "entry", "connections", CONNECTIONS)? as u64;
     let accepted = "milliseconds from 1 to 86400000";
     let millis = |key, default| {
         file.optional("gateway", key, default, accepted, limit(1, 86_400_000))
@@ -393,6 +404,7 @@
         readiness: address("readiness")?,
         retry_percent: count("retry_percent", 20, 100)?,
         retry_slack: count("retry_slack", 50, 1_000_000)?,
+        upstream_connections: connections(file, "gateway", "upstream_connections", own)?,
         weights_limit: millis("weights_limit_ms", 60_000)?,
     }))
 }
--- a/crates/hibiscushoistd/tests/limits.rs
+++ b/crates/hibiscushoistd/tests/limits.rs
@@ -246,6 +246,31 @@
     assert_eq!(&answer, b"HTTP/1.1 200");
 }
 
+// Guards against callers that hold all places with connections that they do not use.
+#[tokio::test]
+async fn new_connection_gets_the_place_of_an_idle_one_but_not_of_a_running_request() {
+    let bench = entry("connections = 2\nheader_timeout_ms = 600000").await;
+    let mut busy = connect(bench.address()).await;
+    let half = post(4) + "{";
+    busy.write_all(half.as_bytes()).await.unwrap();
+    let mut idle = connect(bench.address()).await;
+    let mut answer = [0; 12];
+    idle.write_all(HEALTH.as_bytes()).await.unwrap();
+    idle.read_exact(&mut answer).await.unwrap();
+    for _ in 0..2 {
+        let mut new = connect(bench.address()).await;
+        new.write_all(HEALTH.as_bytes()).await.unwrap();
+        let served = timeout(HANG, new.read_exact(&mut answer)).await;
+        served.expect("the place came free").unwrap();
+        assert_eq!(&answer, b"HTTP/1.1 200");
+        rest(&mut idle).await;
+        idle = new;
+    }
+    busy.write_all(b"}  ").await.unwrap();
+    busy.read_exact(&mut answer).await.expect("it has its place");
+    assert_eq!(&answer, b"HTTP/1.1 400");
+}
+
 /// Opens a connection whose receive buffer is as small as the system allows.
 async fn narrow(address: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().unwrap();
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -112,9 +114,35 @@
 }
 
 /// A shared pool of idle connections, by the address of the upstream.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    /// Number of open connections above which none is kept idle.
+    max_open: usize,
+    /// Number of open connections, idle and in use.
+    open: Arc<AtomicUsize>,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::new(usize::MAX)
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    fn new(open: Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A connection in use, which goes back to the pool with [`PooledConnection::release`].
@@ -136,6 +164,15 @@
 }
 
 impl ConnectionPool {
+    /// Returns an empty pool that keeps no connection idle while more than `max_open` are open.
+    pub fn new(max_open: usize) -> Self {
+        Self {
+            idle: Arc::default(),
+            max_open,
+            open: Arc::default(),
+        }
+    }
+
     /// Sends a request to `address` and returns the head of the answer with its connection.
     ///
     /// Reuses an idle connection where there is one. A request that was not sent because such a
@@ -166,7 +203,11 @@
                 },
             }
         }
-        let mut connection = connect(address, limits.connect_timeout).await?;
+        let open = OpenGuard::new(self.open.clone());
+        if self.is_over_limit() {
+            self.close_oldest();
+        }
+        let mut connection = connect(address, limits.connect_timeout, open).await?;
         match connection.sender.send_request(request).await {
             Err(source) => Err(disconnected(source)),
             Ok(response) => Ok(self.answered(address, connection, response)),
@@ -241,6 +282,19 @@
         (response, pooled)
     }
 
+    fn is_over_limit(&self) -> bool {
+        self.open.load(Ordering::Relaxed) > self.max_open
+    }
+
+    /// Closes the connection that has been idle for longest.
+    fn close_oldest(&self) {
+        let mut idle_by_address = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle_by_address.values_mut().filter(|kept| !kept.is_empty());
+        if let Some(kept) = kept.min_by_key(|kept| kept[0].idle_since) {
+            kept.remove(0);
+        }
+    }
+
     /// Takes the connection to `address` that became idle last, if one is usable, out of the pool.
     fn take(&self, address: SocketAddr, idle_limit: Duration) -> Option<Connection> {
         let now = Instant::now();
@@ -264,9 +318,10 @@
 
     /// Returns the connection to the pool for at most `max_idle` once the answer has ended.
     ///
-    /// Closes it instead if it has failed or the pool is full for this upstream.
+    /// Closes it instead if it has failed, the pool is full for this upstream or too many
+    /// connections are open.
     pub async fn release(mut self, max_idle: Duration) {
-        if self.connection.sender.ready().await.is_err() {
+        if self.connection.sender.ready().await.is_err() || self.pool.is_over_limit() {
             return;
         }
         let now = Instant::now();
@@ -287,7 +342,11 @@
     }
 }
 
-async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, Error> {
+async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+    open: OpenGuard,
+) -> Result<Connection, Error> {
     let failed = |source| Error::Connect { address, source };
     let connected = timeout(limit, TcpStream::connect(address)).await;
     let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
@@ -305,7 +364,10 @@
         .handshake(TokioIo::new(stream))
         .await;
     let (sender, connection) = handshake.map_err(|error| failed(io::Error::other(error)))?;
-    tokio::spawn(connection);
+    tokio::spawn(async move {
+        let _ = connection.await;
+        drop(open);
+    });
     Ok(Connection {
         allowance,
         is_reused: false,
--- a/crates/transport/tests/connection_pool.rs
+++ b/crates/transport/tests/connection_pool.rs
@@ -126,6 +126,25 @@
     assert_eq!(opened.load(Ordering::SeqCst), 2);
 }
 
+/// Answers of many upstreams must not leave as many idle connections.
+#[tokio::test]
+async fn the_connection_that_is_idle_for_longest_is_closed_for_one_beyond_the_limit() {
+    let (oldest, oldest_opened) = upstream(ANSWER, false).await;
+    let (older, older_opened) = upstream(ANSWER, false).await;
+    let (newest, newest_opened) = upstream(ANSWER, false).await;
+    let pool = ConnectionPool::new(2);
+    for address in [oldest, older, newest] {
+        assert_matches!(exchange(&pool, address, LIMITS).await, Ok(200));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(!pool.idle_addresses(LIMITS).contains(&oldest));
+    for address in [newest, older, oldest] {
+        assert_matches!(exchange(&pool, address, LIMITS).await, Ok(200));
+    }
+    let opened = [oldest_opened, older_opened, newest_opened].map(|o| o.load(Ordering::SeqCst));
+    assert_eq!(opened, [2, 1, 1]);
+}
+
 #[tokio::test]
 async fn a_refused_connection_is_reported_as_not_sent() {
     let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
