Leave part of the bytes for bodies to small ones

Cause: a whole body holds its bytes until its upstream answers. Four bodies of a crowd whose upstream never answers held all 4 MiB, and an ordinary request of 64 KiB got 503 (overloaded) for 60 s. What was sent can't be refused as not run, so that none of them can yield. Change: bodies of more than a 32nd of bodies_limit_bytes, by their stated length, leave an eighth of it free for shorter ones, unless the longest body would not fit then (coordination::door::reserve).

--- a/crates/coordination/src/door.rs
+++ b/crates/coordination/src/door.rs
@@ -2,3 +2,4 @@
 
 pub mod arrivals;
 pub mod connections;
+pub mod reserve;
--- a/crates/coordination/tests/connections.rs
+++ b/crates/coordination/tests/connections.rs
@@ -26,7 +26,10 @@
 #[test]
 fn idle_connections_yield_before_slow_headers_and_slow_readers_and_the_longest_first() {
     let mut open = vec![
-        ("reads nothing", connection(&[(0, Event::Requested), (1, Event::Blocked)])),
+        (
+            "reads nothing",
+            connection(&[(0, Event::Requested), (1, Event::Blocked)]),
+        ),
         ("speaks never", connection(&[])),
         ("runs", connection(&[(0, Event::Requested)])),
         ("idle", idle(900)),
@@ -56,7 +59,11 @@
             reader.step(Instant(at), Event::Blocked);
         }
         let chosen = yielding(Instant(60_000), [((), reader)]);
-        assert_eq!(chosen.is_some(), yields, "{bytes} bytes four times a second");
+        assert_eq!(
+            chosen.is_some(),
+            yields,
+            "{bytes} bytes four times a second"
+        );
     }
 }
 
--- a/crates/hibiscushoistd/src/answer_buffer.rs
+++ b/crates/hibiscushoistd/src/answer_buffer.rs
@@ -4,6 +4,7 @@
 use hyper::body::Body;
 
 use crate::budget::Budget;
+use coordination::door::reserve::Reserve;
 use transport::whole_body;
 use transport::whole_body::Error;
 
@@ -21,7 +22,7 @@
 
 impl Default for AnswerBuffer {
     fn default() -> Self {
-        Self(Budget::new(SHARED_BYTES))
+        Self(Budget::new(SHARED_BYTES, Reserve::none(SHARED_BYTES)))
     }
 }
 
--- a/crates/hibiscushoistd/src/bodies.rs
+++ b/crates/hibiscushoistd/src/bodies.rs
@@ -13,6 +13,7 @@
 use crate::budget::Share;
 use coordination::door::arrivals::Arrivals;
 use coordination::door::arrivals::Id;
+use coordination::door::reserve::Reserve;
 use transport::clock::Clock;
 
 /// Longest wait for the bytes of bodies that yield; their readers give them back at once.
@@ -42,10 +43,10 @@
 }
 
 impl Bodies {
-    /// Returns a bound of `bytes`.
-    pub fn new(bytes: usize, clock: Clock) -> Self {
+    /// Returns a bound of `bytes`, which takes a body of `body_limit` bytes.
+    pub fn new(bytes: usize, body_limit: usize, clock: Clock) -> Self {
         Self {
-            budget: Budget::new(bytes),
+            budget: Budget::new(bytes, Reserve::new(bytes, body_limit)),
             clock,
             state: Arc::default(),
         }
--- a/crates/hibiscushoistd/src/daemon.rs
+++ b/crates/hibiscushoistd/src/daemon.rs
@@ -147,7 +147,7 @@
         let suspects = Suspects::new(clock, member.clone(), links.pool.clone(), voter.table());
         let context = Arc::new(Context {
             address,
-            bodies: Bodies::new(settings.entry.as_ref().map_or(0, |e| e.bodies_limit), clock),
+            bodies: bodies(&settings, clock),
             broker: broker.clone(),
             clock,
             drain_began: OnceLock::new(),
@@ -408,6 +408,12 @@
     open.into_iter().map(serve).collect()
 }
 
+fn bodies(settings: &Settings, clock: Clock) -> Bodies {
+    let entry = settings.entry.as_ref();
+    let (bytes, limit) = entry.map_or((0, 0), |entry| (entry.bodies_limit, entry.body_limit));
+    Bodies::new(bytes, limit, clock)
+}
+
 fn server<H>(context: &Arc<Context>, entry: &Entry, handler: H) -> Server<H> {
     let shared = Shared(context.clone());
     Server {
--- a/crates/hibiscushoistd/src/request.rs
+++ b/crates/hibiscushoistd/src/request.rs
@@ -129,10 +129,9 @@
     arriving: &mut Arriving,
     share: &mut Share,
 ) -> Result<Bytes, Reason> {
-    let most = body
-        .size_hint()
-        .exact()
-        .map_or(limit, |length| length as usize);
+    let length = body.size_hint().exact().map(|length| length as usize);
+    let most = length.unwrap_or(limit);
+    share.expect(share.held_bytes() + length.unwrap_or_default());
     let mut body = Limited::new(body, limit);
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
--- a/crates/hibiscushoistd/tests/limits.rs
+++ b/crates/hibiscushoistd/tests/limits.rs
@@ -267,7 +267,9 @@
         idle = new;
     }
     busy.write_all(b"}  ").await.unwrap();
-    busy.read_exact(&mut answer).await.expect("it has its place");
+    busy.read_exact(&mut answer)
+        .await
+        .expect("it has its place");
     assert_eq!(&answer, b"HTTP/1.1 400");
 }
 
