Read bodies in equal segments

Cause: buffers doubled from the first bytes on, so that a body of 1 MiB in small pieces was moved ten times and left a gap of each size in the heap; the process grew beyond what the bodies held. Change: a body arrives in segments of 64 KiB, which count as their capacity, and they are joined when it is whole. For that moment it is held twice, as in a move before.

--- a/crates/hibiscushoistd/src/request.rs
+++ b/crates/hibiscushoistd/src/request.rs
@@ -23,6 +23,10 @@
 /// in the index and the allocation of an uncommon name, as received and once more as forwarded.
 const FIELD_BYTES: usize = 2 * 160;
 
+/// Most bytes of a segment of a body that arrives. Equal segments take each other's place in the
+/// heap, and none is moved before the body is whole.
+const SEGMENT_BYTES: usize = 64 << 10;
+
 /// Holds the parts of a request; the body is read later.
 pub struct Request {
     /// Bounds the bytes of all bodies.
@@ -133,7 +137,7 @@
     let most = length.unwrap_or(limit);
     share.expect(share.held_bytes() + length.unwrap_or_default());
     let mut body = Limited::new(body, limit);
-    let mut bytes = Vec::new();
+    let mut segments = Segments::default();
     while let Some(frame) = body.frame().await {
         let frame =
             frame.map_err(
@@ -142,26 +146,60 @@
                     true => Reason::BodyTooLarge,
                 },
             )?;
-        let Ok(data) = frame.into_data() else {
+        let Ok(mut data) = frame.into_data() else {
             continue;
         };
-        let more = added_capacity(&bytes, data.len(), most);
-        if more > 0 && !arriving.grow(share, more).await {
-            return Err(Reason::Overloaded);
+        let count = data.len();
+        while !data.is_empty() {
+            if segments.room() == 0 {
+                let left = most.saturating_sub(segments.len());
+                let bytes = left.clamp(1, SEGMENT_BYTES);
+                if !arriving.grow(share, bytes).await {
+                    return Err(Reason::Overloaded);
+                }
+                segments.add(bytes);
+            }
+            let part = data.split_to(data.len().min(segments.room()));
+            segments.last.extend_from_slice(&part);
         }
-        bytes.reserve_exact(bytes.capacity() + more - bytes.len());
-        bytes.extend_from_slice(&data);
-        arriving.record(data.len());
+        arriving.record(count);
     }
-    Ok(bytes.into())
+    Ok(segments.join())
+}
+
+/// A body that arrives.
+#[derive(Default)]
+struct Segments {
+    full: Vec<Vec<u8>>,
+    last: Vec<u8>,
 }
 
-/// Returns by how much the capacity of `bytes` grows for `count` more: to twice as much, but not
-/// beyond `most` bytes unless needed.
-fn added_capacity(bytes: &Vec<u8>, count: usize, most: usize) -> usize {
-    let needed = bytes.len() + count;
-    match needed <= bytes.capacity() {
-        false => needed.max(most.min(2 * bytes.capacity())) - bytes.capacity(),
-        true => 0,
+impl Segments {
+    fn add(&mut self, bytes: usize) {
+        let full = std::mem::replace(&mut self.last, Vec::with_capacity(bytes));
+        if !full.is_empty() {
+            self.full.push(full);
+        }
+    }
+
+    /// Returns the whole body; each segment is freed as it is copied.
+    fn join(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.into();
+        }
+        let mut whole = Vec::with_capacity(self.len());
+        for segment in self.full {
+            whole.extend_from_slice(&segment);
+        }
+        whole.extend_from_slice(&self.last);
+        whole.into()
+    }
+
+    fn len(&self) -> usize {
+        self.full.iter().map(Vec::len).sum::<usize>() + self.last.len()
+    }
+
+    fn room(&self) -> usize {
+        self.last.capacity() - self.last.len()
     }
 }
