--- a/crates/coordination/src/door/connections.rs
+++ b/crates/coordination/src/door/connections.rs
@@ -1,4 +1,6 @@
-//! What a connection of a caller does, and which one yields its place when an address has none left.
+//! What a connection of a caller does, and which one yields its place when none is left.
+
+use std::cmp::Reverse;
 
 use state::time::Instant;
 
@@ -44,15 +46,15 @@
     since: Instant,
 }
 
-/// Reason why a connection may have to yield; those with the least claim to their place come first.
+/// Reason why a connection may have to yield; those with the least claim to their place come last.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Weakness {
-    /// No request came since the last answer.
-    Idle,
-    /// The header of a request is not complete.
-    Header,
     /// The caller hardly reads its answers.
     Blocked,
+    /// The header of a request is not complete.
+    Header,
+    /// No request came since the last answer.
+    Idle,
 }
 
 /// What a connection does.
@@ -129,6 +131,6 @@
     let weak = connections
         .into_iter()
         .filter_map(|(key, connection)| Some((key, connection.weakness(now)?)));
-    weak.min_by_key(|(_, weakness)| *weakness)
+    weak.max_by_key(|(_, (weakness, since))| (*weakness, Reverse(*since)))
         .map(|(key, _)| key)
 }
--- a/crates/transport/src/http.rs
+++ b/crates/transport/src/http.rs
@@ -43,8 +43,8 @@
 /// Delay after a failed accept, so that the loop does not spin while accepts keep failing.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Bytes of an answer that the kernel takes beyond those that it sends at once, so that a caller who
-/// does not read is noticed early.
+/// Bytes of an answer that the kernel takes beyond those that it sends at once, so that a caller
+/// who does not read is noticed early.
 const MAX_UNSENT_BYTES: u32 = 16 << 10;
 
 /// Length of the shortest header field, in bytes.
