Watch for silence only where upstreams tell their load

Cause: suspicion of silent upstreams took effect on every deployment, also on those that do not call for it. Change: evidence counts only for services whose upstreams tell their load.

--- a/crates/coordination/src/load/silent.rs
+++ b/crates/coordination/src/load/silent.rs
@@ -112,6 +112,11 @@
         self.published.retain(|id, _| services.contains_key(id));
     }
 
+    /// Returns the service of a listed upstream.
+    pub fn service(&self, id: &str) -> Option<&str> {
+        self.services.get(id).map(String::as_str)
+    }
+
     /// Records evidence against an upstream: a request or a check that was sent at `sent_at` and is
     /// still without an answer.
     pub fn suspect(&mut self, now: Instant, sent_at: Instant, id: &str, evidence: Evidence) {
--- a/crates/coordination/src/load/silent_dispatch.rs
+++ b/crates/coordination/src/load/silent_dispatch.rs
@@ -16,14 +16,28 @@
     /// checked now whether they accept a connection.
     pub fn due_checks(&mut self, now: Instant) -> Vec<String> {
         for id in self.unresponsive.unresponsive(now) {
-            self.silent.suspect(now, now, &id, Evidence::Idle);
+            self.suspect(now, now, &id, Evidence::Idle);
         }
         let busy = self.local.iter().filter(|(_, local)| local.has_requests());
         let quiet = busy.filter(|(id, _)| self.unresponsive.needs_check(now, id));
+        let quiet = quiet.filter(|(id, _)| self.is_watched(id));
         let quiet = quiet.map(|(id, _)| id.clone()).collect();
         self.silent.due_checks(now, quiet)
     }
 
+    /// Records evidence against an upstream whose silence is watched.
+    fn suspect(&mut self, now: Instant, sent_at: Instant, id: &str, evidence: Evidence) {
+        if self.is_watched(id) {
+            self.silent.suspect(now, sent_at, id, evidence);
+        }
+    }
+
+    /// Returns whether the silence of an upstream is watched: its service tells its load.
+    fn is_watched(&self, id: &str) -> bool {
+        let service = self.silent.service(id);
+        service.is_some_and(|service| self.tells_load(service))
+    }
+
     /// Records whether an upstream accepted a connection that was begun at `begun_at`.
     pub fn record_check(&mut self, now: Instant, begun_at: Instant, id: &str, accepted: bool) {
         let is_lost = !accepted && self.unresponsive.was_heard_after(begun_at, id);
@@ -38,7 +52,7 @@
     /// Records that the upstream accepted no connection for the request.
     pub fn record_unreachable(&mut self, now: Instant, in_flight: &InFlight) {
         let (sent_at, id) = (in_flight.sent_at, &in_flight.upstream_id);
-        self.silent.suspect(now, sent_at, id, Evidence::Unreachable);
+        self.suspect(now, sent_at, id, Evidence::Unreachable);
     }
 
     /// Records that the request is given up because no answer came.
@@ -46,7 +60,7 @@
         self.record_failure(now, in_flight);
         let id = &in_flight.upstream_id;
         if self.unresponsive.unresponsive(now).contains(id) {
-            self.silent.suspect(now, now, id, Evidence::Idle);
+            self.suspect(now, now, id, Evidence::Idle);
         }
     }
 
@@ -54,7 +68,7 @@
     pub fn record_stall(&mut self, now: Instant, in_flight: &InFlight) {
         let id = &in_flight.upstream_id;
         if self.unresponsive.is_quiet(now, id) {
-            self.silent.suspect(now, now, id, Evidence::Idle);
+            self.suspect(now, now, id, Evidence::Idle);
         }
     }
 
