--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -1,5 +1,5 @@
-//! A small installation on loopback addresses: daemons as processes of their own, each at an address
-//! like that of a machine, with the settings templates of the deploy file.
+//! A small installation on loopback addresses: daemons as processes of their own, each at an
+//! address like that of a machine, with the settings templates of the deploy file.
 
 use std::env;
 use std::fs;
@@ -227,8 +227,8 @@
         kib.unwrap_or(0) * 1024
     }
 
-    /// Sends the first configuration to the stewards in turn, until one acknowledges it. Returns that
-    /// steward, or none if `limit` passes.
+    /// Sends the first configuration to the stewards in turn, until one acknowledges it. Returns
+    /// that steward, or none if `limit` passes.
     pub fn configure(&mut self, limit: Duration) -> Option<Ipv4Addr> {
         let stewards = self.of(Role::Steward);
         let until = Instant::now() + limit;
@@ -311,7 +311,11 @@
         r#"{"max_header_bytes":16384,"max_body_bytes":4194304,"#,
         r#""header_timeout_ms":3000,"idle_timeout_ms":15000}"#,
     );
-    let workspace = r#"{"name":"t-1","api_keys":["key-1"],"priority":1,"isolated":false}"#;
-    format!(r#"{{"version":7,"routes":[{route}],"services":[{service}],"limits":{limits},"#)
-        + &format!(r#""tenants":[{workspace}]}}"#)
+    let holders = concat!(
+        "\"tenants\":[{\"name\":\"t-1\",\"api_keys\":[\"key-1\"],",
+        r#""priority":1,"isolated":false}]"#,
+    );
+    format!(
+        r#"{{"version":7,"routes":[{route}],"services":[{service}],"limits":{limits},{holders}}}"#
+    )
 }
