--- a/review/lab-2/crowd.rs
+++ b/review/lab-2/crowd.rs
@@ -32,7 +32,7 @@
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
 /// Plays the case.
-pub fn play(given: &Given) -> io::Result<Verdict> {
+pub fn headers_unfinished(given: &Given) -> io::Result<Verdict> {
     let mut lab = Lab::new(&given.record, 3, MACHINES as u8)?;
     let machines: Vec<_> = lab.machines.iter().map(|machine| machine.ip).collect();
     for ip in machines {
--- a/review/lab-2/founding.rs
+++ b/review/lab-2/founding.rs
@@ -27,7 +27,7 @@
 const READING: Duration = Duration::from_secs(8);
 
 /// Plays the case.
-pub fn play(given: &Given) -> io::Result<Verdict> {
+pub fn first_configuration_lost(given: &Given) -> io::Result<Verdict> {
     let mut lab = Lab::new(&given.record, 3, 1)?;
     let machines: Vec<_> = lab.machines.iter().map(|machine| machine.ip).collect();
     for ip in machines {
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -38,10 +38,10 @@
         trouble: env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     let verdict = match case.as_str() {
-        "crowd" => crowd::play(&given),
-        "founding" => founding::play(&given),
-        "replaced" => replaced::play(&given),
-        "stillborn" => stillborn::play(&given),
+        "crowd" => crowd::headers_unfinished(&given),
+        "founding" => founding::first_configuration_lost(&given),
+        "replaced" => replaced::stewards_replaced(&given),
+        "stillborn" => stillborn::founder_killed(&given),
         _ => Ok(Verdict::NotRun),
     };
     let verdict = verdict.unwrap_or_else(|error| {
--- a/review/lab-2/replaced.rs
+++ b/review/lab-2/replaced.rs
@@ -29,7 +29,7 @@
 const READING: Duration = Duration::from_secs(10);
 
 /// Plays the case.
-pub fn play(given: &Given) -> io::Result<Verdict> {
+pub fn stewards_replaced(given: &Given) -> io::Result<Verdict> {
     let mut lab = Lab::new(&given.record, 3, 3)?;
     let machines: Vec<_> = lab.machines.iter().map(|machine| machine.ip).collect();
     for ip in machines {
--- a/review/lab-2/stillborn.rs
+++ b/review/lab-2/stillborn.rs
@@ -20,7 +20,7 @@
 const CALLING: Duration = Duration::from_secs(8);
 
 /// Plays the case.
-pub fn play(given: &Given) -> io::Result<Verdict> {
+pub fn founder_killed(given: &Given) -> io::Result<Verdict> {
     let mut lab = Lab::new(&given.record, 3, 1)?;
     let machines: Vec<_> = lab.machines.iter().map(|machine| machine.ip).collect();
     for ip in machines {
