review: show that silent connections take all descriptors of a gateway

Cause: the default of connections is above the descriptors of a machine, so that none yields, and the readiness check does not know that accepts fail. Done: a script with two processes that hold the connections; the stand-ins look for a free network.

--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -1,9 +1,11 @@
 //! A small installation on loopback addresses: daemons as processes of their own, each at an
 //! address like that of a machine, with the settings templates of the deploy file.
 
+use std::collections::hash_map::RandomState;
 use std::env;
 use std::fs;
 use std::fs::File;
+use std::hash::BuildHasher;
 use std::io;
 use std::io::Write;
 use std::net::Ipv4Addr;
@@ -16,8 +18,6 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use crate::wire;
 use crate::wire::Message;
@@ -34,6 +34,8 @@
 const GATEWAYS: u8 = 31;
 const WORKERS: u8 = 51;
 const PLATFORM: u8 = 90;
+/// Number of networks that are tried.
+const NETWORKS: usize = 20;
 const PROGRAM: &str = "target/release/hibiscushoistd";
 
 /// Which role of the deploy file a machine runs.
@@ -65,10 +67,8 @@
         if !PathBuf::from(PROGRAM).exists() {
             return Err(io::Error::other(format!("{PROGRAM} is not built")));
         }
-        let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        let number = now.unwrap_or_default().subsec_nanos() ^ process::id();
-        let network = [(number >> 8) as u8 | 1, (number >> 16) as u8 | 1];
-        let folder = env::temp_dir().join(format!("review-lab-{}-{number}", process::id()));
+        let network = free_network()?;
+        let folder = env::temp_dir().join(format!("review-lab-{}", process::id()));
         fs::create_dir_all(&folder)?;
         let mut lab = Self {
             folder,
@@ -91,7 +91,6 @@
             lab.machines.push(machine(ip, Role::Gateway));
         }
         let worker = SocketAddr::from((lab.ip(WORKERS), WORKER));
-        wire::serve(worker, wire::worker)?;
         let entry = format!(
             r#"{{"service":"desk","address":"{worker}","zone":"z-a","version":"v1","slots":6,"#
         );
@@ -227,6 +226,14 @@
         kib.unwrap_or(0) * 1024
     }
 
+    /// Returns how many descriptors a machine's process has open; 0 if it does not run.
+    pub fn descriptors(&mut self, ip: Ipv4Addr) -> usize {
+        let process = self.machine(ip).ok().and_then(|m| m.process.as_ref());
+        let folder = process.map(|process| format!("/proc/{}/fd", process.id()));
+        let listed = folder.and_then(|folder| fs::read_dir(folder).ok());
+        listed.map_or(0, Iterator::count)
+    }
+
     /// Sends the first configuration to the stewards in turn, until one acknowledges it. Returns
     /// that steward, or none if `limit` passes.
     pub fn configure(&mut self, limit: Duration) -> Option<Ipv4Addr> {
@@ -287,6 +294,21 @@
     }
 }
 
+/// Returns a network in which no other installation runs; its worker has begun to serve there.
+fn free_network() -> io::Result<[u8; 2]> {
+    for _ in 0..NETWORKS {
+        let random = RandomState::new().hash_one(process::id()).to_le_bytes();
+        let network = [random[0].max(1), random[1]];
+        let ip = Ipv4Addr::new(127, network[0], network[1], WORKERS);
+        match wire::serve(SocketAddr::from((ip, WORKER)), wire::worker) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+            Ok(()) => return Ok(network),
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// Returns a status for the record.
 pub fn shown(status: u16) -> String {
     match status {
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -3,6 +3,7 @@
 
 mod crowd;
 mod founding;
+mod idle;
 mod lab;
 mod replaced;
 mod stillborn;
@@ -40,6 +41,8 @@
     let verdict = match case.as_str() {
         "crowd" => crowd::headers_unfinished(&given),
         "founding" => founding::first_configuration_lost(&given),
+        "hold" => idle::hold(record),
+        "idle" => idle::channels_exhausted(&given),
         "replaced" => replaced::stewards_replaced(&given),
         "stillborn" => stillborn::founder_killed(&given),
         _ => Ok(Verdict::NotRun),
