Replace a voter that is gone before the next one may be lost

Cause: the repair of a voter took 5.2 to 6.6 s from its removal, and until its last change the group has four voters of which one is gone. Where the leader was removed, the election comes first.

Change: the leader counts the silence of its members. Over the longest election timeout a member is unhealthy; after an election the silence counts from the last message of the leader before, once three heartbeats are unanswered. Only hosts of members that answer their leader are waited for (`voters::Plan`), the questions end with the first step that the answers allow, and begin again within 50 ms if what the leader knows has changed. The removal follows the promotion at once, and of several unhealthy voters the silent one goes first. Events 218 and 219 tell the parts of a repair. The functions that tell who is healthy are methods of `voters::Health` now, which also holds the silences; tests/voters.rs calls them with none, its assertions are as before.

Why this works: no part waits for a host that is gone any more, and each part has a bound: 1.2 s of election, 0.45 s of heartbeats, 0.3 s of questions and pauses, and the changes.

--- a/crates/coordination/src/raft.rs
+++ b/crates/coordination/src/raft.rs
@@ -278,6 +278,15 @@
         }
     }
 
+    /// Returns, on the leader, the members that have not answered for longer than the longest
+    /// election timeout, with the length of their silence in milliseconds.
+    pub fn silences(&self) -> BTreeMap<MemberId, u64> {
+        match &self.state {
+            State::Leader(leader) => leader.silences(self.now, &self.settings),
+            State::Candidate(_) | State::Follower(_) | State::PreCandidate(_) => BTreeMap::new(),
+        }
+    }
+
     /// Returns the newest snapshot.
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         self.log.snapshot()
--- a/crates/coordination/src/raft_election.rs
+++ b/crates/coordination/src/raft_election.rs
@@ -137,7 +137,8 @@
     fn become_leader(&mut self) {
         let last = self.log.last_position();
         let mut leader = LeaderState::new(self.now, self.log.last_time_ms(), last.index);
-        leader.track(self.log.config(), self.identity, last.index + 1);
+        let since = self.last_leader_contact;
+        leader.track(self.log.config(), self.identity, last.index + 1, since);
         self.state = State::Leader(Box::new(leader));
         self.begin_term();
     }
--- a/crates/coordination/src/raft_leader.rs
+++ b/crates/coordination/src/raft_leader.rs
@@ -78,7 +78,7 @@
                 let position = self.append_entry(Payload::Config(config));
                 let next = self.log.last_position().index;
                 if let State::Leader(leader) = &mut self.state {
-                    leader.track(self.log.config(), self.identity, next);
+                    leader.track(self.log.config(), self.identity, next, self.now);
                 }
                 self.effects.push(Effect::Accepted(token, position));
                 self.send_entries_to_all();
@@ -391,6 +391,7 @@
             return;
         };
         progress.acked_round = progress.acked_round.max(round);
+        progress.answered_at = self.now;
         change(progress);
         self.renew_lease();
         self.advance_commit();
--- a/crates/coordination/src/raft_leader_state.rs
+++ b/crates/coordination/src/raft_leader_state.rs
@@ -11,6 +11,9 @@
 use crate::raft_settings::Settings;
 use state::time::Instant;
 
+/// Heartbeat rounds of a new term before a member counts as silent.
+const FIRST_ROUNDS: u64 = 3;
+
 /// A read that waits for its index to be committed and for a majority to confirm the leader.
 #[derive(Debug)]
 pub(crate) struct PendingRead {
@@ -73,11 +76,18 @@
             .map_or(Instant(0), |start| start + duration)
     }
 
-    /// Tracks exactly the members of `config`; new ones are sent entries from `next_index` on.
-    pub(crate) fn track(&mut self, config: &Config, own: MemberId, next_index: u64) {
+    /// Tracks exactly the members of `config`; new ones are sent entries from `next_index` on, and
+    /// their silence counts from `since` on.
+    pub(crate) fn track(
+        &mut self,
+        config: &Config,
+        own: MemberId,
+        next_index: u64,
+        since: Instant,
+    ) {
         self.members.retain(|id, _| config.members.contains_key(id));
         for id in config.members.keys().filter(|id| **id != own) {
-            let new = || Progress::new(next_index);
+            let new = || Progress::new(next_index, since);
             self.members.entry(*id).or_insert_with(new);
         }
     }
@@ -88,6 +98,23 @@
         matched.collect()
     }
 
+    /// Returns the members that have not answered for longer than any election takes to begin, with
+    /// the length of their silence in milliseconds.
+    ///
+    /// In a new term all members first get a few rounds to answer.
+    pub(crate) fn silences(&self, now: Instant, settings: &Settings) -> BTreeMap<MemberId, u64> {
+        let first_rounds_ms = FIRST_ROUNDS * settings.heartbeat_interval_ms;
+        if now.since(self.started_at) < first_rounds_ms {
+            return BTreeMap::new();
+        }
+        let silences = self.members.iter();
+        let silences = silences.map(|(id, progress)| (*id, now.since(progress.answered_at)));
+        let limit_ms = settings.election_timeout_ms + settings.election_jitter_ms;
+        silences
+            .filter(|(_, silence)| *silence >= limit_ms)
+            .collect()
+    }
+
     /// Returns the log time at `now`, in milliseconds.
     pub(crate) fn log_time_ms(&self, now: Instant) -> u64 {
         self.start_log_time_ms + now.since(self.started_at)
--- a/crates/coordination/src/raft_progress.rs
+++ b/crates/coordination/src/raft_progress.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use state::time::Instant;
+
 /// How the leader sends entries to a member.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Mode {
@@ -26,6 +28,8 @@
 pub struct Progress {
     /// Newest heartbeat round that the member has answered.
     pub acked_round: u64,
+    /// Time of the member's last answer, or the time from which its silence counts.
+    pub answered_at: Instant,
     /// Last index up to which the member's log on disk matches the leader's.
     pub matched: u64,
     /// How entries are sent at present.
@@ -39,10 +43,12 @@
 }
 
 impl Progress {
-    /// Returns the progress of a member whose log is not known yet.
-    pub fn new(next_index: u64) -> Self {
+    /// Returns the progress of a member whose log is not known yet, and whose silence counts from
+    /// `since` on.
+    pub fn new(next_index: u64, since: Instant) -> Self {
         Self {
             acked_round: 0,
+            answered_at: since,
             matched: 0,
             mode: Mode::Probe { in_flight: false },
             advanced: false,
--- a/crates/coordination/tests/voters.rs
+++ b/crates/coordination/tests/voters.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use common::name;
 use common::profile;
@@ -16,7 +17,7 @@
 use coordination::quorum::MemberId;
 use coordination::view;
 use coordination::view::View;
-use coordination::voters;
+use coordination::voters::Health;
 
 const TARGET_VOTERS: usize = 3;
 
@@ -61,8 +62,32 @@
     }
 }
 
+/// Returns the hosts that can replace voters of `config` while all members answer their leader.
+fn replacement_hosts(config: &Config, view: &View, target: usize) -> Vec<(String, SocketAddr)> {
+    let silences = BTreeMap::new();
+    let health = Health {
+        config,
+        silences: &silences,
+        target,
+        view,
+    };
+    health.replacement_hosts()
+}
+
+/// Returns the voter that can be removed while all members answer their leader.
+fn removable_voter(config: &Config, view: &View, target: usize) -> Option<MemberId> {
+    let silences = BTreeMap::new();
+    let health = Health {
+        config,
+        silences: &silences,
+        target,
+        view,
+    };
+    health.removable_voter()
+}
+
 fn replacements(view: &View) -> Vec<String> {
-    let hosts = voters::replacement_hosts(&members(&[0, 1, 2]), view, TARGET_VOTERS);
+    let hosts = replacement_hosts(&members(&[0, 1, 2]), view, TARGET_VOTERS);
     hosts.into_iter().map(|(name, _)| name).collect()
 }
 
@@ -71,7 +96,7 @@
     let view = healthy_view(&[0, 1, 2, 3]);
     assert!(replacements(&view).is_empty());
     assert_eq!(
-        voters::removable_voter(&members(&[0, 1, 2]), &view, TARGET_VOTERS),
+        removable_voter(&members(&[0, 1, 2]), &view, TARGET_VOTERS),
         None
     );
 }
@@ -83,13 +108,13 @@
     view.hosts[2] = host(2, Standing::Dead, false);
     assert_eq!(replacements(&view), [name(3)]);
     assert_eq!(
-        voters::removable_voter(&members(&[0, 1, 2]), &view, TARGET_VOTERS),
+        removable_voter(&members(&[0, 1, 2]), &view, TARGET_VOTERS),
         None
     );
     let all = members(&[0, 1, 2, 3]);
     let removed = Some(MemberId(2));
-    assert_eq!(voters::removable_voter(&all, &view, TARGET_VOTERS), removed);
-    assert!(voters::replacement_hosts(&all, &view, TARGET_VOTERS).is_empty());
+    assert_eq!(removable_voter(&all, &view, TARGET_VOTERS), removed);
+    assert!(replacement_hosts(&all, &view, TARGET_VOTERS).is_empty());
 }
 
 /// Guards against a wait for the failure detector, during which another host may be lost.
@@ -100,12 +125,12 @@
     assert_eq!(replacements(&view), [name(3)]);
     let all = members(&[0, 1, 2, 3]);
     let removed = Some(MemberId(2));
-    assert_eq!(voters::removable_voter(&all, &view, TARGET_VOTERS), removed);
+    assert_eq!(removable_voter(&all, &view, TARGET_VOTERS), removed);
     let mut alone = healthy_view(&[0, 1, 2]);
     alone.hosts[2] = host(2, Standing::Suspect, false);
     assert!(replacements(&alone).is_empty());
     assert_eq!(
-        voters::removable_voter(&members(&[0, 1, 2]), &alone, TARGET_VOTERS),
+        removable_voter(&members(&[0, 1, 2]), &alone, TARGET_VOTERS),
         None
     );
 }
@@ -136,5 +161,5 @@
     let mut view = healthy_view(&[0, 1, 2, 3]);
     view.hosts[0] = host(0, Standing::Alive, true);
     let all = members(&[0, 1, 2, 3]);
-    assert_eq!(voters::removable_voter(&all, &view, TARGET_VOTERS), None);
+    assert_eq!(removable_voter(&all, &view, TARGET_VOTERS), None);
 }
--- a/crates/hibiscushoistd/src/voter_call.rs
+++ b/crates/hibiscushoistd/src/voter_call.rs
@@ -1,5 +1,6 @@
 //! What the duty of a voter is asked, and what it shows of itself.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -80,6 +81,9 @@
     pub matched: Vec<(MemberId, u64)>,
     /// Tells when each weights version that was applied here was named.
     pub namings: Arc<Namings>,
+    /// Holds the members that do not answer, with the length of their silence in milliseconds; only
+    /// the leader knows.
+    pub silences: BTreeMap<MemberId, u64>,
     /// Gives the newest term seen.
     pub term: u64,
     /// Tells whether the voter works.
--- a/crates/hibiscushoistd/src/voter_duty.rs
+++ b/crates/hibiscushoistd/src/voter_duty.rs
@@ -425,6 +425,7 @@
             log_time_ms: self.machine.log_time_ms(),
             matched: raft.matched(),
             namings: self.machine.namings().clone(),
+            silences: raft.silences(),
             term: raft.term(),
             works: true,
         };
@@ -438,6 +439,12 @@
             let details = slog::o!("members" => described(&new.config));
             event::emit(&self.log, Event::VotersChanged, details);
         }
+        let silent = new.silences.iter();
+        for (id, silence_ms) in silent.filter(|(id, _)| !old.silences.contains_key(id)) {
+            let host = new.config.members.get(id).map(|member| member.name.clone());
+            let details = slog::o!("host" => host, "silence_ms" => *silence_ms);
+            event::emit(&self.log, Event::VoterSilent, details);
+        }
         let event = match (old.leads, leads) {
             (false, true) => Event::LeadershipGained,
             (true, false) => Event::LeadershipLost,
--- a/crates/hibiscushoistd/src/voter_upkeep.rs
+++ b/crates/hibiscushoistd/src/voter_upkeep.rs
@@ -5,7 +5,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use slog::Logger;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -17,8 +20,9 @@
 use coordination::quorum::Change;
 use coordination::quorum::Member;
 use coordination::view::View;
-use coordination::voters;
+use coordination::voters::Health;
 use coordination::voters::HostFolder;
+use coordination::voters::Plan;
 use protocol::voter::DataFolder;
 use protocol::voter::Rejection;
 use transport::channel;
@@ -33,8 +37,8 @@
 const ASK_AGAIN_LIMIT: Duration = Duration::from_millis(1_000);
 const CHANGE_LIMIT: Duration = Duration::from_secs(5);
 const PERIOD: Duration = Duration::from_millis(500);
-/// Pause between two changes, and between two attempts to promote a learner. The repair of a voter
-/// takes three changes, and another host may be lost soon.
+/// Pause between two changes, between two attempts to promote a learner, and between two looks at
+/// what has changed. The repair of a voter takes three changes, and another host may be lost soon.
 const REPAIR_PERIOD: Duration = Duration::from_millis(50);
 
 /// Collects what the upkeep needs.
@@ -61,53 +65,109 @@
 
 impl Upkeep {
     /// Keeps the group up for ever.
-    pub async fn run(self) {
-        let mut pause = PERIOD;
+    pub async fn run(mut self) {
         loop {
-            tokio::time::sleep(pause).await;
-            pause = PERIOD;
             let status = self.status.borrow().clone();
-            if !status.works {
-                continue;
-            }
-            if status.config.members.is_empty() {
+            if status.works && status.config.members.is_empty() {
                 self.found().await;
-            } else if status.leads {
-                let has_learner = status.config.members.values().any(|m| !m.votes);
-                if self.repair(&status).await || has_learner {
-                    pause = REPAIR_PERIOD;
-                }
+            }
+            let pause = match status.works && status.leads {
+                false => PERIOD,
+                true => self.repair(&status).await,
+            };
+            let plan = self.plan(&self.status.borrow());
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.outdated(plan) => {}
             }
         }
     }
 
-    /// Makes the first step that the group accepts, and returns whether there was one.
-    async fn repair(&self, status: &Status) -> bool {
-        for step in self.steps(status).await {
+    /// Makes the first step that the group accepts, and returns the pause until the next one.
+    async fn repair(&mut self, status: &Status) -> Duration {
+        let asked_at = Instant::now();
+        let plan = self.plan(status);
+        let steps = tokio::select! {
+            steps = self.steps(status, &plan) => steps,
+            () = self.outdated(plan.clone()) => return Duration::ZERO,
+        };
+        let asked = asked_at.elapsed();
+        for step in steps {
             let count = step.len();
             for (index, change) in step.into_iter().enumerate() {
-                match self.change(change).await {
+                match self.change(change, status.term, asked).await {
                     Ok(()) => {}
                     // Another step may be possible, such as when a learner is behind.
                     Err(Rejection::Change) if index == 0 => break,
-                    Err(_) => return index > 0,
+                    Err(_) if index == 0 => return PERIOD,
+                    Err(_) => return REPAIR_PERIOD,
                 }
                 if index + 1 == count {
-                    return true;
+                    return REPAIR_PERIOD;
                 }
             }
         }
-        false
+        match status.config.members.values().any(|m| !m.votes) {
+            false => PERIOD,
+            true => REPAIR_PERIOD,
+        }
     }
 
-    /// Has the group make a change, and returns once it is committed.
-    async fn change(&self, change: Change) -> Result<(), Rejection> {
+    /// Has the group make a change, and returns once it is committed or this voter no longer leads.
+    async fn change(
+        &mut self,
+        change: Change,
+        term: u64,
+        asked: Duration,
+    ) -> Result<(), Rejection> {
         let (reply, replied) = oneshot::channel();
-        let _ = self.calls.send(Call::Change(change, reply));
-        let replied = tokio::time::timeout(CHANGE_LIMIT, replied).await;
-        replied
-            .unwrap_or(Ok(Err(Rejection::Unknown)))
-            .unwrap_or(Err(Rejection::Ended))
+        let begun = Instant::now();
+        let _ = self.calls.send(Call::Change(change.clone(), reply));
+        let deposed = self
+            .status
+            .wait_for(|status| !status.leads || status.term != term);
+        let result = tokio::select! {
+            replied = replied => replied.unwrap_or(Err(Rejection::Ended)),
+            _ = deposed => Err(Rejection::Unknown),
+            () = tokio::time::sleep(CHANGE_LIMIT) => Err(Rejection::Unknown),
+        };
+        if result != Err(Rejection::Change) {
+            let outcome: &'static str = result.err().map_or("made", Into::into);
+            let details = slog::o!(
+                "asked_ms" => asked.as_millis() as u64,
+                "change" => format!("{change:?}"),
+                "result" => outcome,
+                "took_ms" => begun.elapsed().as_millis() as u64,
+            );
+            event::emit(&self.log, Event::MemberChanged, details);
+        }
+        result
+    }
+
+    /// Returns what is to be found out before the members are changed.
+    fn plan(&self, status: &Status) -> Plan {
+        let view = self.view.borrow().clone();
+        let health = Health {
+            config: &status.config,
+            silences: &status.silences,
+            target: self.target,
+            view: &view,
+        };
+        let listed = match status.config.members.len() < self.voters.len() {
+            false => &[],
+            true => self.voters.as_slice(),
+        };
+        health.plan(listed.iter().map(|v| (v.name.clone(), v.address)))
+    }
+
+    /// Returns once another plan than `plan` fits what this voter knows.
+    async fn outdated(&self, plan: Plan) {
+        loop {
+            tokio::time::sleep(REPAIR_PERIOD).await;
+            if self.plan(&self.status.borrow()) != plan {
+                return;
+            }
+        }
     }
 
     /// Founds the group from the first listed voter, once all of them answer with an empty folder.
@@ -129,40 +189,34 @@
         }));
     }
 
-    /// Returns the steps that bring the members closer to the folders that hosts have.
-    async fn steps(&self, status: &Status) -> Vec<Vec<Change>> {
-        let members = &status.config.members;
-        let view = self.view.borrow().clone();
-        let removable = voters::removable_voter(&status.config, &view, self.target)
-            .or_else(|| voters::removable_learner(&status.config, &view));
-        let mut hosts: BTreeMap<String, SocketAddr> = members
-            .values()
-            .map(|member| (member.name.clone(), member.address))
-            .collect();
-        if members.len() < self.voters.len() {
-            let listed = self.voters.iter();
-            hosts.extend(listed.map(|voter| (voter.name.clone(), voter.address)));
-        }
-        hosts.extend(voters::replacement_hosts(
-            &status.config,
-            &view,
-            self.target,
-        ));
-        hosts.remove(&self.name);
-        let folders = hosts.into_iter().map(|(name, address)| async move {
-            let folder = self.folder(address).await?;
-            self.fitting(status, name, address, &folder)
+    /// Asks the hosts of a plan for their folders, and returns the steps that the answers allow as
+    /// soon as there are any.
+    async fn steps(&self, status: &Status, plan: &Plan) -> Vec<Vec<Change>> {
+        let questions = plan.questions.iter();
+        let questions = questions.map(|(name, question)| async move {
+            let folder = self.folder(question.address).await;
+            let folder = folder.and_then(|f| self.fitting(status, name, question.address, &f));
+            (name.clone(), folder)
         });
-        let folders = futures::future::join_all(folders).await;
-        let folders: Vec<HostFolder> = folders.into_iter().flatten().collect();
-        voters::steps(&status.config, &folders, removable)
+        let mut questions: FuturesUnordered<_> = questions.collect();
+        let mut answers = BTreeMap::new();
+        loop {
+            let steps = plan.steps(&status.config, &answers).unwrap_or_default();
+            if !steps.is_empty() {
+                return steps;
+            }
+            match questions.next().await {
+                None => return Vec::new(),
+                Some(answer) => answers.extend([answer]),
+            }
+        }
     }
 
     /// Returns the folder of a host, unless it belongs to another host or another group.
     fn fitting(
         &self,
         status: &Status,
-        name: String,
+        name: &str,
         address: SocketAddr,
         folder: &DataFolder,
     ) -> Option<HostFolder> {
@@ -173,14 +227,14 @@
             .group
             .is_some_and(|group| group != status.config.group)
         {
-            let details = slog::o!("host" => name);
+            let details = slog::o!("host" => name.to_owned());
             event::emit(&self.log, Event::VoterForeign, details);
             return None;
         }
         Some(HostFolder {
             address,
             identity: folder.identity,
-            name,
+            name: name.to_owned(),
         })
     }
 
--- a/crates/hibiscushoistd/tests/processes/mod.rs
+++ b/crates/hibiscushoistd/tests/processes/mod.rs
@@ -72,6 +72,8 @@
     client: Client<HttpConnector, Full<Bytes>>,
     folder: TempDir,
     pub hosts: Vec<Host>,
+    /// Counts the hosts that can vote, the first ones.
+    voter_hosts: usize,
 }
 
 impl Fleet {
@@ -87,6 +89,12 @@
 
     /// Writes the settings of `count` daemons without starting any.
     pub fn prepare(count: usize) -> Self {
+        Self::prepare_voters(count, VOTERS)
+    }
+
+    /// Writes the settings of `count` daemons, of which the first `voter_hosts` can vote and the
+    /// first [`VOTERS`] found the group, without starting any.
+    pub fn prepare_voters(count: usize, voter_hosts: usize) -> Self {
         let folder = TempDir::new().expect("a folder can be made");
         let network = FLEETS.fetch_add(1, Ordering::SeqCst);
         let [high, low] = (process::id() as u16).to_be_bytes();
@@ -113,6 +121,7 @@
                 .build_http(),
             folder,
             hosts,
+            voter_hosts,
         };
         fleet.write();
         fleet
@@ -148,7 +157,7 @@
         let seeds = self.hosts.iter().map(|h| h.advertised.to_string());
         let members = voters.map(|h| format!("{}@{}", h.name, h.advertised));
         let data = self.folder.path().join(&host.name);
-        let roles = match place < VOTERS {
+        let roles = match place < self.voter_hosts {
             false => "broker, entry",
             true => "broker, entry, voter",
         };
--- a/crates/transport/src/event.rs
+++ b/crates/transport/src/event.rs
@@ -82,6 +82,10 @@
     DiskFailed = 216,
     /// A host's voter belongs to another group and is ignored.
     VoterForeign = 217,
+    /// A voter or learner does not answer this voter, which leads.
+    VoterSilent = 218,
+    /// The members of the group were changed, or a change was refused or not confirmed.
+    MemberChanged = 219,
     /// A host was seen for the first time, or again after it was gone.
     HostJoined = 300,
     /// A host runs a new process.
@@ -229,6 +233,7 @@
             | Self::HostSuspected
             | Self::LeadershipGained
             | Self::LinkMended
+            | Self::MemberChanged
             | Self::PartReleased
             | Self::ReloadDone
             | Self::ReloadOrdered
@@ -246,6 +251,7 @@
             | Self::SuspicionEnded
             | Self::TableApplied
             | Self::UpstreamSuspected
+            | Self::VoterSilent
             | Self::VoterStarted
             | Self::VotersChanged
             | Self::WeightsNamed => Level::Info,
