--- a/crates/coordination/tests/removed_voters.rs
+++ b/crates/coordination/tests/removed_voters.rs
@@ -7,9 +7,8 @@
 
 use std::collections::BTreeMap;
 
-use rand::RngExt;
-
 use common::profile;
+use rand::RngExt;
 
 use crate::raft_sim::Flaw;
 use crate::raft_sim::Sim;
--- a/crates/hibiscushoistd/tests/removed_voters.rs
+++ b/crates/hibiscushoistd/tests/removed_voters.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rustix::process::Signal;
-use serde_json::json;
-
 use processes::Fleet;
 use processes::POLL;
 use processes::VOTERS;
 use processes::WORKSPACE_KEY;
+use rustix::process::Signal;
+use serde_json::json;
 
 use hibiscushoistd::auth;
 
